--- /dev/null
+++ b/libraries/telemetry/log.cpp
@@ -0,0 +1,98 @@
+#include "log.hpp"
+
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+#include <boost/core/null_deleter.hpp>
+#include <boost/json.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+
+#include <atomic>
+#include <iostream>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+struct log_options
+{
+    std::string program = "daleshelf";
+    log_format format = log_format::text;
+    std::atomic<log_severity> least = log_severity::warning;
+};
+
+log_options& options()
+{
+    static log_options instance;
+    return instance;
+}
+
+std::string to_json_line(const log_event& event,
+                         const std::vector<log_field>& fields)
+{
+    boost::json::object line;
+    line["time"] =
+        absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone());
+    line["severity"] = std::string(severity_name(event.severity));
+    line["program"] = options().program;
+    line["event"] = event.number;
+    line["name"] = std::string(event.name);
+    for (const auto& field : fields)
+    {
+        line[std::string(field.name)] = field.value;
+    }
+    return boost::json::serialize(line);
+}
+
+std::string to_text_line(const log_event& event,
+                         const std::vector<log_field>& fields)
+{
+    std::string line =
+        absl::FormatTime("%H:%M:%E3S", absl::Now(), absl::UTCTimeZone());
+    line += " " + std::string(severity_name(event.severity));
+    line += " [" + std::to_string(event.number) + "] ";
+    line += event.name;
+    for (const auto& field : fields)
+    {
+        line += " " + std::string(field.name) + "=" + field.value;
+    }
+    return line;
+}
+
+} // namespace
+
+void start_logging(const std::string& program, log_format format,
+                   log_severity least)
+{
+    options().program = program;
+    options().format = format;
+    options().least = least;
+    using backend = boost::log::sinks::text_ostream_backend;
+    auto stream = boost::make_shared<backend>();
+    stream->add_stream(
+        boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    stream->auto_flush(true);
+    using frontend = boost::log::sinks::synchronous_sink<backend>;
+    boost::log::core::get()->add_sink(boost::make_shared<frontend>(stream));
+}
+
+void log(const log_event& event, const std::vector<log_field>& fields)
+{
+    if (event.severity < options().least.load())
+    {
+        return;
+    }
+    thread_local boost::log::sources::logger logger;
+    const auto line = options().format == log_format::json
+                          ? to_json_line(event, fields)
+                          : to_text_line(event, fields);
+    BOOST_LOG(logger) << line;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/telemetry/log_event.hpp
@@ -0,0 +1,89 @@
+/// @file
+/// The numbered events that programs log.
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace daleshelf
+{
+
+/// How urgent an event is.
+enum class log_severity
+{
+    debug,
+    info,
+    warning,
+    error,
+};
+
+/// One kind of event; its number never changes its meaning.
+struct log_event
+{
+    int number;
+    log_severity severity;
+    std::string_view name;
+    std::string_view meaning; ///< for docs/EVENTS.md
+};
+
+/// @return every event that is known, by number
+[[nodiscard]] std::span<const log_event> event_catalogue();
+
+/// @param severity a severity
+/// @return its name in settings and log lines
+[[nodiscard]] std::string_view severity_name(log_severity severity);
+
+/// The events by name. Numbers go by package: 1xx process, 2xx configuration
+/// and platform, 3xx membership, 4xx requests, 5xx upstreams, 6xx placement.
+namespace events
+{
+
+inline constexpr log_event process_started{
+    101, log_severity::info, "process_started",
+    "The process serves; the fields name its addresses."};
+inline constexpr log_event process_stopping{
+    102, log_severity::info, "process_stopping",
+    "The process has been told to stop and lets requests end."};
+inline constexpr log_event process_stopped{
+    103, log_severity::info, "process_stopped",
+    "The process ends; nothing is in flight."};
+inline constexpr log_event drain_timed_out{
+    104, log_severity::warning, "drain_timed_out",
+    "Requests were still in flight when the drain time ran out."};
+inline constexpr log_event configuration_applied{
+    201, log_severity::info, "configuration_applied",
+    "A change has been settled; the fields give its offset and outcome."};
+inline constexpr log_event log_unreachable{
+    202, log_severity::warning, "log_unreachable",
+    "The platform's log does not answer; what is known stays in force."};
+inline constexpr log_event log_reachable{203, log_severity::info,
+                                         "log_reachable",
+                                         "The platform's log answers again."};
+inline constexpr log_event record_skipped{
+    204, log_severity::error, "record_skipped",
+    "A record of the log cannot be read; every host skips it."};
+inline constexpr log_event log_went_back{
+    205, log_severity::error, "log_went_back",
+    "The log answers from an older state; this host keeps what it has."};
+inline constexpr log_event log_trimmed{
+    206, log_severity::warning, "log_trimmed",
+    "Records were trimmed before this host read them."};
+inline constexpr log_event request_refused{
+    401, log_severity::info, "request_refused",
+    "A request was refused before it ran."};
+inline constexpr log_event request_failed{
+    402, log_severity::warning, "request_failed",
+    "A request ended with an error after it may have run."};
+inline constexpr log_event request_moved{
+    403, log_severity::info, "request_moved",
+    "A request goes on at another upstream."};
+inline constexpr log_event upstream_failed{501, log_severity::warning,
+                                           "upstream_failed",
+                                           "An attempt at an upstream failed."};
+inline constexpr log_event upstream_leaving{
+    502, log_severity::info, "upstream_leaving",
+    "An upstream is leaving and gets no new work."};
+
+} // namespace events
+
+} // namespace daleshelf
