--- a/libraries/http/http_client.cpp
+++ b/libraries/http/http_client.cpp
@@ -292,6 +292,7 @@
             take_commands();
             take_completed();
         }
+        take_commands();
         while (!m_transfers.empty())
         {
             end_transfer(m_transfers.begin()->first, CURLE_OK, true);
@@ -451,9 +452,17 @@
 }
 
 http_client::~http_client()
+{
+    stop();
+}
+
+void http_client::stop()
 {
     m_loop->stop();
-    m_thread.join();
+    if (m_thread.joinable())
+    {
+        m_thread.join();
+    }
 }
 
 http_client::transfer_id http_client::start(http_client_request request,
--- a/libraries/http/http_client.hpp
+++ b/libraries/http/http_client.hpp
@@ -76,9 +76,13 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Cancels what is under way.
+    /// Stops.
     ~http_client();
 
+    /// Cancels what is under way and ends the thread. Transfers started
+    /// later are never run and report nothing.
+    void stop();
+
     /// Starts a transfer; may be called from any thread.
     /// @param request what to send
     /// @param handlers what to call
--- a/libraries/http/http_exchange.cpp
+++ b/libraries/http/http_exchange.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-http_exchange::http_exchange(MHD_Connection* connection)
-    : m_connection(connection)
+http_exchange::http_exchange(MHD_Connection* connection,
+                             const std::atomic<bool>& is_closing)
+    : m_is_closing(is_closing), m_connection(connection)
 {
 }
 
@@ -130,6 +131,10 @@
         MHD_add_response_header(response, header.name.c_str(),
                                 header.value.c_str());
     }
+    if (m_is_closing)
+    {
+        MHD_add_response_header(response, "Connection", "close");
+    }
     return response;
 }
 
--- a/libraries/http/http_exchange.hpp
+++ b/libraries/http/http_exchange.hpp
@@ -6,6 +6,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -25,7 +26,10 @@
 class http_exchange : public std::enable_shared_from_this<http_exchange>
 {
 public:
-    explicit http_exchange(MHD_Connection* connection);
+    /// @param connection the library's connection
+    /// @param is_closing whether connections are closed after their answer
+    http_exchange(MHD_Connection* connection,
+                  const std::atomic<bool>& is_closing);
     http_exchange(const http_exchange&) = delete;
     http_exchange& operator=(const http_exchange&) = delete;
     ~http_exchange() = default;
@@ -78,6 +82,7 @@
     void resume_if_suspended() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void close();
 
+    const std::atomic<bool>& m_is_closing;
     http_request m_request;
     bool m_is_too_large = false;
     bool m_is_dispatched = false;
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -213,6 +213,7 @@
 
 void http_server::quiesce()
 {
+    m_is_closing = true;
     MHD_quiesce_daemon(m_daemon);
     // The backlog would go on to accept while nobody serves it.
     ::shutdown(m_listen_socket, SHUT_RDWR);
@@ -227,7 +228,7 @@
 bool http_server::begin(MHD_Connection* connection, const char* url,
                         const char* method, void** connection_state)
 {
-    auto exchange = std::make_shared<http_exchange>(connection);
+    auto exchange = std::make_shared<http_exchange>(connection, m_is_closing);
     auto& request = exchange->m_request;
     request.method = method;
     request.path = url;
--- a/libraries/http/http_server.hpp
+++ b/libraries/http/http_server.hpp
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_set.h>
 #include <absl/synchronization/mutex.h>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -51,7 +52,8 @@
     /// @return the port listened on
     [[nodiscard]] std::uint16_t port() const;
 
-    /// Takes no further connections; those that stand go on.
+    /// Takes no further connections; those that stand go on, and are closed
+    /// after the next answer.
     void quiesce();
 
     /// @return how many exchanges have not ended
@@ -71,6 +73,7 @@
     handler m_on_request;
     MHD_Daemon* m_daemon = nullptr;
     int m_listen_socket = -1;
+    std::atomic<bool> m_is_closing = false;
     mutable absl::Mutex m_mutex;
     absl::flat_hash_set<std::shared_ptr<http_exchange>>
         m_open ABSL_GUARDED_BY(m_mutex);
--- /dev/null
+++ b/libraries/requests/request_description.hpp
@@ -0,0 +1,44 @@
+/// @file
+/// What a caller has asked for.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <base/identifiers.hpp>
+#include <cstdint>
+#include <string>
+
+namespace daleshelf
+{
+
+/// Form of a generation request and of its answer.
+enum class generation_form
+{
+    completion,
+    chat,
+};
+
+/// Whether a request may be sent again after it may have run.
+enum class repeatability
+{
+    repeatable,
+    once_only,
+};
+
+/// An accepted generation request; immutable.
+struct request_description
+{
+    request_id id;
+    workspace_id workspace;
+    std::string deployment;   ///< as the caller names it
+    std::string engine_model; ///< as engines are asked for it
+    generation_form form = generation_form::completion;
+    std::string body; ///< the caller's JSON
+    std::uint64_t prefix = 0;
+    std::int64_t priority = 0; ///< higher goes first
+    absl::Time deadline = absl::InfiniteFuture();
+    repeatability repeats = repeatability::repeatable;
+    std::string traceparent;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/requests/request_machine.cpp
@@ -0,0 +1,204 @@
+#include "request_machine.hpp"
+
+#include "retry_decision.hpp"
+
+#include <utility>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr int status_gateway_timeout = 504;
+
+} // namespace
+
+request_machine::request_machine(request_description description,
+                                 std::int64_t max_attempts)
+    : m_description(std::move(description)), m_max_attempts(max_attempts)
+{
+}
+
+request_actions request_machine::begin()
+{
+    return next_attempt();
+}
+
+bool request_machine::is_present(const attempt_id& attempt) const
+{
+    return !m_is_ended && attempt == m_attempt;
+}
+
+attempt_id request_machine::new_attempt()
+{
+    ++m_attempts;
+    m_attempt =
+        attempt_id(m_description.id.value() + "." + std::to_string(m_attempts));
+    return m_attempt;
+}
+
+request_actions request_machine::next_attempt()
+{
+    const bool is_retry = m_attempts > 0;
+    m_stream_id.clear();
+    m_upstream = upstream_id();
+    m_is_placed = false;
+    m_is_resumed = false;
+    return {start_attempt{new_attempt(), is_retry}};
+}
+
+request_actions request_machine::fail(request_error error)
+{
+    m_is_ended = true;
+    return {fail_request{std::move(error)}};
+}
+
+verdict request_machine::run() const
+{
+    if (m_answer.next() > token_position(0))
+    {
+        return verdict::ran;
+    }
+    return m_is_placed || m_was_ambiguous ? verdict::may_have_run
+                                          : verdict::not_run;
+}
+
+void request_machine::set_upstream(const attempt_id& attempt,
+                                   const upstream_id& upstream)
+{
+    if (!is_present(attempt))
+    {
+        return;
+    }
+    m_upstream = upstream;
+    m_tried.insert(upstream);
+    // From here on bytes may leave; only the attempt's end can tell that
+    // none did.
+    m_is_placed = true;
+}
+
+request_actions request_machine::on_unplaced(const attempt_id& attempt,
+                                             const request_error& error)
+{
+    if (!is_present(attempt))
+    {
+        return {};
+    }
+    return fail(request_error(error.status(), error.code(), error.what(), run(),
+                              error.retry_after()));
+}
+
+void request_machine::on_stream(const attempt_id& attempt,
+                                const std::string& stream_id)
+{
+    if (is_present(attempt))
+    {
+        m_stream_id = stream_id;
+    }
+}
+
+request_actions request_machine::on_token(const attempt_id& attempt,
+                                          token_position position,
+                                          const std::string& text)
+{
+    if (!is_present(attempt) || !m_answer.add(position, text))
+    {
+        return {};
+    }
+    return {deliver_token{position}};
+}
+
+request_actions request_machine::on_finish(const attempt_id& attempt,
+                                           token_position end,
+                                           const std::string& reason,
+                                           const answer_usage& usage)
+{
+    // An end before a token that is missing here is no end.
+    if (!is_present(attempt) || end != m_answer.next())
+    {
+        return {};
+    }
+    m_is_ended = true;
+    m_finish_reason = reason;
+    m_usage.prompt_tokens = usage.prompt_tokens;
+    m_usage.completion_tokens = m_answer.next().value();
+    m_usage.cached_tokens = usage.cached_tokens;
+    m_usage.prefilled_tokens += usage.prefilled_tokens;
+    return {complete_request{reason}};
+}
+
+request_actions request_machine::on_attempt_ended(const attempt_id& attempt,
+                                                  const attempt_result& result,
+                                                  bool may_retry)
+{
+    if (!is_present(attempt))
+    {
+        return {};
+    }
+    using outcome = attempt_result::outcome;
+    m_is_placed = false;
+    m_was_ambiguous = m_was_ambiguous || !result.is_not_run();
+    if (result.what == outcome::rejected)
+    {
+        return fail(request_error(result.status, "rejected_by_upstream",
+                                  result.message, run()));
+    }
+    // 1. The stream may still run there: read on from where it broke.
+    const bool is_broken =
+        result.what == outcome::broken || result.what == outcome::completed;
+    if (is_broken && !m_stream_id.empty() && !m_is_resumed &&
+        m_attempts < m_max_attempts)
+    {
+        ++m_attempts;
+        m_is_resumed = true;
+        m_attempt = attempt_id(m_description.id.value() + "." +
+                               std::to_string(m_attempts));
+        return {
+            resume_stream{m_attempt, m_upstream, m_stream_id, m_answer.next()}};
+    }
+    return retry_after_failure(result, may_retry);
+}
+
+request_actions
+request_machine::retry_after_failure(const attempt_result& result,
+                                     bool may_retry)
+{
+    // 2. Elsewhere, if it may be sent again.
+    const auto error =
+        find_retry_obstacle(result, m_description.repeats, run(),
+                            may_retry && m_attempts < m_max_attempts);
+    return error ? fail(*error) : next_attempt();
+}
+
+request_actions request_machine::on_upstream_leaving()
+{
+    const bool may_repeat = m_description.repeats == repeatability::repeatable;
+    if (m_is_ended || m_upstream.empty() || !may_repeat)
+    {
+        return {};
+    }
+    m_was_ambiguous = true;
+    request_actions actions{cancel_attempt{m_attempt}};
+    for (auto& action : next_attempt())
+    {
+        actions.push_back(std::move(action));
+    }
+    return actions;
+}
+
+request_actions request_machine::on_deadline()
+{
+    if (m_is_ended)
+    {
+        return {};
+    }
+    const auto attempt = m_attempt;
+    auto actions =
+        fail(request_error(status_gateway_timeout, "deadline_exceeded",
+                           "the deadline has passed", run()));
+    actions.push_back(cancel_attempt{attempt});
+    return actions;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/requests/request_machine.hpp
@@ -0,0 +1,145 @@
+/// @file
+/// The life of a generation request, free of I/O: events in, actions out.
+#pragma once
+
+#include "answer_text.hpp"
+#include "attempt_result.hpp"
+#include "request_action.hpp"
+#include "request_description.hpp"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/time/time.h>
+
+#include <base/identifiers.hpp>
+#include <base/verdict.hpp>
+#include <string>
+
+namespace daleshelf
+{
+
+/// Usage counts of an answer, as the upstream gives them.
+struct answer_usage
+{
+    std::int64_t prompt_tokens = 0;
+    std::int64_t completion_tokens = 0;
+    std::int64_t cached_tokens = 0;
+    std::int64_t prefilled_tokens = 0; ///< over all attempts
+};
+
+/// Decides attempts, retries and the final answer of one request.
+///
+/// Not safe for concurrent use. Every attempt has an id of its own, and an
+/// event of any attempt but the present one is dropped.
+class request_machine
+{
+public:
+    /// @param description what is asked
+    /// @param max_attempts attempts in all, resumed streams included
+    request_machine(request_description description, std::int64_t max_attempts);
+
+    /// Starts the first attempt.
+    [[nodiscard]] request_actions begin();
+
+    /// The present attempt goes to this upstream.
+    void set_upstream(const attempt_id& attempt, const upstream_id& upstream);
+
+    /// Nothing could take the present attempt; no byte was sent for it.
+    [[nodiscard]] request_actions on_unplaced(const attempt_id& attempt,
+                                              const request_error& error);
+
+    /// The upstream has named its stream.
+    void on_stream(const attempt_id& attempt, const std::string& stream_id);
+
+    /// A token has come.
+    [[nodiscard]] request_actions on_token(const attempt_id& attempt,
+                                           token_position position,
+                                           const std::string& text);
+
+    /// The upstream has said that the answer ends before `end`.
+    [[nodiscard]] request_actions on_finish(const attempt_id& attempt,
+                                            token_position end,
+                                            const std::string& reason,
+                                            const answer_usage& usage);
+
+    /// The present attempt has ended.
+    /// @param may_retry whether the retry budget allows another one
+    [[nodiscard]] request_actions on_attempt_ended(const attempt_id& attempt,
+                                                   const attempt_result& result,
+                                                   bool may_retry);
+
+    /// The upstream of the present attempt is leaving and will not end it in
+    /// time; goes on elsewhere with the answer so far.
+    [[nodiscard]] request_actions on_upstream_leaving();
+
+    /// The deadline has passed.
+    [[nodiscard]] request_actions on_deadline();
+
+    [[nodiscard]] const request_description& description() const
+    {
+        return m_description;
+    }
+
+    [[nodiscard]] const answer_text& answer() const
+    {
+        return m_answer;
+    }
+
+    [[nodiscard]] const answer_usage& usage() const
+    {
+        return m_usage;
+    }
+
+    [[nodiscard]] const std::string& finish_reason() const
+    {
+        return m_finish_reason;
+    }
+
+    [[nodiscard]] bool is_ended() const
+    {
+        return m_is_ended;
+    }
+
+    /// @return upstreams that this request should not go to again
+    [[nodiscard]] const absl::flat_hash_set<upstream_id>& tried() const
+    {
+        return m_tried;
+    }
+
+    [[nodiscard]] const upstream_id& upstream() const
+    {
+        return m_upstream;
+    }
+
+    [[nodiscard]] const std::string& stream_id() const
+    {
+        return m_stream_id;
+    }
+
+    /// @return whether the request may have run up to now
+    [[nodiscard]] verdict run() const;
+
+private:
+    [[nodiscard]] bool is_present(const attempt_id& attempt) const;
+    attempt_id new_attempt();
+    request_actions next_attempt();
+    request_actions fail(request_error error);
+    request_actions retry_after_failure(const attempt_result& result,
+                                        bool may_retry);
+
+    request_description m_description;
+    std::int64_t m_max_attempts;
+    std::int64_t m_attempts = 0;
+    attempt_id m_attempt;
+    upstream_id m_upstream;
+    std::string m_stream_id;
+    bool m_is_resumed = false; ///< the present attempt reads on a stream
+    bool m_is_placed = false;  ///< bytes of the present attempt may have left
+    bool m_was_ambiguous = false; ///< an earlier attempt may have run
+    bool m_is_ended = false;
+    answer_text m_answer;
+    answer_usage m_usage;
+    std::string m_finish_reason;
+    absl::flat_hash_set<upstream_id> m_tried;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/requests/retry_budget.cpp
@@ -0,0 +1,26 @@
+#include "retry_budget.hpp"
+
+#include <algorithm>
+
+namespace daleshelf
+{
+
+void retry_budget::count_first_attempt(double percent)
+{
+    constexpr double whole = 100;
+    absl::MutexLock lock(&m_mutex);
+    m_tokens = std::min(most_tokens, m_tokens + percent / whole);
+}
+
+bool retry_budget::try_take()
+{
+    absl::MutexLock lock(&m_mutex);
+    if (m_tokens < 1)
+    {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/requests/retry_decision.cpp
@@ -0,0 +1,38 @@
+#include "retry_decision.hpp"
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr std::chrono::milliseconds short_pause{1000};
+
+} // namespace
+
+std::optional<request_error> find_retry_obstacle(const attempt_result& result,
+                                                 repeatability repeats,
+                                                 verdict run, bool may_retry)
+{
+    const bool may_repeat =
+        repeats == repeatability::repeatable || run == verdict::not_run;
+    if (!may_repeat)
+    {
+        return request_error(status_bad_gateway, "upstream_failed",
+                             "the upstream failed and the request may not be "
+                             "repeated: " +
+                                 result.message,
+                             run);
+    }
+    if (!may_retry)
+    {
+        return request_error(status_unavailable, "no_upstream_answered",
+                             "no upstream could answer: " + result.message, run,
+                             result.retry_after.value_or(short_pause));
+    }
+    return std::nullopt;
+}
+
+} // namespace daleshelf
--- a/libraries/telemetry/span_exporter.cpp
+++ b/libraries/telemetry/span_exporter.cpp
@@ -79,6 +79,11 @@
 }
 
 span_exporter::~span_exporter()
+{
+    stop();
+}
+
+void span_exporter::stop()
 {
     {
         absl::MutexLock lock(&m_mutex);
@@ -97,7 +102,7 @@
         return;
     }
     absl::MutexLock lock(&m_mutex);
-    if (m_waiting.size() >= max_waiting)
+    if (m_is_stopping || m_waiting.size() >= max_waiting)
     {
         ++m_dropped;
         return;
--- a/libraries/telemetry/span_exporter.hpp
+++ b/libraries/telemetry/span_exporter.hpp
@@ -55,6 +55,9 @@
     span_exporter& operator=(const span_exporter&) = delete;
     ~span_exporter();
 
+    /// Sends what waits and ends the thread; later spans are dropped.
+    void stop();
+
     /// @param ended a span that has ended
     void add(span ended);
 
--- /dev/null
+++ b/services/daleshelfd/entry_host.cpp
@@ -0,0 +1,137 @@
+#include "entry_host.hpp"
+
+#include <absl/time/clock.h>
+
+#include <http/http_exchange.hpp>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr absl::Duration drain_check_interval = absl::Milliseconds(20);
+
+http_server_options listen_options(const daemon_settings& settings,
+                                   const std::string& address,
+                                   std::int64_t port)
+{
+    http_server_options options;
+    options.address = address;
+    options.port = static_cast<std::uint16_t>(port);
+    options.max_body_bytes = static_cast<std::size_t>(settings.max_body_bytes);
+    return options;
+}
+
+kept_answer_limits answer_limits(const daemon_settings& settings)
+{
+    return {static_cast<std::size_t>(settings.kept_answer_bytes),
+            absl::FromChrono(settings.kept_answer_time)};
+}
+
+} // namespace
+
+entry_host::entry_host(const daemon_settings& settings)
+    : m_settings(settings)
+    , m_node(host_id(settings.host_id), hall_id(settings.host_hall))
+    , m_spans("daleshelfd", settings.traces_endpoint, m_client)
+    , m_log(m_client, settings.platform_url)
+    , m_engines(m_client)
+    , m_requests(m_node, m_engines, m_spans, answer_limits(settings))
+    , m_services(m_node, m_client, m_spans)
+    , m_control(m_node, m_log, settings.platform_stream)
+    , m_watcher(
+          m_node, m_client, settings.platform_url,
+          [this](const upstream_id& id) { m_requests.on_upstream_leaving(id); },
+          [this] { start_drain(); })
+    , m_caller_api(m_node, m_requests, m_services, m_spans)
+    , m_operator_api(m_node, m_control, settings.operators_token_sha256,
+                     [this] { start_drain(); })
+{
+    m_caller_server = http_server::create(
+        listen_options(settings, settings.callers_address,
+                       settings.callers_port),
+        [this](const std::shared_ptr<http_exchange>& exchange)
+        { m_caller_api.handle(exchange); });
+    m_operator_server = http_server::create(
+        listen_options(settings, settings.operators_address,
+                       settings.operators_port),
+        [this](const std::shared_ptr<http_exchange>& exchange)
+        { m_operator_api.handle(exchange); });
+    log(events::process_started,
+        {{"host", settings.host_id},
+         {"hall", settings.host_hall},
+         {"callers",
+          settings.callers_address + ":" + std::to_string(callers_port())},
+         {"operators", settings.operators_address + ":" +
+                           std::to_string(operators_port())}});
+}
+
+entry_host::~entry_host()
+{
+    // Nothing may call back into the other parts once they begin to go.
+    m_caller_server.reset();
+    m_operator_server.reset();
+    m_spans.stop();
+    m_client.stop();
+}
+
+std::uint16_t entry_host::callers_port() const
+{
+    return m_caller_server->port();
+}
+
+std::uint16_t entry_host::operators_port() const
+{
+    return m_operator_server->port();
+}
+
+void entry_host::start_drain()
+{
+    if (m_is_drain_asked.exchange(true))
+    {
+        return;
+    }
+    m_node.set_draining();
+    m_drain_asked.Notify();
+}
+
+void entry_host::run_until_drained()
+{
+    // docs/OPERATIONS.md, "Planned stop".
+    // 1. Wait for the order.
+    m_drain_asked.WaitForNotification();
+    log(events::process_stopping,
+        {{"in_flight", static_cast<std::int64_t>(in_flight())}});
+    // 2. The balancer sees /readyz fail and sends nothing more.
+    absl::SleepFor(absl::FromChrono(m_settings.balancer_time));
+    // 3. Take no further connection; those that stand are told to close.
+    m_caller_server->quiesce();
+    // 4. Let what is in flight end.
+    wait_for_requests();
+    log(events::process_stopped);
+}
+
+std::size_t entry_host::in_flight() const
+{
+    return m_requests.in_flight() + m_services.in_flight() +
+           m_caller_server->open_exchanges();
+}
+
+void entry_host::wait_for_requests()
+{
+    const auto end = absl::Now() + absl::FromChrono(m_settings.drain_timeout);
+    while (in_flight() > 0)
+    {
+        if (absl::Now() > end)
+        {
+            log(events::drain_timed_out,
+                {{"in_flight", static_cast<std::int64_t>(in_flight())}});
+            return;
+        }
+        absl::SleepFor(drain_check_interval);
+    }
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/daleshelfd/platform_watcher.cpp
@@ -0,0 +1,174 @@
+#include "platform_watcher.hpp"
+
+#include "node_state.hpp"
+
+#include <base/json.hpp>
+#include <http/http_client.hpp>
+#include <memory>
+#include <telemetry/log.hpp>
+#include <utility>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr absl::Duration notice_interval = absl::Milliseconds(500);
+constexpr absl::Duration host_list_interval = absl::Seconds(2);
+constexpr absl::Duration load_interval = absl::Milliseconds(500);
+constexpr std::chrono::milliseconds read_timeout{1000};
+constexpr int status_ok = 200;
+
+} // namespace
+
+platform_watcher::platform_watcher(
+    node_state& node, http_client& client, std::string platform_url,
+    std::function<void(const upstream_id&)> on_upstream_leaving,
+    std::function<void()> on_self_leaving)
+    : m_node(node)
+    , m_client(client)
+    , m_platform_url(std::move(platform_url))
+    , m_on_upstream_leaving(std::move(on_upstream_leaving))
+    , m_on_self_leaving(std::move(on_self_leaving))
+{
+    read_notices();
+    read_hosts();
+    read_loads();
+}
+
+void platform_watcher::get(const std::string& url,
+                           std::function<void(const std::string&)> on_body)
+{
+    http_client_request request;
+    request.url = url;
+    request.timeout = read_timeout;
+    auto body = std::make_shared<std::string>();
+    http_transfer_handlers handlers;
+    handlers.on_body = [body](std::string_view piece) { *body += piece; };
+    handlers.on_done =
+        [body, take = std::move(on_body)](const http_transfer_result& result)
+    {
+        if (!result.is_complete() || result.status != status_ok)
+        {
+            return;
+        }
+        try
+        {
+            take(*body);
+        }
+        catch (const std::exception&)
+        {
+            // The next reading may be better; what is known stays.
+        }
+    };
+    m_client.start(std::move(request), std::move(handlers));
+}
+
+void platform_watcher::read_notices()
+{
+    std::int64_t from = 0;
+    {
+        absl::MutexLock lock(&m_mutex);
+        from = m_next_notice;
+    }
+    get(m_platform_url + "/cloud/notices?from=" + std::to_string(from),
+        [this](const std::string& body) { take_notices(body); });
+    m_timers.after(notice_interval, [this] { read_notices(); });
+}
+
+void platform_watcher::take_notices(const std::string& body)
+{
+    const auto fields = parse_object(body);
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_next_notice = require_integer(fields, "next");
+    }
+    for (const auto& notice : *find_array(fields, "notices"))
+    {
+        on_host_leaving(host_id(require_string(notice.as_object(), "host")));
+    }
+}
+
+void platform_watcher::read_hosts()
+{
+    get(m_platform_url + "/hosts",
+        [this](const std::string& body) { take_hosts(body); });
+    m_timers.after(host_list_interval, [this] { read_hosts(); });
+}
+
+void platform_watcher::take_hosts(const std::string& body)
+{
+    const auto fields = parse_object(body);
+    for (const auto& entry : *find_array(fields, "hosts"))
+    {
+        const auto& host = entry.as_object();
+        if (require_string(host, "state") == "leaving")
+        {
+            on_host_leaving(host_id(require_string(host, "id")));
+        }
+    }
+}
+
+void platform_watcher::on_host_leaving(const host_id& host)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (!m_leaving.insert(host).second)
+        {
+            return;
+        }
+    }
+    if (host == m_node.host())
+    {
+        m_on_self_leaving();
+        return;
+    }
+    const auto config = m_node.current_configuration();
+    for (const auto& upstream : config->upstreams())
+    {
+        if (upstream->host != host)
+        {
+            continue;
+        }
+        log(events::upstream_leaving,
+            {{"upstream", upstream->id.value()}, {"host", host.value()}});
+        m_node.loads().set_leaving(upstream->id);
+        m_on_upstream_leaving(upstream->id);
+    }
+}
+
+void platform_watcher::read_loads()
+{
+    const auto config = m_node.current_configuration();
+    for (const auto& upstream : config->upstreams())
+    {
+        if (upstream->type != upstream_entry::kind::engine)
+        {
+            continue;
+        }
+        get(upstream->url + "/load",
+            [this, id = upstream->id](const std::string& body)
+            { take_load(id, body); });
+    }
+    m_timers.after(load_interval, [this] { read_loads(); });
+}
+
+void platform_watcher::take_load(const upstream_id& id, const std::string& body)
+{
+    const auto fields = parse_object(body);
+    load_report report;
+    report.as_of = absl::FromUnixMillis(require_integer(fields, "as_of_ms"));
+    report.running = require_integer(fields, "running");
+    report.waiting = require_integer(fields, "waiting");
+    report.is_leaving = find_boolean(fields, "leaving").value_or(false);
+    const bool was_leaving = m_node.loads().load(id).is_leaving;
+    m_node.loads().set_report(id, report);
+    if (report.is_leaving && !was_leaving)
+    {
+        log(events::upstream_leaving, {{"upstream", id.value()}});
+        m_on_upstream_leaving(id);
+    }
+}
+
+} // namespace daleshelf
