--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -367,10 +367,15 @@
         return true;
     }
     const bool is_same = !known.overrides(heard);
-    if (is_same)
+    const bool is_further =
+        is_same && (heard.applied > known.applied ||
+                    (heard.is_draining && !known.is_draining));
+    if (is_further)
     {
+        // What a host has reached is not passed on: whoever needs it asks.
         known.applied = std::max(known.applied, heard.applied);
         known.is_draining = known.is_draining || heard.is_draining;
+        ++m_revision;
     }
     return is_same;
 }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -152,6 +152,71 @@
     return restart_host(options.id);
 }
 
+void fleet::start_halls(const std::vector<std::string>& halls,
+                        const std::vector<std::string>& settings)
+{
+    std::vector<host_options> all;
+    std::string seeds;
+    for (const auto& hall : halls)
+    {
+        all.push_back({"entry-" + hall, hall, settings, free_port()});
+        absl::StrAppend(&seeds, seeds.empty() ? "" : ", ", "\"", m_address, ":",
+                        all.back().peers_port, "\"");
+    }
+    for (auto& options : all)
+    {
+        options.settings.push_back("peers.seeds = [" + seeds + "]");
+        options.settings.emplace_back("test.faults = true");
+        start_host(options);
+    }
+    for (const auto& one : all)
+    {
+        for (const auto& other : all)
+        {
+            wait_until(
+                [&] {
+                    return one.id == other.id ||
+                           state_of(one.id, other.id) == "alive";
+                },
+                one.id + " knows " + other.id);
+        }
+    }
+}
+
+std::string fleet::state_of(const std::string& seen_by,
+                            const std::string& host_id)
+{
+    const auto answer = operate(seen_by, "GET", "/apis/v1/hosts");
+    const auto body = parse_object(answer.body);
+    for (const auto& entry : *find_array(body, "items"))
+    {
+        const auto& item = entry.as_object();
+        if (require_string(item, "id") == host_id)
+        {
+            return require_string(item, "state");
+        }
+    }
+    return "";
+}
+
+void fleet::set_cut(const std::string& one, const std::string& other,
+                    bool is_cut)
+{
+    const auto cut = [&](const std::string& at, const std::string& from)
+    {
+        for (const auto* direction : {"incoming", "outgoing"})
+        {
+            (void)operate(at, "POST", "/apis/v1/faults",
+                          boost::json::serialize(boost::json::object{
+                              {"address", host(from).peers_address},
+                              {"direction", direction},
+                              {"cut", is_cut}}));
+        }
+    };
+    cut(one, other);
+    cut(other, one);
+}
+
 fleet_host& fleet::restart_host(const std::string& id)
 {
     auto& entry = host(id);
@@ -160,6 +225,7 @@
         "daleshelfd", {"--settings", entry.settings_file}, log_file(id));
     const auto& text = entry.process->ready_text();
     entry.callers_url = "http://" + field(text, "callers");
+    entry.peers_address = field(text, "peers");
     entry.operators_url = "http://" + field(text, "operators");
     return entry;
 }
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -25,6 +25,7 @@
     std::string settings_file;
     std::string callers_url;
     std::string operators_url;
+    std::string peers_address;
     std::unique_ptr<child_process> process;
 };
 
@@ -72,6 +73,11 @@
     /// Starts an entry host, or starts one again with the same settings.
     fleet_host& start_host(const host_options& options);
 
+    /// Starts one entry host a hall, `entry-<hall>`, that know each other, and
+    /// waits until they do.
+    void start_halls(const std::vector<std::string>& halls,
+                     const std::vector<std::string>& settings = {});
+
     /// Starts an entry host again with the settings and ports that it had.
     fleet_host& restart_host(const std::string& id);
 
@@ -105,6 +111,13 @@
     /// @param resources what `daleshelf apply` takes
     void apply(const std::string& host_id, const boost::json::array& resources);
 
+    /// Cuts two hosts off from each other, or joins them again.
+    void set_cut(const std::string& one, const std::string& other, bool is_cut);
+
+    /// @return a host's view of another: its state, or nothing
+    [[nodiscard]] std::string state_of(const std::string& seen_by,
+                                       const std::string& host_id);
+
     /// Waits until a host has applied all that the log holds.
     void wait_until_current(const std::string& host_id);
 
