daleshelfd: Keep a replica of every request and hand requests off

Cause: a request died with the entry host that had accepted it. Change: each owned request has a replica on a host of another hall; callers see nothing before it has it (bounded wait); replicas take over from owners that are gone; a host that is to go hands its requests off and sends its callers on by 303 or a moved event; any host finds a request by its id.

--- /dev/null
+++ b/libraries/requests/answer_usage.hpp
@@ -0,0 +1,19 @@
+/// @file
+/// Counts of tokens of an answer.
+#pragma once
+
+#include <cstdint>
+
+namespace daleshelf
+{
+
+/// Usage counts of an answer, as the upstream gives them.
+struct answer_usage
+{
+    std::int64_t prompt_tokens = 0;
+    std::int64_t completion_tokens = 0;
+    std::int64_t cached_tokens = 0;
+    std::int64_t prefilled_tokens = 0; ///< over all attempts
+};
+
+} // namespace daleshelf
--- a/libraries/requests/request_machine.cpp
+++ b/libraries/requests/request_machine.cpp
@@ -2,6 +2,7 @@
 
 #include "retry_decision.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace daleshelf
@@ -10,6 +11,7 @@
 namespace
 {
 
+constexpr int status_bad_gateway = 502;
 constexpr int status_gateway_timeout = 504;
 
 } // namespace
@@ -51,6 +53,7 @@
 request_actions request_machine::fail(request_error error)
 {
     m_is_ended = true;
+    m_error = error;
     return {fail_request{std::move(error)}};
 }
 
@@ -171,6 +174,98 @@
     return error ? fail(*error) : next_attempt();
 }
 
+request_actions request_machine::resume()
+{
+    m_is_resumed = true;
+    return {
+        resume_stream{new_attempt(), m_upstream, m_stream_id, m_answer.next()}};
+}
+
+request_progress request_machine::progress(token_position from) const
+{
+    request_progress shown;
+    shown.from = from;
+    for (auto position = from; position < m_answer.next();
+         position = position.next())
+    {
+        shown.tokens.emplace_back(m_answer.token(position));
+    }
+    shown.upstream = m_upstream;
+    shown.stream_id = m_stream_id;
+    shown.may_have_run = run() != verdict::not_run;
+    shown.attempts = m_attempts;
+    shown.is_complete = m_is_ended && !m_error;
+    shown.finish_reason = m_finish_reason;
+    shown.usage = m_usage;
+    shown.error = m_error;
+    return shown;
+}
+
+request_actions request_machine::on_progress(const request_progress& progress)
+{
+    if (m_is_ended)
+    {
+        return {};
+    }
+    // 1. Tokens that are new; those after a gap wait until it is filled.
+    request_actions actions;
+    auto position = progress.from;
+    for (const auto& token : progress.tokens)
+    {
+        if (m_answer.add(position, token))
+        {
+            actions.emplace_back(deliver_token{position});
+        }
+        position = position.next();
+    }
+    // 2. Where it runs, and whether it may have run.
+    m_upstream = progress.upstream;
+    m_stream_id = progress.stream_id;
+    m_was_ambiguous = m_was_ambiguous || progress.may_have_run;
+    m_attempts = std::max(m_attempts, progress.attempts);
+    m_usage = progress.usage;
+    // 3. Its end, once no token is missing.
+    if (progress.error)
+    {
+        for (auto& action : fail(*progress.error))
+        {
+            actions.push_back(std::move(action));
+        }
+    }
+    else if (progress.is_complete && position == m_answer.next())
+    {
+        m_is_ended = true;
+        m_finish_reason = progress.finish_reason;
+        actions.emplace_back(complete_request{m_finish_reason});
+    }
+    return actions;
+}
+
+request_actions request_machine::take_over()
+{
+    // docs/design/requests.md, "Taking over".
+    if (m_is_ended)
+    {
+        return {};
+    }
+    // 1. The stream may still run: to read on is not to run again.
+    if (!m_stream_id.empty() && !m_upstream.empty())
+    {
+        return resume();
+    }
+    // 2. Else it may only be sent if it was not, or may be repeated.
+    const bool may_send = m_description.repeats == repeatability::repeatable ||
+                          run() == verdict::not_run;
+    if (may_send)
+    {
+        return next_attempt();
+    }
+    return fail(request_error(status_bad_gateway, "owner_lost",
+                              "the host that ran the request is gone and it "
+                              "may not be repeated",
+                              run()));
+}
+
 request_actions request_machine::on_upstream_leaving()
 {
     const bool may_repeat = m_description.repeats == repeatability::repeatable;
--- a/libraries/requests/request_machine.hpp
+++ b/libraries/requests/request_machine.hpp
@@ -3,29 +3,23 @@
 #pragma once
 
 #include "answer_text.hpp"
+#include "answer_usage.hpp"
 #include "attempt_result.hpp"
 #include "request_action.hpp"
 #include "request_description.hpp"
+#include "request_progress.hpp"
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 #include <base/identifiers.hpp>
 #include <base/verdict.hpp>
+#include <optional>
 #include <string>
 
 namespace daleshelf
 {
 
-/// Usage counts of an answer, as the upstream gives them.
-struct answer_usage
-{
-    std::int64_t prompt_tokens = 0;
-    std::int64_t completion_tokens = 0;
-    std::int64_t cached_tokens = 0;
-    std::int64_t prefilled_tokens = 0; ///< over all attempts
-};
-
 /// Decides attempts, retries and the final answer of one request.
 ///
 /// Not safe for concurrent use. Every attempt has an id of its own, and an
@@ -74,6 +68,22 @@
     /// The deadline has passed.
     [[nodiscard]] request_actions on_deadline();
 
+    /// The owner of this copy has come further. Never takes anything back.
+    [[nodiscard]] request_actions on_progress(const request_progress& progress);
+
+    /// This copy becomes the owner: reads on from the stream that runs, or
+    /// goes on elsewhere with the answer so far, as far as that is allowed.
+    [[nodiscard]] request_actions take_over();
+
+    /// @param from first token wanted
+    [[nodiscard]] request_progress progress(token_position from) const;
+
+    /// @return the final answer if it is an error
+    [[nodiscard]] const std::optional<request_error>& error() const
+    {
+        return m_error;
+    }
+
     [[nodiscard]] const request_description& description() const
     {
         return m_description;
@@ -99,6 +109,12 @@
         return m_is_ended;
     }
 
+    /// @return the present attempt
+    [[nodiscard]] const attempt_id& attempt() const
+    {
+        return m_attempt;
+    }
+
     /// @return upstreams that this request should not go to again
     [[nodiscard]] const absl::flat_hash_set<upstream_id>& tried() const
     {
@@ -121,6 +137,7 @@
 private:
     [[nodiscard]] bool is_present(const attempt_id& attempt) const;
     attempt_id new_attempt();
+    request_actions resume();
     request_actions next_attempt();
     request_actions fail(request_error error);
     request_actions retry_after_failure(const attempt_result& result,
@@ -139,6 +156,7 @@
     answer_text m_answer;
     answer_usage m_usage;
     std::string m_finish_reason;
+    std::optional<request_error> m_error;
     absl::flat_hash_set<upstream_id> m_tried;
 };
 
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -15,6 +15,7 @@
         events::log_went_back,         events::log_trimmed,
         events::peer_version_unknown,  events::request_refused,
         events::request_failed,        events::request_moved,
+        events::request_taken_over,    events::request_handed_off,
         events::upstream_failed,       events::upstream_leaving,
     };
     return catalogue;
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -80,6 +80,12 @@
 inline constexpr log_event request_moved{
     403, log_severity::info, "request_moved",
     "A request goes on at another upstream."};
+inline constexpr log_event request_taken_over{
+    404, log_severity::warning, "request_taken_over",
+    "The owner of a request is gone; its replica runs it."};
+inline constexpr log_event request_handed_off{
+    405, log_severity::info, "request_handed_off",
+    "Another entry host runs a request, since this one is to go."};
 inline constexpr log_event upstream_failed{501, log_severity::warning,
                                            "upstream_failed",
                                            "An attempt at an upstream failed."};
--- a/services/daleshelfd/answer_sink.hpp
+++ b/services/daleshelfd/answer_sink.hpp
@@ -26,6 +26,9 @@
     /// The answer is whole.
     virtual void on_complete(const request_machine& request) = 0;
 
+    /// The request goes on at another host; the caller is to ask there.
+    virtual void on_moved(const request_machine& request) = 0;
+
     /// The request has ended with an error.
     virtual void on_fail(const request_machine& request,
                          const request_error& error) = 0;
--- a/services/daleshelfd/caller_api.cpp
+++ b/services/daleshelfd/caller_api.cpp
@@ -3,6 +3,7 @@
 #include "caller_format.hpp"
 #include "http_sinks.hpp"
 #include "node_state.hpp"
+#include "replication_service.hpp"
 #include "request_service.hpp"
 #include "service_calls.hpp"
 
@@ -18,6 +19,7 @@
 #include <base/request_error.hpp>
 #include <http/http_exchange.hpp>
 #include <optional>
+#include <requests/host_choice.hpp>
 #include <routing/router.hpp>
 #include <telemetry/log.hpp>
 
@@ -156,13 +158,14 @@
 };
 
 caller_api::caller_api(node_state& node, request_service& requests,
+                       replication_service& replication,
                        service_calls& services, span_exporter& spans)
     : m_node(node)
     , m_requests(requests)
+    , m_replication(replication)
     , m_services(services)
     , m_spans(spans)
-    , m_id_prefix("req-" + node.host().value() + "-" +
-                  random_hex(random_id_bytes) + "-")
+    , m_incarnation_name(random_hex(random_id_bytes))
 {
 }
 
@@ -265,7 +268,7 @@
 
 request_id caller_api::new_request_id()
 {
-    return request_id(m_id_prefix + std::to_string(++m_last_id));
+    return make_request_id(m_node.host(), m_incarnation_name, ++m_last_id);
 }
 
 trace_context caller_api::begin_span(const exchange_ptr& exchange,
@@ -381,10 +384,15 @@
     {
         sink = std::make_shared<whole_sink>(exchange);
     }
-    if (!m_requests.attach(id, user.id, std::move(sink)))
+    if (m_requests.attach(id, user.id, sink))
     {
-        throw not_found("no such request");
+        return;
     }
+    m_replication.fetch(
+        id, user.id, std::move(sink),
+        [exchange] {
+            exchange->respond(to_error_response(not_found("no such request")));
+        });
 }
 
 service_request caller_api::describe_call(const http_request& request,
--- a/services/daleshelfd/caller_api.hpp
+++ b/services/daleshelfd/caller_api.hpp
@@ -15,6 +15,7 @@
 {
 
 class node_state;
+class replication_service;
 class request_service;
 class service_calls;
 struct service_request;
@@ -26,7 +27,8 @@
 public:
     /// All arguments must outlive this object.
     caller_api(node_state& node, request_service& requests,
-               service_calls& services, span_exporter& spans);
+               replication_service& replication, service_calls& services,
+               span_exporter& spans);
 
     /// Answers one request.
     void handle(const std::shared_ptr<http_exchange>& exchange);
@@ -58,9 +60,10 @@
 
     node_state& m_node;
     request_service& m_requests;
+    replication_service& m_replication;
     service_calls& m_services;
     span_exporter& m_spans;
-    std::string m_id_prefix;
+    std::string m_incarnation_name;
     std::atomic<std::uint64_t> m_last_id = 0;
 };
 
--- a/services/daleshelfd/caller_format.cpp
+++ b/services/daleshelfd/caller_format.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr int first_server_error = 500;
+constexpr int status_see_other = 303;
 constexpr int status_unauthorized = 401;
 constexpr int status_too_many_requests = 429;
 constexpr double milliseconds_per_second = 1000;
@@ -70,6 +71,19 @@
              boost::json::object{{"cached_tokens", usage.cached_tokens}}}};
 }
 
+std::string request_location(const request_machine& request)
+{
+    return "/v1/requests/" + request.description().id.value();
+}
+
+std::string moved_body(const request_machine& request)
+{
+    return boost::json::serialize(boost::json::object{
+        {"id", request.description().id.value()},
+        {"location", request_location(request)},
+        {"next_position", request.answer().next().value()}});
+}
+
 } // namespace
 
 std::string to_error_body(const request_error& error)
@@ -145,6 +159,25 @@
     return to_event_stream(last) + to_event_stream(done);
 }
 
+http_response to_moved_response(const request_machine& request)
+{
+    http_response response;
+    response.status = status_see_other;
+    response.body = moved_body(request);
+    response.headers = {
+        {"Location", request_location(request)},
+        {"Daleshelf-Request-Id", request.description().id.value()}};
+    return response;
+}
+
+std::string to_moved_event(const request_machine& request)
+{
+    server_sent_event event;
+    event.event = "moved";
+    event.data = moved_body(request);
+    return to_event_stream(event);
+}
+
 std::string to_error_event(const request_error& error)
 {
     server_sent_event event;
--- a/services/daleshelfd/caller_format.hpp
+++ b/services/daleshelfd/caller_format.hpp
@@ -28,6 +28,12 @@
 /// @return the events that end a stream properly
 [[nodiscard]] std::string to_end_events(const request_machine& request);
 
+/// @return the response that sends a caller to where the request goes on
+[[nodiscard]] http_response to_moved_response(const request_machine& request);
+
+/// @return the event that ends a stream whose request goes on elsewhere
+[[nodiscard]] std::string to_moved_event(const request_machine& request);
+
 /// @return the event that ends a stream with an error
 [[nodiscard]] std::string to_error_event(const request_error& error);
 
--- a/services/daleshelfd/daemon_settings.cpp
+++ b/services/daleshelfd/daemon_settings.cpp
@@ -71,6 +71,10 @@
         {"drain.balancer_ms", &settings::balancer_time,
          "time between not being ready and taking no more connections",
          optional, time},
+        {"drain.finish_ms", &settings::finish_time,
+         "how long requests may end here before they are handed to other "
+         "entry hosts",
+         optional, time},
         {"drain.timeout_ms", &settings::drain_timeout,
          "longest wait for requests in flight at a planned stop", optional,
          time},
--- a/services/daleshelfd/daemon_settings.hpp
+++ b/services/daleshelfd/daemon_settings.hpp
@@ -34,6 +34,7 @@
     std::int64_t kept_answer_bytes = std::int64_t{32} << 20;
     std::chrono::milliseconds kept_answer_time{300000};
     std::chrono::milliseconds balancer_time{0};
+    std::chrono::milliseconds finish_time{10000};
     std::chrono::milliseconds drain_timeout{30000};
     bool has_test_faults = false;
 };
--- a/services/daleshelfd/entry_host.cpp
+++ b/services/daleshelfd/entry_host.cpp
@@ -56,12 +56,13 @@
               settings.peers_seeds,
               [this](const host_id& host) { m_watcher.on_host_leaving(host); })
     , m_follower(m_control, m_node, m_log, m_peers, settings.platform_stream)
+    , m_replication(m_node, m_peers, m_requests)
     , m_watcher(
           m_node, m_client, settings.platform_url,
           [this](const host_id& host) { m_peers.add_leaving(host); },
           [this](const upstream_id& id) { m_requests.on_upstream_leaving(id); },
           [this] { start_drain(); })
-    , m_caller_api(m_node, m_requests, m_services, m_spans)
+    , m_caller_api(m_node, m_requests, m_replication, m_services, m_spans)
     , m_operator_api(m_node, m_follower, m_peers, operator_options(settings),
                      [this] { start_drain(); })
 {
@@ -77,6 +78,7 @@
         { m_operator_api.handle(exchange); });
     m_peers.start();
     m_follower.start();
+    m_replication.start();
     log(events::process_started,
         {{"host", settings.host_id},
          {"hall", settings.host_hall},
@@ -130,12 +132,24 @@
     m_drain_asked.WaitForNotification();
     log(events::process_stopping,
         {{"in_flight", static_cast<std::int64_t>(in_flight())}});
+    if (m_is_reclaimed)
+    {
+        m_replication.start_handoff();
+    }
     // 2. The balancer sees /readyz fail and sends nothing more.
     absl::SleepFor(absl::FromChrono(m_settings.balancer_time));
     // 3. Take no further connection; those that stand are told to close.
     m_caller_server->quiesce();
-    // 4. Let what is in flight end.
-    wait_for_requests();
+    // 4. Let what is in flight end; hand off what does not end in time.
+    const auto start = absl::Now();
+    wait_for_requests(start + absl::FromChrono(m_settings.finish_time));
+    m_replication.start_handoff();
+    wait_for_requests(start + absl::FromChrono(m_settings.drain_timeout));
+    const auto left = static_cast<std::int64_t>(in_flight());
+    if (left > 0)
+    {
+        log(events::drain_timed_out, {{"in_flight", left}});
+    }
     log(events::process_stopped);
 }
 
@@ -145,17 +159,10 @@
            m_caller_server->open_exchanges();
 }
 
-void entry_host::wait_for_requests()
+void entry_host::wait_for_requests(absl::Time end)
 {
-    const auto end = absl::Now() + absl::FromChrono(m_settings.drain_timeout);
-    while (in_flight() > 0)
+    while (in_flight() > 0 && absl::Now() < end)
     {
-        if (absl::Now() > end)
-        {
-            log(events::drain_timed_out,
-                {{"in_flight", static_cast<std::int64_t>(in_flight())}});
-            return;
-        }
         absl::SleepFor(drain_check_interval);
     }
 }
--- a/services/daleshelfd/entry_host.hpp
+++ b/services/daleshelfd/entry_host.hpp
@@ -10,6 +10,7 @@
 #include "operator_api.hpp"
 #include "peer_service.hpp"
 #include "platform_watcher.hpp"
+#include "replication_service.hpp"
 #include "request_service.hpp"
 #include "service_calls.hpp"
 
@@ -52,7 +53,7 @@
 
 private:
     [[nodiscard]] std::size_t in_flight() const;
-    void wait_for_requests();
+    void wait_for_requests(absl::Time end);
 
     daemon_settings m_settings;
     node_state m_node;
@@ -65,11 +66,13 @@
     control_thread m_control;
     peer_service m_peers;
     configuration_follower m_follower;
+    replication_service m_replication;
     platform_watcher m_watcher;
     caller_api m_caller_api;
     operator_api m_operator_api;
     absl::Notification m_drain_asked;
     std::atomic<bool> m_is_drain_asked = false;
+    std::atomic<bool> m_is_reclaimed = false;
     std::unique_ptr<http_server> m_caller_server;
     std::unique_ptr<http_server> m_operator_server;
 };
--- a/services/daleshelfd/http_sinks.cpp
+++ b/services/daleshelfd/http_sinks.cpp
@@ -45,6 +45,17 @@
     m_exchange->finish();
 }
 
+void stream_sink::on_moved(const request_machine& request)
+{
+    if (!m_is_started)
+    {
+        m_exchange->respond(to_moved_response(request));
+        return;
+    }
+    m_exchange->write(to_moved_event(request));
+    m_exchange->finish();
+}
+
 void stream_sink::on_fail(const request_machine&, const request_error& error)
 {
     if (!m_is_started)
@@ -68,6 +79,11 @@
     m_exchange->respond(to_whole_response(request));
 }
 
+void whole_sink::on_moved(const request_machine& request)
+{
+    m_exchange->respond(to_moved_response(request));
+}
+
 void whole_sink::on_fail(const request_machine&, const request_error& error)
 {
     m_exchange->respond(to_error_response(error));
--- a/services/daleshelfd/http_sinks.hpp
+++ b/services/daleshelfd/http_sinks.hpp
@@ -21,6 +21,7 @@
     void on_token(const request_machine& request,
                   token_position position) override;
     void on_complete(const request_machine& request) override;
+    void on_moved(const request_machine& request) override;
     void on_fail(const request_machine& request,
                  const request_error& error) override;
 
@@ -42,6 +43,7 @@
     void on_token(const request_machine& request,
                   token_position position) override;
     void on_complete(const request_machine& request) override;
+    void on_moved(const request_machine& request) override;
     void on_fail(const request_machine& request,
                  const request_error& error) override;
 
--- a/services/daleshelfd/request_service.cpp
+++ b/services/daleshelfd/request_service.cpp
@@ -1,11 +1,11 @@
 #include "request_service.hpp"
 
 #include "node_state.hpp"
+#include "request_observer.hpp"
 
 #include <absl/time/clock.h>
 
-#include <optional>
-#include <requests/retry_decision.hpp>
+#include <algorithm>
 #include <routing/router.hpp>
 #include <telemetry/log.hpp>
 #include <utility>
@@ -37,28 +37,6 @@
 
 } // namespace
 
-struct request_service::live_request
-{
-    live_request(const request_description& description,
-                 std::int64_t max_attempts, std::shared_ptr<answer_sink> sink)
-        : id(description.id)
-        , machine(description, max_attempts)
-        , sinks{std::move(sink)}
-    {
-    }
-
-    const request_id id;
-    absl::Mutex mutex;
-    request_machine machine ABSL_GUARDED_BY(mutex);
-    std::vector<std::shared_ptr<answer_sink>> sinks ABSL_GUARDED_BY(mutex);
-    std::optional<request_error> error ABSL_GUARDED_BY(mutex);
-    http_client::transfer_id transfer ABSL_GUARDED_BY(mutex) = 0;
-    span attempt_span ABSL_GUARDED_BY(mutex);
-    timer_queue::timer_id deadline_timer ABSL_GUARDED_BY(mutex) = 0;
-    absl::Time ended_at; ///< written once, before it is kept
-    std::size_t memory = 0;
-};
-
 request_service::request_service(node_state& node, engine_client& engines,
                                  span_exporter& spans,
                                  const kept_answer_limits& limits)
@@ -66,52 +44,93 @@
 {
 }
 
+void request_service::set_observer(request_observer& observer)
+{
+    m_observer = &observer;
+}
+
+// ---- What this host runs.
+
 void request_service::start(const request_description& description,
                             std::shared_ptr<answer_sink> sink)
 {
     const auto config = m_node.current_configuration();
-    const auto& policy = config->policy();
-    auto request = std::make_shared<live_request>(
-        description, policy.max_attempts, std::move(sink));
+    m_retries.count_first_attempt(config->policy().retry_budget_percent);
+    const auto request = find_or_add(description, copy_role::owner);
+    {
+        absl::MutexLock lock(&request->mutex);
+        request->sinks.push_back(std::move(sink));
+        own(request);
+        perform(request, request->machine.begin());
+    }
+    m_observer->on_owned(description.id);
+}
+
+/// Counts the request as owned; its mutex is held.
+void request_service::own(const request_ptr& request)
+{
+    request->role = copy_role::owner;
+    request->owner = m_node.host();
     {
         absl::MutexLock lock(&m_mutex);
-        m_requests[description.id] = request;
         ++m_in_flight;
     }
-    m_retries.count_first_attempt(policy.retry_budget_percent);
-    absl::MutexLock lock(&request->mutex);
+    watch_deadline(request);
+}
+
+void request_service::watch_deadline(const request_ptr& request)
+{
+    m_timers.cancel(request->deadline_timer);
+    const auto left = request->machine.description().deadline - absl::Now();
     request->deadline_timer =
-        m_timers.after(description.deadline - absl::Now(),
-                       [this, request]
-                       {
-                           absl::MutexLock timer_lock(&request->mutex);
-                           perform(request, request->machine.on_deadline());
-                       });
-    perform(request, request->machine.begin());
+        m_timers.after(left, [this, request] { on_deadline(request); });
 }
 
-bool request_service::attach(const request_id& id, const workspace_id& user,
-                             std::shared_ptr<answer_sink> sink)
+void request_service::on_deadline(const request_ptr& request)
+{
+    absl::MutexLock lock(&request->mutex);
+    perform(request, request->machine.on_deadline());
+}
+
+void request_service::confirm(const request_id& id)
 {
     const auto request = find(id);
     if (!request)
     {
-        return false;
+        return;
     }
     absl::MutexLock lock(&request->mutex);
-    const auto& machine = request->machine;
-    if (machine.description().workspace != user)
+    if (request->is_confirmed)
     {
-        return false;
+        return;
+    }
+    request->is_confirmed = true;
+    const auto waiting = std::exchange(request->sinks, {});
+    for (const auto& sink : waiting)
+    {
+        show(*request, sink);
+    }
+}
+
+/// Feeds a sink with what is there and keeps it if more is to come; the
+/// request's mutex is held.
+void request_service::show(live_request& request,
+                           const std::shared_ptr<answer_sink>& sink)
+{
+    const auto& machine = request.machine;
+    if (!request.is_confirmed)
+    {
+        request.sinks.push_back(sink);
+        return;
     }
     for (token_position position; position < machine.answer().next();
          position = position.next())
     {
         sink->on_token(machine, position);
     }
-    if (request->error)
+    if (machine.error())
     {
-        sink->on_fail(machine, *request->error);
+        sink->on_fail(machine, *machine.error());
     }
     else if (machine.is_ended())
     {
@@ -119,32 +138,43 @@
     }
     else
     {
-        request->sinks.push_back(std::move(sink));
+        request.sinks.push_back(sink);
     }
-    return true;
 }
 
-void request_service::on_upstream_leaving(const upstream_id& id)
+bool request_service::attach(const request_id& id, const workspace_id& user,
+                             const std::shared_ptr<answer_sink>& sink)
 {
-    std::vector<request_ptr> all;
+    const auto request = find(id);
+    if (!request)
     {
-        absl::MutexLock lock(&m_mutex);
-        for (const auto& [key, request] : m_requests)
-        {
-            all.push_back(request);
-        }
+        return false;
+    }
+    absl::MutexLock lock(&request->mutex);
+    if (request->machine.description().workspace != user)
+    {
+        return false;
     }
-    for (const auto& request : all)
+    show(*request, sink);
+    return true;
+}
+
+void request_service::on_upstream_leaving(const upstream_id& id)
+{
+    for (const auto& request : all())
     {
         absl::MutexLock lock(&request->mutex);
-        if (request->machine.upstream() != id || request->machine.is_ended())
+        auto& machine = request->machine;
+        const bool is_meant = request->role == copy_role::owner &&
+                              !request->is_relinquishing &&
+                              machine.upstream() == id;
+        if (!is_meant || machine.is_ended())
         {
             continue;
         }
         log(events::request_moved,
-            {{"request", request->machine.description().id.value()},
-             {"from", id.value()}});
-        perform(request, request->machine.on_upstream_leaving());
+            {{"request", request->id.value()}, {"from", id.value()}});
+        perform(request, machine.on_upstream_leaving());
     }
 }
 
@@ -154,16 +184,178 @@
     return m_in_flight;
 }
 
-request_service::request_ptr request_service::find(const request_id& id) const
+// ---- Copies of what other hosts run, and the way from one to the other.
+
+void request_service::take_copy(const request_snapshot& snapshot,
+                                copy_role role, const host_id& owner)
 {
-    absl::MutexLock lock(&m_mutex);
-    const auto found = m_requests.find(id);
-    return found == m_requests.end() ? nullptr : found->second;
+    const auto request = find_or_add(snapshot.description, role);
+    bool is_owned_now = false;
+    {
+        absl::MutexLock lock(&request->mutex);
+        // NOTE: a late copy must not make an owner a replica again.
+        if (request->role == copy_role::owner &&
+            request->owner == m_node.host())
+        {
+            return;
+        }
+        request->is_confirmed = true;
+        request->owner = owner;
+        request->last_progress = absl::Now();
+        const bool was_reader = request->role == copy_role::reader;
+        if (was_reader && role == copy_role::replica)
+        {
+            request->role = role;
+        }
+        perform(request, request->machine.on_progress(snapshot.progress));
+        if (request->deadline_timer == 0)
+        {
+            watch_deadline(request);
+        }
+        is_owned_now = role == copy_role::owner && !request->machine.is_ended();
+        if (is_owned_now)
+        {
+            own(request);
+            perform(request, request->machine.take_over());
+        }
+    }
+    if (is_owned_now)
+    {
+        m_observer->on_owned(request->id);
+    }
 }
 
+void request_service::take_progress(const request_id& id,
+                                    const request_progress& progress,
+                                    const host_id& owner)
+{
+    const auto request = find(id);
+    if (!request)
+    {
+        return;
+    }
+    absl::MutexLock lock(&request->mutex);
+    if (request->role == copy_role::owner)
+    {
+        return;
+    }
+    request->owner = owner;
+    request->last_progress = absl::Now();
+    perform(request, request->machine.on_progress(progress));
+}
+
+void request_service::take_over(const request_id& id)
+{
+    const auto request = find(id);
+    if (!request)
+    {
+        return;
+    }
+    {
+        absl::MutexLock lock(&request->mutex);
+        if (request->role == copy_role::owner || request->machine.is_ended())
+        {
+            return;
+        }
+        log(events::request_taken_over,
+            {{"request", id.value()}, {"from", request->owner.value()}});
+        own(request);
+        perform(request, request->machine.take_over());
+    }
+    m_observer->on_owned(id);
+}
+
+std::optional<request_snapshot>
+request_service::begin_relinquish(const request_id& id)
+{
+    const auto request = find(id);
+    if (!request)
+    {
+        return std::nullopt;
+    }
+    absl::MutexLock lock(&request->mutex);
+    const auto& machine = request->machine;
+    if (request->role != copy_role::owner || machine.is_ended())
+    {
+        return std::nullopt;
+    }
+    request->is_relinquishing = true;
+    return request_snapshot{machine.description(),
+                            machine.progress(token_position(0))};
+}
+
+void request_service::end_relinquish(const request_id& id, bool is_taken,
+                                     const host_id& owner)
+{
+    const auto request = find(id);
+    if (!request)
+    {
+        return;
+    }
+    absl::MutexLock lock(&request->mutex);
+    if (!request->is_relinquishing)
+    {
+        return;
+    }
+    request->is_relinquishing = false;
+    const auto deferred = std::exchange(request->deferred_end, std::nullopt);
+    if (request->machine.is_ended())
+    {
+        return;
+    }
+    if (!is_taken)
+    {
+        if (deferred)
+        {
+            end_attempt(request, request->machine.attempt(), *deferred);
+        }
+        return;
+    }
+    log(events::request_handed_off,
+        {{"request", id.value()}, {"to", owner.value()}});
+    request->role = copy_role::replica;
+    request->owner = owner;
+    request->last_progress = absl::Now();
+    // The engine's stream goes on; only this host stops reading it.
+    m_engines.cancel(request->transfer);
+    for (const auto& sink : std::exchange(request->sinks, {}))
+    {
+        sink->on_moved(request->machine);
+    }
+    absl::MutexLock count_lock(&m_mutex);
+    --m_in_flight;
+}
+
+std::optional<request_snapshot>
+request_service::snapshot(const request_id& id, token_position from) const
+{
+    const auto request = find(id);
+    if (!request)
+    {
+        return std::nullopt;
+    }
+    absl::MutexLock lock(&request->mutex);
+    const auto& machine = request->machine;
+    return request_snapshot{machine.description(), machine.progress(from)};
+}
+
+std::vector<request_summary> request_service::summaries() const
+{
+    std::vector<request_summary> shown;
+    for (const auto& request : all())
+    {
+        absl::MutexLock lock(&request->mutex);
+        shown.push_back({request->id, request->role, request->owner,
+                         request->machine.is_ended(), !request->sinks.empty(),
+                         request->last_progress});
+    }
+    return shown;
+}
+
+// ---- What the state machines ask for. The request's mutex is held.
+
 void request_service::perform(const request_ptr& request,
                               const request_actions& actions)
-    ABSL_NO_THREAD_SAFETY_ANALYSIS
 {
     for (const auto& action : actions)
     {
@@ -173,7 +365,6 @@
 
 void request_service::perform_one(const request_ptr& request,
                                   const start_attempt& action)
-    ABSL_NO_THREAD_SAFETY_ANALYSIS
 {
     auto& machine = request->machine;
     const auto& description = machine.description();
@@ -202,7 +393,6 @@
 
 void request_service::perform_one(const request_ptr& request,
                                   const resume_stream& action)
-    ABSL_NO_THREAD_SAFETY_ANALYSIS
 {
     const auto config = m_node.current_configuration();
     const auto* upstream = config->find_upstream(action.upstream);
@@ -211,8 +401,7 @@
         attempt_result gone;
         gone.what = attempt_result::outcome::unreachable;
         gone.message = "the upstream is no longer declared";
-        perform(request, request->machine.on_attempt_ended(
-                             action.attempt, gone, m_retries.try_take()));
+        end_attempt(request, action.attempt, gone);
         return;
     }
     // A stream that runs already takes its place whatever the limit says.
@@ -220,10 +409,10 @@
     call_engine(request, action.attempt, *upstream, action.stream_id);
 }
 
-void request_service::call_engine(
-    const request_ptr& request, const attempt_id& attempt,
-    const upstream_entry& upstream,
-    const std::string& resume_id) ABSL_NO_THREAD_SAFETY_ANALYSIS
+void request_service::call_engine(const request_ptr& request,
+                                  const attempt_id& attempt,
+                                  const upstream_entry& upstream,
+                                  const std::string& resume_id)
 {
     auto& machine = request->machine;
     const auto parent =
@@ -252,10 +441,11 @@
                                                const upstream_id& upstream)
 {
     engine_handlers handlers;
-    handlers.on_stream = [request, attempt](const std::string& stream_id)
+    handlers.on_stream = [this, request, attempt](const std::string& stream_id)
     {
         absl::MutexLock lock(&request->mutex);
         request->machine.on_stream(attempt, stream_id);
+        m_observer->on_changed(request->id);
     };
     handlers.on_token = [this, request, attempt](token_position position,
                                                  const std::string& text)
@@ -287,11 +477,20 @@
     auto hop = request->attempt_span;
     hop.end = absl::Now();
     m_spans.add(std::move(hop));
-    if (request->machine.is_ended())
+    const bool is_present = request->machine.attempt() == attempt &&
+                            request->role == copy_role::owner &&
+                            !request->machine.is_ended();
+    if (!is_present)
     {
         return;
     }
     using outcome = attempt_result::outcome;
+    if (request->is_relinquishing)
+    {
+        // The next owner may be reading the stream already.
+        request->deferred_end = result;
+        return;
+    }
     const bool is_failed = result.what == outcome::unreachable ||
                            result.what == outcome::refused ||
                            result.what == outcome::broken;
@@ -303,14 +502,25 @@
                                       {"status", result.status},
                                       {"cause", result.message}});
     }
+    end_attempt(request, attempt, result);
+}
+
+void request_service::end_attempt(const request_ptr& request,
+                                  const attempt_id& attempt,
+                                  const attempt_result& result)
+{
     perform(request, request->machine.on_attempt_ended(attempt, result,
                                                        m_retries.try_take()));
 }
 
 void request_service::perform_one(const request_ptr& request,
                                   const cancel_attempt&)
-    ABSL_NO_THREAD_SAFETY_ANALYSIS
 {
+    const bool is_owner = request->role == copy_role::owner;
+    if (!is_owner)
+    {
+        return;
+    }
     m_engines.cancel(request->transfer);
     const auto config = m_node.current_configuration();
     const auto* upstream = config->find_upstream(request->machine.upstream());
@@ -322,8 +532,12 @@
 
 void request_service::perform_one(const request_ptr& request,
                                   const deliver_token& action)
-    ABSL_NO_THREAD_SAFETY_ANALYSIS
 {
+    m_observer->on_changed(request->id);
+    if (!request->is_confirmed)
+    {
+        return;
+    }
     for (const auto& sink : request->sinks)
     {
         sink->on_token(request->machine, action.position);
@@ -332,26 +546,28 @@
 
 void request_service::perform_one(const request_ptr& request,
                                   const complete_request&)
-    ABSL_NO_THREAD_SAFETY_ANALYSIS
 {
-    for (const auto& sink : std::exchange(request->sinks, {}))
+    if (request->is_confirmed)
     {
-        sink->on_complete(request->machine);
+        for (const auto& sink : std::exchange(request->sinks, {}))
+        {
+            sink->on_complete(request->machine);
+        }
     }
     end(request);
 }
 
 void request_service::perform_one(const request_ptr& request,
                                   const fail_request& action)
-    ABSL_NO_THREAD_SAFETY_ANALYSIS
 {
-    request->error = action.error;
     const bool is_refusal = action.error.run() == verdict::not_run;
     log(is_refusal ? events::request_refused : events::request_failed,
-        {{"request", request->machine.description().id.value()},
+        {{"request", request->id.value()},
          {"code", action.error.code()},
          {"verdict", to_string(action.error.run())},
          {"cause", action.error.what()}});
+    // A final answer that is an error waits for nobody.
+    request->is_confirmed = true;
     for (const auto& sink : std::exchange(request->sinks, {}))
     {
         sink->on_fail(request->machine, action.error);
@@ -360,14 +576,24 @@
 }
 
 void request_service::end(const request_ptr& request)
-    ABSL_NO_THREAD_SAFETY_ANALYSIS
 {
+    m_observer->on_changed(request->id);
     m_timers.cancel(request->deadline_timer);
     request->ended_at = absl::Now();
     request->memory = bytes_per_request + request->machine.answer().memory() +
                       request->machine.description().body.size();
+    keep_ended(request);
+}
+
+// ---- The table of requests.
+
+void request_service::keep_ended(const request_ptr& request)
+{
     absl::MutexLock lock(&m_mutex);
-    --m_in_flight;
+    if (request->role == copy_role::owner)
+    {
+        --m_in_flight;
+    }
     m_ended.push_back(request);
     m_ended_bytes += request->memory;
     forget_old();
@@ -389,4 +615,40 @@
     }
 }
 
+request_service::request_ptr request_service::find(const request_id& id) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto found = m_requests.find(id);
+    return found == m_requests.end() ? nullptr : found->second;
+}
+
+request_service::request_ptr
+request_service::find_or_add(const request_description& description,
+                             copy_role role)
+{
+    const auto config = m_node.current_configuration();
+    absl::MutexLock lock(&m_mutex);
+    auto& entry = m_requests[description.id];
+    if (!entry)
+    {
+        const auto first_role =
+            role == copy_role::owner ? copy_role::replica : role;
+        entry = std::make_shared<live_request>(
+            description, config->policy().max_attempts, first_role);
+    }
+    return entry;
+}
+
+std::vector<request_service::request_ptr> request_service::all() const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<request_ptr> requests;
+    requests.reserve(m_requests.size());
+    for (const auto& [id, request] : m_requests)
+    {
+        requests.push_back(request);
+    }
+    return requests;
+}
+
 } // namespace daleshelf
--- a/services/daleshelfd/request_service.hpp
+++ b/services/daleshelfd/request_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "answer_sink.hpp"
+#include "live_request.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
@@ -12,6 +13,7 @@
 #include <deque>
 #include <http/forward.hpp>
 #include <memory>
+#include <optional>
 #include <requests/request_machine.hpp>
 #include <requests/retry_budget.hpp>
 #include <string>
@@ -22,8 +24,8 @@
 namespace daleshelf
 {
 
-class configuration;
 class node_state;
+class request_observer;
 struct upstream_entry;
 
 /// Limits of what is kept after a request has ended.
@@ -33,7 +35,25 @@
     absl::Duration time;
 };
 
-/// All generation requests that this host owns.
+/// A copy of a request, as it goes to another host.
+struct request_snapshot
+{
+    request_description description;
+    request_progress progress;
+};
+
+/// What others need to know of a request to look after it.
+struct request_summary
+{
+    request_id id;
+    copy_role role = copy_role::owner;
+    host_id owner;
+    bool is_ended = false;
+    bool has_sinks = false;
+    absl::Time last_progress;
+};
+
+/// All generation requests that this host owns or keeps copies of.
 class request_service
 {
 public:
@@ -47,29 +67,69 @@
     request_service& operator=(const request_service&) = delete;
     ~request_service() = default;
 
-    /// Accepts a request and starts it.
+    /// @param observer is told of all changes; set before the first request
+    void set_observer(request_observer& observer);
+
+    /// Accepts a request and starts it. Its answer is shown once `confirm`
+    /// was called; a refusal is shown at once.
     /// @param description what is asked
     /// @param sink where the answer goes
     void start(const request_description& description,
                std::shared_ptr<answer_sink> sink);
 
+    /// Another host has the request, or none can be had: callers may see the
+    /// answer.
+    void confirm(const request_id& id);
+
     /// Sends the answer of a request again, from its start, and goes on as
     /// more of it comes.
     /// @param id the request
     /// @param user workspace of who asks
     /// @param sink where the answer goes
-    /// @return false if there is no such request of that workspace
+    /// @return false if there is no such request of that workspace here
     bool attach(const request_id& id, const workspace_id& user,
-                std::shared_ptr<answer_sink> sink);
+                const std::shared_ptr<answer_sink>& sink);
+
+    /// Takes a copy of a request that another host owns.
+    /// @param snapshot the request
+    /// @param role what this host is to be; `owner` takes over at once
+    /// @param owner the host that runs it
+    void take_copy(const request_snapshot& snapshot, copy_role role,
+                   const host_id& owner);
+
+    /// The owner of a copy has come further.
+    void take_progress(const request_id& id, const request_progress& progress,
+                       const host_id& owner);
+
+    /// The owner of a copy is gone; this host runs it from now on.
+    void take_over(const request_id& id);
+
+    /// Begins to hand a request to another host.
+    /// @return the request; nothing if it is not owned or has ended
+    [[nodiscard]] std::optional<request_snapshot>
+    begin_relinquish(const request_id& id);
+
+    /// Ends what `begin_relinquish` began.
+    /// @param is_taken whether the other host runs it now
+    /// @param owner that host
+    void end_relinquish(const request_id& id, bool is_taken,
+                        const host_id& owner);
+
+    /// @param from first token wanted
+    /// @return the request; nothing if it is not known
+    [[nodiscard]] std::optional<request_snapshot>
+    snapshot(const request_id& id, token_position from) const;
+
+    /// @return all requests that are known, ended ones too
+    [[nodiscard]] std::vector<request_summary> summaries() const;
 
     /// Moves the requests at an upstream that is leaving.
     void on_upstream_leaving(const upstream_id& id);
 
-    /// @return requests that have not ended
+    /// @return requests owned here that have not ended
     [[nodiscard]] std::size_t in_flight() const;
 
 private:
-    struct live_request;
     using request_ptr = std::shared_ptr<live_request>;
 
     void perform(const request_ptr& request, const request_actions& actions);
@@ -89,14 +149,26 @@
     void on_attempt_ended(const request_ptr& request, const attempt_id& attempt,
                           const upstream_id& upstream,
                           const attempt_result& result);
+    void end_attempt(const request_ptr& request, const attempt_id& attempt,
+                     const attempt_result& result);
+    void own(const request_ptr& request);
+    void watch_deadline(const request_ptr& request);
+    void on_deadline(const request_ptr& request);
+    static void show(live_request& request,
+                     const std::shared_ptr<answer_sink>& sink);
     void end(const request_ptr& request);
+    void keep_ended(const request_ptr& request);
     void forget_old() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     request_ptr find(const request_id& id) const;
+    request_ptr find_or_add(const request_description& description,
+                            copy_role role);
+    std::vector<request_ptr> all() const;
 
     node_state& m_node;
     engine_client& m_engines;
     span_exporter& m_spans;
     kept_answer_limits m_limits;
+    request_observer* m_observer = nullptr;
     retry_budget m_retries;
     mutable absl::Mutex m_mutex;
     absl::flat_hash_map<request_id, request_ptr>
