--- a/libraries/protocol/peer_transport.cpp
+++ b/libraries/protocol/peer_transport.cpp
@@ -20,6 +20,7 @@
 
 constexpr int high_water_mark = 2000;
 constexpr std::int64_t longest_message = 16 << 20;
+constexpr int linger_ms = 200; // for the last messages of a planned stop
 constexpr int reconnect_ms = 100;
 constexpr int longest_reconnect_ms = 1000;
 constexpr std::chrono::milliseconds poll_interval{1000};
@@ -59,7 +60,7 @@
         }
         auto& made = outgoing[address];
         made.socket = zmq::socket_t(context, zmq::socket_type::push);
-        made.socket.set(zmq::sockopt::linger, 0);
+        made.socket.set(zmq::sockopt::linger, linger_ms);
         made.socket.set(zmq::sockopt::sndhwm, high_water_mark);
         made.socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
         made.socket.set(zmq::sockopt::reconnect_ivl_max, longest_reconnect_ms);
--- a/services/daleshelfd/caller_format.cpp
+++ b/services/daleshelfd/caller_format.cpp
@@ -118,6 +118,15 @@
     return response;
 }
 
+http_response to_failed_response(const request_machine& request,
+                                 const request_error& error)
+{
+    auto response = to_error_response(error);
+    response.headers.push_back(
+        {"Daleshelf-Request-Id", request.description().id.value()});
+    return response;
+}
+
 http_response to_whole_response(const request_machine& request)
 {
     const bool is_chat = request.description().form == generation_form::chat;
--- a/services/daleshelfd/caller_format.hpp
+++ b/services/daleshelfd/caller_format.hpp
@@ -18,6 +18,10 @@
 /// @return the whole response to a request that failed, with Retry-After
 [[nodiscard]] http_response to_error_response(const request_error& error);
 
+/// @return the whole response to an accepted request that failed
+[[nodiscard]] http_response to_failed_response(const request_machine& request,
+                                               const request_error& error);
+
 /// @return the whole answer to a request that asked for no stream
 [[nodiscard]] http_response to_whole_response(const request_machine& request);
 
--- a/services/daleshelfd/entry_host.cpp
+++ b/services/daleshelfd/entry_host.cpp
@@ -61,7 +61,7 @@
           m_node, m_client, settings.platform_url,
           [this](const host_id& host) { m_peers.add_leaving(host); },
           [this](const upstream_id& id) { m_requests.on_upstream_leaving(id); },
-          [this] { start_drain(); })
+          [this] { on_reclaimed(); })
     , m_caller_api(m_node, m_requests, m_replication, m_services, m_spans)
     , m_operator_api(m_node, m_follower, m_peers, operator_options(settings),
                      [this] { start_drain(); })
@@ -94,6 +94,8 @@
     // Nothing may call back into the other parts once they begin to go.
     m_caller_server.reset();
     m_operator_server.reset();
+    // Replicas learn how the last requests ended, or they would run them.
+    m_replication.stop();
     m_spans.stop();
     m_client.stop();
     m_peers.stop();
@@ -125,6 +127,13 @@
     m_drain_asked.Notify();
 }
 
+void entry_host::on_reclaimed()
+{
+    // NOTE: set first, so that the drain does not wait for requests to end.
+    m_is_reclaimed = true;
+    start_drain();
+}
+
 void entry_host::run_until_drained()
 {
     // docs/OPERATIONS.md, "Planned stop".
--- a/services/daleshelfd/entry_host.hpp
+++ b/services/daleshelfd/entry_host.hpp
@@ -52,6 +52,7 @@
     [[nodiscard]] const std::string& peers_address() const;
 
 private:
+    void on_reclaimed();
     [[nodiscard]] std::size_t in_flight() const;
     void wait_for_requests(absl::Time end);
 
--- a/services/daleshelfd/http_sinks.cpp
+++ b/services/daleshelfd/http_sinks.cpp
@@ -56,11 +56,12 @@
     m_exchange->finish();
 }
 
-void stream_sink::on_fail(const request_machine&, const request_error& error)
+void stream_sink::on_fail(const request_machine& request,
+                          const request_error& error)
 {
     if (!m_is_started)
     {
-        m_exchange->respond(to_error_response(error));
+        m_exchange->respond(to_failed_response(request, error));
         return;
     }
     m_exchange->write(to_error_event(error));
@@ -84,9 +85,10 @@
     m_exchange->respond(to_moved_response(request));
 }
 
-void whole_sink::on_fail(const request_machine&, const request_error& error)
+void whole_sink::on_fail(const request_machine& request,
+                         const request_error& error)
 {
-    m_exchange->respond(to_error_response(error));
+    m_exchange->respond(to_failed_response(request, error));
 }
 
 } // namespace daleshelf
--- a/services/daleshelfd/replication_service.cpp
+++ b/services/daleshelfd/replication_service.cpp
@@ -63,10 +63,15 @@
 
 void replication_service::start()
 {
-    flush();
+    flush_later();
     look_after_requests();
 }
 
+void replication_service::stop()
+{
+    flush();
+}
+
 std::vector<copy_candidate> replication_service::candidates() const
 {
     const auto view = m_node.peers();
@@ -194,7 +199,12 @@
     {
         m_peers.send(address, std::move(envelope));
     }
-    m_timers.after(flush_interval, [this] { flush(); });
+}
+
+void replication_service::flush_later()
+{
+    flush();
+    m_timers.after(flush_interval, [this] { flush_later(); });
 }
 
 void replication_service::look_after_requests()
--- a/services/daleshelfd/replication_service.hpp
+++ b/services/daleshelfd/replication_service.hpp
@@ -38,6 +38,9 @@
     /// Starts the timers.
     void start();
 
+    /// Sends what has not been sent yet.
+    void stop();
+
     void on_owned(const request_id& id) override;
     void on_changed(const request_id& id) override;
 
@@ -86,6 +89,7 @@
     };
 
     void flush();
+    void flush_later();
     void look_after_requests();
     void look_after_owned(const request_summary& request);
     void look_after_copy(const request_summary& request);
