claims: Claim idempotency keys through the log, and find earlier answers

Cause: a caller who asked again through another entry host had the request run twice; following and appending to the log stood once for each use. Change: package replay (cursor, pacer, backoff) shared by its users; package claims: the claim at the lowest offset wins, group commit, releases, refusal when the log is down or history was trimmed; earlier answers are found by the winner's id; a copy whose owner may only be frozen never sends what may run once only.

--- /dev/null
+++ b/libraries/replay/replay.cpp
@@ -0,0 +1,2 @@
+#include "append_pacer.hpp"
+#include "log_cursor.hpp"
--- a/libraries/requests/request_machine.cpp
+++ b/libraries/requests/request_machine.cpp
@@ -241,7 +241,7 @@
     return actions;
 }
 
-request_actions request_machine::take_over()
+request_actions request_machine::take_over(takeover_cause cause)
 {
     // docs/design/requests.md, "Taking over".
     if (m_is_ended)
@@ -253,17 +253,18 @@
     {
         return resume();
     }
-    // 2. Else it may only be sent if it was not, or may be repeated.
-    const bool may_send = m_description.repeats == repeatability::repeatable ||
-                          run() == verdict::not_run;
-    if (may_send)
+    // 2. Else it may be sent if it may be repeated, or if it was not sent and
+    //    never will be: an owner that is only frozen may yet send it.
+    const bool is_unsent =
+        cause == takeover_cause::relinquished && run() == verdict::not_run;
+    if (is_unsent || m_description.repeats == repeatability::repeatable)
     {
         return next_attempt();
     }
     return fail(request_error(status_bad_gateway, "owner_lost",
                               "the host that ran the request is gone and it "
                               "may not be repeated",
-                              run()));
+                              verdict::may_have_run));
 }
 
 request_actions request_machine::on_upstream_leaving()
--- a/libraries/requests/request_machine.hpp
+++ b/libraries/requests/request_machine.hpp
@@ -20,6 +20,13 @@
 namespace daleshelf
 {
 
+/// How a copy of a request comes to be its owner.
+enum class takeover_cause
+{
+    relinquished, ///< the owner has handed it over and will not send it
+    owner_lost,   ///< nobody knows what the owner may yet do
+};
+
 /// Decides attempts, retries and the final answer of one request.
 ///
 /// Not safe for concurrent use. Every attempt has an id of its own, and an
@@ -73,7 +80,8 @@
 
     /// This copy becomes the owner: reads on from the stream that runs, or
     /// goes on elsewhere with the answer so far, as far as that is allowed.
-    [[nodiscard]] request_actions take_over();
+    /// @param cause how this copy came to be the owner
+    [[nodiscard]] request_actions take_over(takeover_cause cause);
 
     /// @param from first token wanted
     [[nodiscard]] request_progress progress(token_position from) const;
--- a/libraries/resources/configuration_replica.cpp
+++ b/libraries/resources/configuration_replica.cpp
@@ -13,8 +13,9 @@
                                              std::uint64_t seed)
     : m_options(options)
     , m_random(seed)
-    , m_pause(options.read_pause)
-    , m_append_pause(options.append_interval)
+    , m_cursor(options.read_pause, options.longest_pause, seed)
+    , m_pacer(options.append_interval, options.longest_pause, seed + 1)
+    , m_snapshot_backoff(options.read_pause, options.longest_pause, seed + 2)
 {
 }
 
@@ -23,14 +24,16 @@
     // docs/design/configuration.md, "A tick".
     replica_actions actions;
     // 1. Follow the log; from a snapshot if its records are gone.
-    if (m_needs_snapshot && !m_is_reading_snapshot && now >= m_next_read)
+    if (m_needs_snapshot)
     {
-        m_is_reading_snapshot = true;
-        actions.emplace_back(read_snapshot{});
+        if (!m_is_reading_snapshot && now >= m_next_snapshot_read)
+        {
+            m_is_reading_snapshot = true;
+            actions.emplace_back(read_snapshot{});
+        }
     }
-    else if (!m_needs_snapshot && !m_is_reading && now >= m_next_read)
+    else if (m_cursor.begin_read(now))
     {
-        m_is_reading = true;
         actions.emplace_back(read_records{m_store.next()});
     }
     // 2. While the log does not answer, learn from peers.
@@ -47,42 +50,15 @@
     return actions;
 }
 
-absl::Duration configuration_replica::next_pause()
-{
-    // Doubling with jitter, so that hosts do not come back all at once.
-    const auto pause = m_pause;
-    m_pause = std::min(m_pause * 2, m_options.longest_pause);
-    std::uniform_real_distribution<double> part(0.5, 1.0);
-    return pause * part(m_random);
-}
-
 replica_actions configuration_replica::on_records(const log_read_result& result,
                                                   absl::Time now)
 {
-    using outcome = log_read_result::outcome;
     replica_actions actions;
-    m_is_reading = false;
-    const bool is_reached = result.state != outcome::unreachable;
-    set_reachable(is_reached, result.message, actions);
-    if (!is_reached)
-    {
-        m_next_read = now + next_pause();
-        return actions;
-    }
-    m_pause = m_options.read_pause;
-    m_log_next = result.next;
-    // 1. The records wanted are gone: a snapshot must bridge the gap.
-    if (result.state == outcome::trimmed)
-    {
-        actions.emplace_back(replica_warning{replica_warning::cause::trimmed,
-                                             result.first, "records trimmed"});
-        m_needs_snapshot = true;
-        m_next_read = now;
-        return actions;
-    }
-    // 2. A log that is behind this host has lost records. What was accepted
-    //    stays in force; nothing goes back.
-    const bool is_back = result.next < m_store.next();
+    const auto page = m_cursor.take(result, m_store.next(), now);
+    set_reachable(page != log_cursor::page::unreachable, result.message,
+                  actions);
+    // What the log once held stays in force: nothing goes back.
+    const bool is_back = page == log_cursor::page::went_back;
     if (is_back && !m_is_back)
     {
         actions.emplace_back(
@@ -90,20 +66,22 @@
                             "the log ends before what was applied"});
     }
     m_is_back = is_back;
-    if (is_back)
+    if (page == log_cursor::page::trimmed)
     {
-        m_next_read = now + next_pause();
-        check_current();
-        return actions;
+        actions.emplace_back(replica_warning{replica_warning::cause::trimmed,
+                                             result.first, "records trimmed"});
+        m_needs_snapshot = true;
     }
-    // 3. Apply what is new.
-    m_last_contact = now;
-    const auto before = m_store.next();
-    for (const auto& record : result.records)
+    if (page == log_cursor::page::records)
     {
-        apply(record, actions);
+        m_last_contact = now;
+        const auto before = m_store.next();
+        for (const auto& record : result.records)
+        {
+            apply(record, actions);
+        }
+        announce(before, false, actions);
     }
-    announce(before, false, actions);
     check_current();
     return actions;
 }
@@ -181,8 +159,8 @@
         return; // never taken back: an old configuration beats none
     }
     const bool has_peers_state = m_store.next() >= m_peers_next;
-    const bool has_log_state =
-        m_is_reachable && !m_needs_snapshot && m_store.next() >= m_log_next;
+    const bool has_log_state = m_is_reachable && !m_needs_snapshot &&
+                               m_store.next() >= m_cursor.log_next();
     const bool has_only_peers = !m_is_reachable && m_is_confirmed_by_peer;
     m_is_current = has_peers_state && (has_log_state || has_only_peers);
 }
@@ -211,6 +189,7 @@
     m_store = std::move(loaded);
     m_records.clear();
     m_needs_snapshot = false;
+    m_snapshot_backoff.reset();
     announce(before, true, actions);
 }
 
@@ -220,7 +199,7 @@
 {
     replica_actions actions;
     m_is_reading_snapshot = false;
-    m_next_read = now + next_pause();
+    m_next_snapshot_read = now + m_snapshot_backoff.next();
     if (is_reached && !data.empty())
     {
         load(data, actions);
@@ -303,7 +282,7 @@
 void configuration_replica::propose_waiting(absl::Time now,
                                             replica_actions& actions)
 {
-    if (m_unsent.empty() || m_is_appending || now < m_next_append)
+    if (m_unsent.empty() || !m_pacer.is_free(now))
     {
         return;
     }
@@ -326,26 +305,21 @@
     {
         return;
     }
-    m_is_appending = true;
+    m_pacer.begin();
     actions.emplace_back(append_record{to_record(batch)});
 }
 
 void configuration_replica::on_appended(const log_append_result& result,
                                         absl::Time now)
 {
-    m_is_appending = false;
+    m_pacer.end(result, now);
     const auto sent = std::exchange(m_in_append, {});
     if (result.state == log_append_result::outcome::appended)
     {
-        m_append_pause = m_options.append_interval;
-        m_next_append = now + m_append_pause;
         return; // replay settles them
     }
     // What may or may not have been appended is appended again: a change id
     // counts once, so the outcome is the same and is certain.
-    m_append_pause = std::min(m_append_pause * 2, m_options.longest_pause);
-    std::uniform_real_distribution<double> part(0.5, 1.0);
-    m_next_append = now + m_append_pause * part(m_random);
     for (const auto& id : sent)
     {
         if (m_proposals.contains(id))
--- a/libraries/resources/configuration_replica.hpp
+++ b/libraries/resources/configuration_replica.hpp
@@ -14,6 +14,8 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <replay/append_pacer.hpp>
+#include <replay/log_cursor.hpp>
 #include <set>
 #include <string>
 #include <vector>
@@ -124,18 +126,19 @@
     void check_current();
     void propose_waiting(absl::Time now, replica_actions& actions);
     void check_snapshot(absl::Time now, replica_actions& actions);
-    absl::Duration next_pause();
 
     replica_options m_options;
     std::mt19937_64 m_random;
+    log_cursor m_cursor;
+    append_pacer m_pacer;
     resource_store m_store;
     std::deque<log_record> m_records; ///< the newest, for peers
     std::map<change_id, change> m_proposals;
     std::deque<change_id> m_unsent; ///< proposals to append
     std::set<change_id> m_in_append;
-    bool m_is_reading = false;
-    bool m_is_appending = false;
     bool m_is_reading_snapshot = false;
+    backoff m_snapshot_backoff;
+    absl::Time m_next_snapshot_read = absl::InfinitePast();
     bool m_is_snapshot_due = false; ///< read it to see whether to write one
     bool m_is_reachable = false;
     bool m_was_reached = false;
@@ -145,12 +148,7 @@
     bool m_has_peers = false;
     bool m_is_confirmed_by_peer = false;
     log_offset m_peers_next;
-    log_offset m_log_next;
     log_offset m_snapshot_next; ///< of the newest snapshot that is known
-    absl::Duration m_pause;
-    absl::Duration m_append_pause;
-    absl::Time m_next_read = absl::InfinitePast();
-    absl::Time m_next_append = absl::InfinitePast();
     absl::Time m_next_peer = absl::InfinitePast();
     absl::Time m_snapshot_at = absl::InfiniteFuture();
     absl::Time m_last_contact = absl::InfinitePast();
--- a/services/daleshelfd/caller_api.cpp
+++ b/services/daleshelfd/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "caller_api.hpp"
 
 #include "caller_format.hpp"
+#include "claim_service.hpp"
 #include "http_sinks.hpp"
 #include "node_state.hpp"
 #include "replication_service.hpp"
@@ -13,6 +14,7 @@
 #include <absl/strings/strip.h>
 #include <absl/time/clock.h>
 
+#include <algorithm>
 #include <array>
 #include <base/digest.hpp>
 #include <base/json.hpp>
@@ -32,9 +34,12 @@
 constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
-constexpr int status_too_many_requests = 429;
+constexpr int status_conflict = 409;
+constexpr int status_unprocessable = 422;
 constexpr int status_unavailable = 503;
 constexpr std::chrono::milliseconds short_pause{1000};
+constexpr std::chrono::milliseconds claim_pause{2000};
+constexpr absl::Duration longest_claim_wait = absl::Seconds(3);
 constexpr std::size_t random_id_bytes = 4;
 constexpr std::int64_t longest_deadline_ms = 86400000;
 
@@ -137,6 +142,11 @@
     return text;
 }
 
+claim_key claim_key_of(const workspace_id& user, const std::string& key)
+{
+    return claim_key(sha256_hex(user.value() + "\n" + key));
+}
+
 token_position read_last_event(const http_request& request)
 {
     std::int64_t last = 0;
@@ -159,11 +169,13 @@
 
 caller_api::caller_api(node_state& node, request_service& requests,
                        replication_service& replication,
-                       service_calls& services, span_exporter& spans)
+                       service_calls& services, claim_service& claims,
+                       span_exporter& spans)
     : m_node(node)
     , m_requests(requests)
     , m_replication(replication)
     , m_services(services)
+    , m_claims(claims)
     , m_spans(spans)
     , m_incarnation_name(random_hex(random_id_bytes))
 {
@@ -339,16 +351,101 @@
     const bool is_stream =
         find_boolean(parse_object(request.body), "stream").value_or(false);
     description.traceparent = begin_span(exchange, request.path).to_header();
-    std::shared_ptr<answer_sink> sink;
+    const auto start = [this, exchange, is_stream, description]
+    {
+        std::shared_ptr<answer_sink> sink;
+        if (is_stream)
+        {
+            sink = std::make_shared<stream_sink>(exchange, token_position(0));
+        }
+        else
+        {
+            sink = std::make_shared<whole_sink>(exchange);
+        }
+        m_requests.start(description, std::move(sink));
+    };
+    run_claimed(exchange, user.id, description.id, description.deadline, start,
+                [this, exchange, workspace = user.id](const request_id& winner)
+                { send_answer_again(exchange, workspace, winner); });
+}
+
+/// Claims the request's idempotency key, if it has one.
+/// @param on_won called if the request may run; at once if it has no key
+/// @param on_lost called with the request that has the key
+void caller_api::run_claimed(const exchange_ptr& exchange,
+                             const workspace_id& user, const request_id& id,
+                             absl::Time deadline, std::function<void()> on_won,
+                             std::function<void(const request_id&)> on_lost)
+{
+    const auto& request = exchange->request();
+    const auto key = request.header("idempotency-key");
+    if (key.empty())
+    {
+        on_won();
+        return;
+    }
+    claim wanted;
+    wanted.key = claim_key_of(user, key);
+    wanted.request = id;
+    wanted.body_digest =
+        sha256_hex(request.method + " " + request.path + "\n" + request.body);
+    wanted.time = absl::Now();
+    const auto wait_end = std::min(deadline, absl::Now() + longest_claim_wait);
+    m_claims.propose(
+        wanted, wait_end,
+        [exchange, on_won, on_lost](const claim_outcome& outcome)
+        {
+            using state = claim_outcome::state;
+            if (outcome.what == state::won)
+            {
+                on_won();
+                return;
+            }
+            if (outcome.what == state::lost)
+            {
+                on_lost(outcome.winner);
+                return;
+            }
+            exchange->respond(
+                outcome.what == state::mismatch
+                    ? to_error_response(
+                          {status_unprocessable, "idempotency_key_reused",
+                           "the key was used with another request",
+                           verdict::not_run})
+                    : to_error_response(
+                          {status_unavailable, "claim_unavailable",
+                           "whether the key was used cannot be told now",
+                           verdict::not_run, claim_pause}));
+        });
+}
+
+std::shared_ptr<answer_sink> caller_api::make_sink(const exchange_ptr& exchange)
+{
+    const auto& request = exchange->request();
+    const bool is_stream = request.header("accept") == "text/event-stream" ||
+                           !request.header("last-event-id").empty();
     if (is_stream)
     {
-        sink = std::make_shared<stream_sink>(exchange, token_position(0));
+        return std::make_shared<stream_sink>(exchange,
+                                             read_last_event(request));
     }
-    else
+    return std::make_shared<whole_sink>(exchange);
+}
+
+void caller_api::send_answer_again(const exchange_ptr& exchange,
+                                   const workspace_id& user,
+                                   const request_id& id)
+{
+    auto sink = make_sink(exchange);
+    if (m_requests.attach(id, user, sink))
     {
-        sink = std::make_shared<whole_sink>(exchange);
+        return;
     }
-    m_requests.start(description, std::move(sink));
+    m_replication.fetch(
+        id, user, std::move(sink),
+        [exchange] {
+            exchange->respond(to_error_response(not_found("no such request")));
+        });
 }
 
 void caller_api::list_models(const exchange_ptr& exchange,
@@ -370,29 +467,9 @@
 void caller_api::fetch_answer(const exchange_ptr& exchange,
                               const workspace_entry& user)
 {
-    const auto& request = exchange->request();
-    const request_id id(request.path.substr(request.path.rfind('/') + 1));
-    const bool is_stream = request.header("accept") == "text/event-stream" ||
-                           !request.header("last-event-id").empty();
-    std::shared_ptr<answer_sink> sink;
-    if (is_stream)
-    {
-        sink =
-            std::make_shared<stream_sink>(exchange, read_last_event(request));
-    }
-    else
-    {
-        sink = std::make_shared<whole_sink>(exchange);
-    }
-    if (m_requests.attach(id, user.id, sink))
-    {
-        return;
-    }
-    m_replication.fetch(
-        id, user.id, std::move(sink),
-        [exchange] {
-            exchange->respond(to_error_response(not_found("no such request")));
-        });
+    const auto& path = exchange->request().path;
+    const request_id id(path.substr(path.rfind('/') + 1));
+    send_answer_again(exchange, user.id, id);
 }
 
 service_request caller_api::describe_call(const http_request& request,
@@ -420,6 +497,7 @@
     call.repeats =
         read_repeatability(request, is_safe ? repeatability::repeatable
                                             : repeatability::once_only);
+    call.has_key = !request.header("idempotency-key").empty();
     call.deadline = read_deadline(request, service->timeout);
     return call;
 }
@@ -429,8 +507,35 @@
 {
     auto call = describe_call(exchange->request(), user);
     call.context = begin_span(exchange, "/services");
-    m_services.start(call, [exchange](http_response response)
-                     { exchange->respond(std::move(response)); });
+    const auto start = [this, exchange, call]
+    {
+        m_services.start(call, [exchange](http_response response)
+                         { exchange->respond(std::move(response)); });
+    };
+    run_claimed(exchange, user.id, call.id, call.deadline, start,
+                [this, exchange, workspace = user.id](const request_id& winner)
+                { send_call_answer_again(exchange, workspace, winner); });
+}
+
+void caller_api::send_call_answer_again(const exchange_ptr& exchange,
+                                        const workspace_id& user,
+                                        const request_id& id)
+{
+    const auto on_answer = [exchange, id](std::optional<http_response> response)
+    {
+        if (response)
+        {
+            exchange->respond(std::move(*response));
+            return;
+        }
+        auto refusal = to_error_response(
+            {status_conflict, "already_claimed",
+             "another call has this key; whether it ran cannot be told",
+             verdict::may_have_run});
+        refusal.headers.push_back({"Daleshelf-Request-Id", id.value()});
+        exchange->respond(std::move(refusal));
+    };
+    m_services.find_answer(id, user, on_answer);
 }
 
 } // namespace daleshelf
--- a/services/daleshelfd/caller_api.hpp
+++ b/services/daleshelfd/caller_api.hpp
@@ -5,15 +5,19 @@
 #include <atomic>
 #include <base/identifiers.hpp>
 #include <cstdint>
+#include <functional>
 #include <http/forward.hpp>
 #include <memory>
 #include <requests/request_description.hpp>
 #include <string>
 #include <telemetry/span_exporter.hpp>
+#include <telemetry/trace_context.hpp>
 
 namespace daleshelf
 {
 
+class answer_sink;
+class claim_service;
 class node_state;
 class replication_service;
 class request_service;
@@ -28,7 +32,7 @@
     /// All arguments must outlive this object.
     caller_api(node_state& node, request_service& requests,
                replication_service& replication, service_calls& services,
-               span_exporter& spans);
+               claim_service& claims, span_exporter& spans);
 
     /// Answers one request.
     void handle(const std::shared_ptr<http_exchange>& exchange);
@@ -50,6 +54,15 @@
                       const workspace_entry& user);
     void call_service(const exchange_ptr& exchange,
                       const workspace_entry& user);
+    void run_claimed(const exchange_ptr& exchange, const workspace_id& user,
+                     const request_id& id, absl::Time deadline,
+                     std::function<void()> on_won,
+                     std::function<void(const request_id&)> on_lost);
+    void send_answer_again(const exchange_ptr& exchange,
+                           const workspace_id& user, const request_id& id);
+    void send_call_answer_again(const exchange_ptr& exchange,
+                                const workspace_id& user, const request_id& id);
+    static std::shared_ptr<answer_sink> make_sink(const exchange_ptr& exchange);
     request_description describe(const http_request& request,
                                  const workspace_entry& user);
     service_request describe_call(const http_request& request,
@@ -62,6 +75,7 @@
     request_service& m_requests;
     replication_service& m_replication;
     service_calls& m_services;
+    claim_service& m_claims;
     span_exporter& m_spans;
     std::string m_incarnation_name;
     std::atomic<std::uint64_t> m_last_id = 0;
--- a/services/daleshelfd/entry_host.cpp
+++ b/services/daleshelfd/entry_host.cpp
@@ -56,13 +56,15 @@
               settings.peers_seeds,
               [this](const host_id& host) { m_watcher.on_host_leaving(host); })
     , m_follower(m_control, m_node, m_log, m_peers, settings.platform_stream)
+    , m_claims(m_control, m_node, m_log, settings.platform_stream + "-claims")
     , m_replication(m_node, m_peers, m_requests)
     , m_watcher(
           m_node, m_client, settings.platform_url,
           [this](const host_id& host) { m_peers.add_leaving(host); },
           [this](const upstream_id& id) { m_requests.on_upstream_leaving(id); },
           [this] { on_reclaimed(); })
-    , m_caller_api(m_node, m_requests, m_replication, m_services, m_spans)
+    , m_caller_api(m_node, m_requests, m_replication, m_services, m_claims,
+                   m_spans)
     , m_operator_api(m_node, m_follower, m_peers, operator_options(settings),
                      [this] { start_drain(); })
 {
@@ -78,6 +80,7 @@
         { m_operator_api.handle(exchange); });
     m_peers.start();
     m_follower.start();
+    m_claims.start();
     m_replication.start();
     log(events::process_started,
         {{"host", settings.host_id},
--- a/services/daleshelfd/entry_host.hpp
+++ b/services/daleshelfd/entry_host.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "caller_api.hpp"
+#include "claim_service.hpp"
 #include "configuration_follower.hpp"
 #include "control_thread.hpp"
 #include "daemon_settings.hpp"
@@ -67,6 +68,7 @@
     control_thread m_control;
     peer_service m_peers;
     configuration_follower m_follower;
+    claim_service m_claims;
     replication_service m_replication;
     platform_watcher m_watcher;
     caller_api m_caller_api;
--- a/services/daleshelfd/request_service.cpp
+++ b/services/daleshelfd/request_service.cpp
@@ -216,7 +216,8 @@
         if (is_owned_now)
         {
             own(request);
-            perform(request, request->machine.take_over());
+            perform(request,
+                    request->machine.take_over(takeover_cause::relinquished));
         }
     }
     if (is_owned_now)
@@ -260,7 +261,8 @@
         log(events::request_taken_over,
             {{"request", id.value()}, {"from", request->owner.value()}});
         own(request);
-        perform(request, request->machine.take_over());
+        perform(request,
+                request->machine.take_over(takeover_cause::owner_lost));
     }
     m_observer->on_owned(id);
 }
@@ -275,7 +277,12 @@
     }
     absl::MutexLock lock(&request->mutex);
     const auto& machine = request->machine;
-    if (request->role != copy_role::owner || machine.is_ended())
+    // NOTE: what may run once only and was not sent stays: an offer whose
+    // answer is lost could not be taken back.
+    const bool may_offer =
+        machine.description().repeats == repeatability::repeatable ||
+        machine.run() != verdict::not_run;
+    if (request->role != copy_role::owner || machine.is_ended() || !may_offer)
     {
         return std::nullopt;
     }
--- a/services/daleshelfd/service_calls.cpp
+++ b/services/daleshelfd/service_calls.cpp
@@ -20,6 +20,7 @@
 namespace
 {
 
+constexpr std::size_t most_kept_answers = 2000;
 constexpr int first_error_status = 400;
 constexpr int status_unavailable = 503;
 constexpr int status_too_many_requests = 429;
@@ -79,6 +80,17 @@
     auto call = std::make_shared<live_call>();
     call->request = request;
     call->on_answer = std::move(on_answer);
+    if (request.has_key)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_kept[request.id].workspace = request.workspace;
+        m_kept_order.push_back(request.id);
+        while (m_kept_order.size() > most_kept_answers)
+        {
+            m_kept.erase(m_kept_order.front());
+            m_kept_order.pop_front();
+        }
+    }
     attempt(call);
 }
 
@@ -200,7 +212,50 @@
     response.headers.push_back(
         {"Daleshelf-Request-Id", call->request.id.value()});
     --m_in_flight;
+    if (call->request.has_key)
+    {
+        keep_answer(call, response);
+    }
     call->on_answer(std::move(response));
 }
 
+void service_calls::keep_answer(const call_ptr& call,
+                                const http_response& response)
+{
+    std::vector<std::function<void(std::optional<http_response>)>> waiting;
+    {
+        absl::MutexLock lock(&m_mutex);
+        auto& kept = m_kept[call->request.id];
+        kept.response = response;
+        waiting.swap(kept.waiting);
+    }
+    for (const auto& handler : waiting)
+    {
+        handler(response);
+    }
+}
+
+void service_calls::find_answer(
+    const request_id& id, const workspace_id& user,
+    std::function<void(std::optional<http_response>)> on_answer)
+{
+    std::optional<http_response> response;
+    {
+        absl::MutexLock lock(&m_mutex);
+        const auto found = m_kept.find(id);
+        const bool is_known =
+            found != m_kept.end() && found->second.workspace == user;
+        if (is_known && !found->second.response)
+        {
+            found->second.waiting.push_back(std::move(on_answer));
+            return;
+        }
+        if (is_known)
+        {
+            response = found->second.response;
+        }
+    }
+    on_answer(std::move(response));
+}
+
 } // namespace daleshelf
--- a/tests/requests/request_machine_test.cpp
+++ b/tests/requests/request_machine_test.cpp
@@ -140,6 +140,22 @@
     EXPECT_EQ(verdict::may_have_run, find<fail_request>(actions)->error.run());
 }
 
+TEST(request_machine, does_not_send_for_an_owner_that_may_only_be_frozen)
+{
+    request_machine copy(describe(repeatability::once_only), max_attempts);
+    const auto actions = copy.take_over(takeover_cause::owner_lost);
+    const auto* failed = find<fail_request>(actions);
+    ASSERT_NE(nullptr, failed);
+    EXPECT_EQ(verdict::may_have_run, failed->error.run());
+}
+
+TEST(request_machine, sends_what_was_relinquished_unsent)
+{
+    request_machine copy(describe(repeatability::once_only), max_attempts);
+    const auto actions = copy.take_over(takeover_cause::relinquished);
+    EXPECT_NE(nullptr, find<start_attempt>(actions));
+}
+
 TEST(request_machine, goes_on_elsewhere_with_the_answer_so_far)
 {
     request_machine machine(describe(repeatability::repeatable), max_attempts);
