--- a/libraries/resources/configuration.cpp
+++ b/libraries/resources/configuration.cpp
@@ -148,6 +148,15 @@
     m_policy.retry_budget_percent =
         find_number(body, "retry_budget_percent")
             .value_or(m_policy.retry_budget_percent);
+    const auto routing = find_string(body, "routing").value_or("affinity");
+    if (routing == "least_in_flight")
+    {
+        m_policy.routing = routing_strategy::least_in_flight;
+    }
+    else if (routing == "round_robin")
+    {
+        m_policy.routing = routing_strategy::round_robin;
+    }
     m_policy.first_token_target =
         read_time(body, "first_token_target_ms", m_policy.first_token_target);
     m_policy.between_tokens_target = read_time(body, "between_tokens_target_ms",
--- a/libraries/resources/configuration.hpp
+++ b/libraries/resources/configuration.hpp
@@ -70,12 +70,21 @@
     std::vector<std::shared_ptr<const upstream_entry>> upstreams;
 };
 
+/// How upstreams are chosen.
+enum class routing_strategy
+{
+    affinity,        ///< where the prompt's prefix is likely to be cached
+    least_in_flight, ///< baseline
+    round_robin,     ///< baseline
+};
+
 /// Limits and targets; the policy named `default`.
 struct policy_entry
 {
     std::chrono::milliseconds default_deadline{120000};
     std::int64_t max_attempts = 4;
     double retry_budget_percent = 20;
+    routing_strategy routing = routing_strategy::affinity;
     std::chrono::milliseconds first_token_target{520};
     std::chrono::milliseconds between_tokens_target{62};
 };
--- a/libraries/resources/resource_schema.cpp
+++ b/libraries/resources/resource_schema.cpp
@@ -1,6 +1,7 @@
 #include "resource_schema.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <array>
@@ -158,6 +159,9 @@
          .type = field_type::number,
          .most = 100,
          .meaning = "retries against first attempts"},
+        {.name = "routing",
+         .meaning = "how upstreams are chosen; the last two are baselines",
+         .choices = {"affinity", "least_in_flight", "round_robin"}},
         {.name = "first_token_target_ms",
          .type = field_type::whole_number,
          .least = 1,
@@ -197,8 +201,9 @@
     switch (rule.type)
     {
     case field_type::text:
-        return rule.choices.empty() ? "must be a string"
-                                    : "must be engine or service";
+        return rule.choices.empty()
+                   ? "must be a string"
+                   : "must be one of " + absl::StrJoin(rule.choices, ", ");
     case field_type::whole_number:
         return absl::StrCat("must be a whole number from ", rule.least, " to ",
                             rule.most);
--- a/libraries/resources/resource_schema.hpp
+++ b/libraries/resources/resource_schema.hpp
@@ -29,7 +29,7 @@
     double least = 0;
     double most = 1e15;
     std::string_view meaning;
-    std::vector<std::string_view> choices = {}; ///< of a text; empty: any
+    std::vector<std::string> choices = {}; ///< of a text; empty: any
 };
 
 /// @return the fields of a kind's body
--- a/libraries/routing/router.cpp
+++ b/libraries/routing/router.cpp
@@ -3,6 +3,7 @@
 #include "load_table.hpp"
 
 #include <algorithm>
+#include <array>
 #include <base/digest.hpp>
 
 namespace daleshelf
@@ -46,6 +47,8 @@
     return ranked;
 }
 
+using ranked_list = std::vector<ranked_upstream>;
+
 std::int64_t least_load(const std::vector<ranked_upstream>& ranked)
 {
     const auto least = std::min_element(
@@ -55,6 +58,40 @@
     return least->load;
 }
 
+/// By rendezvous hashing on the prefix: the same order on every entry host, so
+/// that equal prefixes meet their cache. Upstreams that are much more loaded
+/// than the least loaded one come last.
+void order_by_affinity(ranked_list& ranked, const routing_request&)
+{
+    const auto limit = least_load(ranked) + affinity_slack;
+    std::sort(ranked.begin(), ranked.end(),
+              [limit](const ranked_upstream& left, const ranked_upstream& right)
+              {
+                  const bool is_left_busy = left.load > limit;
+                  const bool is_right_busy = right.load > limit;
+                  if (is_left_busy != is_right_busy)
+                  {
+                      return is_right_busy;
+                  }
+                  return left.rank > right.rank;
+              });
+}
+
+void order_by_load(ranked_list& ranked, const routing_request&)
+{
+    std::sort(ranked.begin(), ranked.end(),
+              [](const ranked_upstream& left, const ranked_upstream& right)
+              { return left.load < right.load; });
+}
+
+void order_in_turn(ranked_list& ranked, const routing_request& request)
+{
+    const auto first = request.sequence % ranked.size();
+    std::rotate(ranked.begin(),
+                ranked.begin() + static_cast<std::ptrdiff_t>(first),
+                ranked.end());
+}
+
 } // namespace
 
 std::uint64_t prefix_hash(std::string_view prompt)
@@ -73,21 +110,11 @@
     {
         return {};
     }
-    // 2. Rank by rendezvous hashing on the prefix: the same order on every
-    //    entry host, so that equal prefixes meet their cache. Those that are
-    //    much more loaded than the least loaded one come last.
-    const auto limit = least_load(ranked) + affinity_slack;
-    std::sort(ranked.begin(), ranked.end(),
-              [limit](const ranked_upstream& left, const ranked_upstream& right)
-              {
-                  const bool is_left_busy = left.load > limit;
-                  const bool is_right_busy = right.load > limit;
-                  if (is_left_busy != is_right_busy)
-                  {
-                      return is_right_busy;
-                  }
-                  return left.rank > right.rank;
-              });
+    // 2. Bring them into the strategy's order.
+    using orderer = void (*)(ranked_list&, const routing_request&);
+    static constexpr std::array<orderer, 3> orderers{
+        &order_by_affinity, &order_by_load, &order_in_turn};
+    orderers.at(static_cast<std::size_t>(request.strategy))(ranked, request);
     // 3. Take the first that has room.
     for (const auto& entry : ranked)
     {
--- a/libraries/routing/router.hpp
+++ b/libraries/routing/router.hpp
@@ -24,6 +24,8 @@
     hall_id hall;             ///< of this entry host
     absl::Time now;
     absl::flat_hash_set<upstream_id> excluded; ///< tried already
+    routing_strategy strategy = routing_strategy::affinity;
+    std::uint64_t sequence = 0; ///< counts requests, for round robin
 };
 
 /// Why nothing was chosen, or what was.
--- a/services/daleshelfd/request_service.cpp
+++ b/services/daleshelfd/request_service.cpp
@@ -385,6 +385,8 @@
         wanted.prefix = description.prefix;
         wanted.hall = m_node.hall();
         wanted.now = absl::Now();
+        wanted.strategy = config->policy().routing;
+        wanted.sequence = ++m_sequence;
         wanted.excluded = machine.tried();
         choice = choose_upstream(deployment->upstreams, wanted, m_node.loads());
     }
--- a/services/daleshelfd/service_calls.cpp
+++ b/services/daleshelfd/service_calls.cpp
@@ -107,6 +107,8 @@
         wanted.prefix = stable_hash(request.path);
         wanted.hall = m_node.hall();
         wanted.now = absl::Now();
+        wanted.strategy = config->policy().routing;
+        wanted.sequence = ++m_sequence;
         wanted.excluded = call->tried;
         choice = choose_upstream(service->upstreams, wanted, m_node.loads());
     }
