routing: Weigh load against the price of a cache miss on a hash ring

Cause: equal prefixes spilled to other upstreams as soon as one had five requests more than the least loaded; most misses came from that, and the choice looked at every upstream. Change: candidates are six upstreams from the prefix's place on a hash ring and two others; the score is the load plus, where the prefix is not known to be cached, the price of computing it. A host remembers where it sent a prefix lately, so that hot prefixes spread.

--- a/libraries/resources/configuration.cpp
+++ b/libraries/resources/configuration.cpp
@@ -165,17 +165,23 @@
 
 void configuration::connect()
 {
-    for (const auto& upstream : m_upstreams)
+    using upstream_list = std::vector<std::shared_ptr<const upstream_entry>>;
+    for (auto& [name, service] : m_services)
     {
-        const auto service = m_services.find(upstream->service);
-        if (upstream->type == upstream_entry::kind::service &&
-            service != m_services.end())
+        upstream_list served;
+        for (const auto& upstream : m_upstreams)
         {
-            service->second.upstreams.push_back(upstream);
+            if (upstream->type == upstream_entry::kind::service &&
+                upstream->service == name)
+            {
+                served.push_back(upstream);
+            }
         }
+        service.upstreams = upstream_ring(std::move(served));
     }
     for (auto& [name, deployment] : m_deployments)
     {
+        upstream_list served;
         for (const auto& upstream : m_upstreams)
         {
             const bool is_in_hall = deployment.halls.empty() ||
@@ -183,9 +189,10 @@
             if (is_in_hall &&
                 upstream->models.contains(deployment.engine_model))
             {
-                deployment.upstreams.push_back(upstream);
+                served.push_back(upstream);
             }
         }
+        deployment.upstreams = upstream_ring(std::move(served));
     }
 }
 
--- a/libraries/resources/configuration.hpp
+++ b/libraries/resources/configuration.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "resource_store.hpp"
+#include "upstream_ring.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -57,7 +58,7 @@
     std::string engine_model; ///< model or adapter that engines are asked for
     workspace_set workspaces;
     absl::flat_hash_set<hall_id> halls;
-    std::vector<std::shared_ptr<const upstream_entry>> upstreams;
+    upstream_ring upstreams;
 };
 
 /// A plain service.
@@ -67,7 +68,7 @@
     workspace_set workspaces;
     absl::flat_hash_set<std::string> repeatable_methods{"GET", "HEAD"};
     std::chrono::milliseconds timeout{30000};
-    std::vector<std::shared_ptr<const upstream_entry>> upstreams;
+    upstream_ring upstreams;
 };
 
 /// How upstreams are chosen.
--- a/libraries/routing/router.cpp
+++ b/libraries/routing/router.cpp
@@ -13,118 +13,154 @@
 {
 
 constexpr std::size_t prefix_bytes = 2048;
-// An upstream may carry this much more than the least loaded one before the
-// request goes to the next in rank instead.
-constexpr std::int64_t affinity_slack = 4;
+constexpr std::int64_t bytes_per_token = 6;
+constexpr std::size_t memory_capacity = 20000;
+constexpr absl::Duration memory_life = absl::Minutes(2);
+// Upstreams looked at: from the prefix's place on the ring, and anywhere.
+constexpr std::size_t ring_candidates = 6;
+constexpr std::size_t other_candidates = 2;
+// Computing so many prompt tokens again costs as much as one more request
+// in the batch; see docs/MEASUREMENTS.md, "Price of a cache miss".
+constexpr double tokens_per_request = 100;
+constexpr double most_miss_cost = 16;
 
-struct ranked_upstream
-{
-    std::uint64_t rank = 0;
-    std::int64_t load = 0;
-    const std::shared_ptr<const upstream_entry>* upstream = nullptr;
-};
+} // namespace
 
-std::vector<ranked_upstream> rank_candidates(
-    const std::vector<std::shared_ptr<const upstream_entry>>& candidates,
-    const routing_request& request, const load_table& loads)
+std::uint64_t prefix_hash(std::string_view prompt)
 {
-    std::vector<ranked_upstream> ranked;
-    ranked.reserve(candidates.size());
-    for (const auto& candidate : candidates)
-    {
-        if (request.excluded.contains(candidate->id))
-        {
-            continue;
-        }
-        const auto load = loads.load(candidate->id);
-        if (load.is_leaving || load.failed_until > request.now)
-        {
-            continue;
-        }
-        ranked.push_back({stable_hash(candidate->id.value(), request.prefix),
-                          load.estimate(), &candidate});
-    }
-    return ranked;
+    return stable_hash(prompt.substr(0, prefix_bytes));
 }
 
-using ranked_list = std::vector<ranked_upstream>;
-
-std::int64_t least_load(const std::vector<ranked_upstream>& ranked)
+std::int64_t estimate_tokens(std::string_view prompt)
 {
-    const auto least = std::min_element(
-        ranked.begin(), ranked.end(),
-        [](const ranked_upstream& left, const ranked_upstream& right)
-        { return left.load < right.load; });
-    return least->load;
+    return static_cast<std::int64_t>(prompt.size()) / bytes_per_token;
 }
 
-/// By rendezvous hashing on the prefix: the same order on every entry host, so
-/// that equal prefixes meet their cache. Upstreams that are much more loaded
-/// than the least loaded one come last.
-void order_by_affinity(ranked_list& ranked, const routing_request&)
+router::router(load_table& loads)
+    : m_loads(loads), m_memory(memory_capacity, memory_life)
 {
-    const auto limit = least_load(ranked) + affinity_slack;
-    std::sort(ranked.begin(), ranked.end(),
-              [limit](const ranked_upstream& left, const ranked_upstream& right)
-              {
-                  const bool is_left_busy = left.load > limit;
-                  const bool is_right_busy = right.load > limit;
-                  if (is_left_busy != is_right_busy)
-                  {
-                      return is_right_busy;
-                  }
-                  return left.rank > right.rank;
-              });
 }
 
-void order_by_load(ranked_list& ranked, const routing_request&)
+routing_choice router::choose(const upstream_ring& ring,
+                              const routing_request& request)
 {
-    std::sort(ranked.begin(), ranked.end(),
-              [](const ranked_upstream& left, const ranked_upstream& right)
-              { return left.load < right.load; });
+    // docs/design/routing.md, "A choice".
+    // 1. Candidates that may be used at all, the best first.
+    static constexpr std::array<strategy, 3> strategies{
+        &router::by_affinity, &router::by_load, &router::in_turn};
+    const auto choice =
+        strategies.at(static_cast<std::size_t>(request.strategy));
+    auto candidates = (this->*choice)(ring, request);
+    if (candidates.empty())
+    {
+        return {};
+    }
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const candidate& left, const candidate& right)
+                     { return left.score < right.score; });
+    // 2. Take the first that has room.
+    for (const auto& entry : candidates)
+    {
+        const auto& upstream = *entry.upstream;
+        if (m_loads.try_begin(upstream->id, upstream->max_concurrency))
+        {
+            m_memory.add(request.prefix, upstream->id, request.now);
+            return {routing_choice::outcome::chosen, upstream};
+        }
+    }
+    return {routing_choice::outcome::overloaded, nullptr};
 }
 
-void order_in_turn(ranked_list& ranked, const routing_request& request)
+/// @return the load, unless the upstream was tried, is leaving or has just
+///         failed
+std::optional<upstream_load>
+router::usable_load(const upstream_entry& upstream,
+                    const routing_request& request) const
 {
-    const auto first = request.sequence % ranked.size();
-    std::rotate(ranked.begin(),
-                ranked.begin() + static_cast<std::ptrdiff_t>(first),
-                ranked.end());
+    if (request.excluded.contains(upstream.id))
+    {
+        return std::nullopt;
+    }
+    auto load = m_loads.load(upstream.id);
+    if (load.is_leaving || load.failed_until > request.now)
+    {
+        return std::nullopt;
+    }
+    return load;
 }
 
-} // namespace
-
-std::uint64_t prefix_hash(std::string_view prompt)
+/// Load against the price of a cache miss. A prefix is taken to be cached
+/// where its place on the ring is, and where this host has sent it lately: a
+/// prefix in great demand thus spreads over as many upstreams as it needs.
+router::candidate_list router::by_affinity(const upstream_ring& ring,
+                                           const routing_request& request)
 {
-    return stable_hash(prompt.substr(0, prefix_bytes));
+    candidate_list candidates;
+    const double miss_cost =
+        std::min(most_miss_cost, static_cast<double>(request.prompt_tokens) /
+                                     tokens_per_request);
+    const auto add = [&](const std::shared_ptr<const upstream_entry>& upstream)
+    {
+        const auto load = usable_load(*upstream, request);
+        if (!load)
+        {
+            return;
+        }
+        const bool is_first = candidates.empty();
+        const bool is_warm =
+            is_first ||
+            m_memory.is_warm(request.prefix, upstream->id, request.now);
+        candidates.push_back({&upstream, static_cast<double>(load->estimate()) +
+                                             (is_warm ? 0 : miss_cost)});
+    };
+    ring.visit(request.prefix,
+               [&](const std::shared_ptr<const upstream_entry>& upstream)
+               {
+                   add(upstream);
+                   return candidates.size() < ring_candidates;
+               });
+    // Two more from anywhere, against crowding at the ring's neighbours.
+    const auto& all = ring.upstreams();
+    const bool is_small = all.size() <= ring_candidates;
+    for (std::size_t i = 0; i < other_candidates && !is_small; ++i)
+    {
+        const auto number = stable_hash("other", ++m_sequence);
+        add(all[number % all.size()]);
+    }
+    return candidates;
 }
 
-routing_choice choose_upstream(
-    const std::vector<std::shared_ptr<const upstream_entry>>& candidates,
-    const routing_request& request, load_table& loads)
+router::candidate_list router::by_load(const upstream_ring& ring,
+                                       const routing_request& request)
 {
-    // docs/ARCHITECTURE.md, "Routing".
-    // 1. Leave out what was tried, is leaving or has just failed.
-    auto ranked = rank_candidates(candidates, request, loads);
-    if (ranked.empty())
+    candidate_list candidates;
+    for (const auto& upstream : ring.upstreams())
     {
-        return {};
+        const auto load = usable_load(*upstream, request);
+        if (load)
+        {
+            candidates.push_back(
+                {&upstream, static_cast<double>(load->estimate())});
+        }
     }
-    // 2. Bring them into the strategy's order.
-    using orderer = void (*)(ranked_list&, const routing_request&);
-    static constexpr std::array<orderer, 3> orderers{
-        &order_by_affinity, &order_by_load, &order_in_turn};
-    orderers.at(static_cast<std::size_t>(request.strategy))(ranked, request);
-    // 3. Take the first that has room.
-    for (const auto& entry : ranked)
+    return candidates;
+}
+
+router::candidate_list router::in_turn(const upstream_ring& ring,
+                                       const routing_request& request)
+{
+    candidate_list candidates;
+    const auto& all = ring.upstreams();
+    const auto first = ++m_sequence;
+    for (std::size_t i = 0; i < all.size(); ++i)
     {
-        const auto& upstream = *entry.upstream;
-        if (loads.try_begin(upstream->id, upstream->max_concurrency))
+        const auto& upstream = all[(first + i) % all.size()];
+        if (usable_load(*upstream, request))
         {
-            return {routing_choice::outcome::chosen, upstream};
+            candidates.push_back({&upstream, 0});
         }
     }
-    return {routing_choice::outcome::overloaded, nullptr};
+    return candidates;
 }
 
 } // namespace daleshelf
--- a/services/daleshelfd/node_state.hpp
+++ b/services/daleshelfd/node_state.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <resources/configuration.hpp>
 #include <routing/load_table.hpp>
+#include <routing/router.hpp>
 #include <telemetry/metrics.hpp>
 
 namespace daleshelf
@@ -67,6 +68,11 @@
         return m_loads;
     }
 
+    [[nodiscard]] router& routes()
+    {
+        return m_router;
+    }
+
     [[nodiscard]] metric_registry& metrics()
     {
         return m_metrics;
@@ -100,6 +106,7 @@
     std::atomic<std::shared_ptr<const configuration>> m_configuration;
     std::atomic<std::shared_ptr<const peer_view>> m_peers;
     load_table m_loads;
+    router m_router{m_loads};
     metric_registry m_metrics;
     std::atomic<bool> m_is_current = false;
     std::atomic<bool> m_is_draining = false;
--- a/services/daleshelfd/request_service.cpp
+++ b/services/daleshelfd/request_service.cpp
@@ -383,12 +383,11 @@
     {
         routing_request wanted;
         wanted.prefix = description.prefix;
-        wanted.hall = m_node.hall();
+        wanted.prompt_tokens = estimate_tokens(description.body);
         wanted.now = absl::Now();
         wanted.strategy = config->policy().routing;
-        wanted.sequence = ++m_sequence;
         wanted.excluded = machine.tried();
-        choice = choose_upstream(deployment->upstreams, wanted, m_node.loads());
+        choice = m_node.routes().choose(deployment->upstreams, wanted);
     }
     if (choice.what != routing_choice::outcome::chosen)
     {
--- a/services/daleshelfd/request_service.hpp
+++ b/services/daleshelfd/request_service.hpp
@@ -171,7 +171,6 @@
     kept_answer_limits m_limits;
     request_observer* m_observer = nullptr;
     retry_budget m_retries;
-    std::atomic<std::uint64_t> m_sequence = 0;
     mutable absl::Mutex m_mutex;
     absl::flat_hash_map<request_id, request_ptr>
         m_requests ABSL_GUARDED_BY(m_mutex);
--- a/services/daleshelfd/service_calls.cpp
+++ b/services/daleshelfd/service_calls.cpp
@@ -105,12 +105,10 @@
     {
         routing_request wanted;
         wanted.prefix = stable_hash(request.path);
-        wanted.hall = m_node.hall();
         wanted.now = absl::Now();
         wanted.strategy = config->policy().routing;
-        wanted.sequence = ++m_sequence;
         wanted.excluded = call->tried;
-        choice = choose_upstream(service->upstreams, wanted, m_node.loads());
+        choice = m_node.routes().choose(service->upstreams, wanted);
     }
     const auto run =
         call->was_ambiguous ? verdict::may_have_run : verdict::not_run;
--- a/services/daleshelfd/service_calls.hpp
+++ b/services/daleshelfd/service_calls.hpp
@@ -99,7 +99,6 @@
     http_client& m_client;
     span_exporter& m_spans;
     retry_budget m_retries;
-    std::atomic<std::uint64_t> m_sequence = 0;
     std::atomic<std::size_t> m_in_flight = 0;
     absl::Mutex m_mutex;
     absl::flat_hash_map<request_id, kept_answer>
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -8,11 +8,9 @@
 namespace
 {
 
-using upstream_list = std::vector<std::shared_ptr<const upstream_entry>>;
-
-upstream_list make_upstreams(int count)
+upstream_ring make_ring(int count)
 {
-    upstream_list upstreams;
+    std::vector<std::shared_ptr<const upstream_entry>> upstreams;
     for (int i = 0; i < count; ++i)
     {
         auto entry = std::make_shared<upstream_entry>();
@@ -20,7 +18,7 @@
         entry->max_concurrency = 2;
         upstreams.push_back(std::move(entry));
     }
-    return upstreams;
+    return upstream_ring(std::move(upstreams));
 }
 
 routing_request with_prefix(const std::string& prompt)
@@ -33,39 +31,92 @@
 
 TEST(router, sends_equal_prefixes_to_the_same_upstream)
 {
-    const auto upstreams = make_upstreams(10);
+    const auto ring = make_ring(10);
     load_table here;
     load_table elsewhere;
     const auto request = with_prefix("guidelines");
-    const auto one = choose_upstream(upstreams, request, here);
-    const auto other = choose_upstream(upstreams, request, elsewhere);
+    const auto one = router(here).choose(ring, request);
+    const auto other = router(elsewhere).choose(ring, request);
     EXPECT_EQ(one.upstream->id, other.upstream->id);
 }
 
 TEST(router, gives_no_new_work_to_an_upstream_that_leaves)
 {
-    const auto upstreams = make_upstreams(2);
+    const auto ring = make_ring(2);
+    const auto& upstreams = ring.upstreams();
     load_table loads;
+    router routes(loads);
     loads.set_leaving(upstreams[0]->id);
     const auto request = with_prefix("guidelines");
     for (int i = 0; i < 2; ++i)
     {
-        const auto choice = choose_upstream(upstreams, request, loads);
+        const auto choice = routes.choose(ring, request);
         EXPECT_EQ(upstreams[1]->id, choice.upstream->id);
     }
-    const auto full = choose_upstream(upstreams, request, loads);
+    const auto full = routes.choose(ring, request);
     EXPECT_EQ(routing_choice::outcome::overloaded, full.what);
 }
 
 TEST(router, leaves_out_what_was_tried)
 {
-    const auto upstreams = make_upstreams(1);
+    const auto ring = make_ring(1);
     load_table loads;
     auto request = with_prefix("guidelines");
-    request.excluded.insert(upstreams[0]->id);
-    const auto choice = choose_upstream(upstreams, request, loads);
+    request.excluded.insert(ring.upstreams()[0]->id);
+    const auto choice = router(loads).choose(ring, request);
     EXPECT_EQ(routing_choice::outcome::none, choice.what);
 }
 
+TEST(router, spreads_a_prefix_once_waiting_costs_more_than_a_cache_miss)
+{
+    const auto ring = make_ring(10);
+    load_table loads;
+    router routes(loads);
+    auto request = with_prefix("guidelines");
+    request.prompt_tokens = 1000;
+    const auto first = routes.choose(ring, request).upstream->id;
+    load_report report;
+    report.running = 5;
+    loads.set_report(first, report);
+    EXPECT_EQ(first, routes.choose(ring, request).upstream->id);
+    report.running = 50;
+    loads.set_report(first, report);
+    const auto second = routes.choose(ring, request).upstream->id;
+    EXPECT_NE(first, second);
+    // It is cached there, too, now.
+    EXPECT_EQ(second, routes.choose(ring, request).upstream->id);
+}
+
+TEST(upstream_ring, changes_few_places_when_an_upstream_goes)
+{
+    const auto all = make_ring(10);
+    auto rest = all.upstreams();
+    rest.pop_back();
+    const upstream_ring smaller(rest);
+    constexpr int prefixes = 1000;
+    int changed = 0;
+    const auto first = [](const upstream_ring& ring, std::uint64_t prefix)
+    {
+        upstream_id found;
+        ring.visit(prefix,
+                   [&found](const upstream_ring::upstream_ptr& upstream)
+                   {
+                       found = upstream->id;
+                       return false;
+                   });
+        return found;
+    };
+    for (int i = 0; i < prefixes; ++i)
+    {
+        const auto prefix = prefix_hash(std::to_string(i));
+        const auto before = first(all, prefix);
+        const auto after = first(smaller, prefix);
+        const bool was_there = before != all.upstreams().back()->id;
+        EXPECT_TRUE(!was_there || before == after);
+        changed += before == after ? 0 : 1;
+    }
+    EXPECT_LT(changed, prefixes / 4);
+}
+
 } // namespace
 } // namespace daleshelf
