--- a/libraries/routing/router.cpp
+++ b/libraries/routing/router.cpp
@@ -150,16 +150,23 @@
                                        const routing_request& request)
 {
     candidate_list candidates;
-    const auto& all = ring.upstreams();
-    const auto first = ++m_sequence;
-    for (std::size_t i = 0; i < all.size(); ++i)
+    for (const auto& upstream : ring.upstreams())
     {
-        const auto& upstream = all[(first + i) % all.size()];
         if (usable_load(*upstream, request))
         {
             candidates.push_back({&upstream, 0});
         }
     }
+    if (candidates.empty())
+    {
+        return candidates;
+    }
+    // Turns go round those that can be used, or the one after a gap would get
+    // the turns of all that are missing.
+    const auto first = ++m_sequence % candidates.size();
+    std::rotate(candidates.begin(),
+                candidates.begin() + static_cast<std::ptrdiff_t>(first),
+                candidates.end());
     return candidates;
 }
 
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <routing/load_table.hpp>
 #include <routing/router.hpp>
 
@@ -87,6 +88,26 @@
     EXPECT_EQ(second, routes.choose(ring, request).upstream->id);
 }
 
+TEST(router, goes_round_those_that_are_left_in_equal_turns)
+{
+    const auto ring = make_ring(4);
+    load_table loads;
+    router routes(loads);
+    loads.set_leaving(ring.upstreams()[0]->id);
+    loads.set_leaving(ring.upstreams()[1]->id);
+    auto request = with_prefix("guidelines");
+    request.strategy = routing_strategy::round_robin;
+    std::map<upstream_id, int> turns;
+    for (int i = 0; i < 4; ++i)
+    {
+        const auto choice = routes.choose(ring, request);
+        ++turns[choice.upstream->id];
+        loads.end(choice.upstream->id);
+    }
+    EXPECT_EQ(2, turns[ring.upstreams()[2]->id]);
+    EXPECT_EQ(2, turns[ring.upstreams()[3]->id]);
+}
+
 TEST(upstream_ring, changes_few_places_when_an_upstream_goes)
 {
     const auto all = make_ring(10);
