requests: Finish, move the cache or recompute at a leaving upstream

Cause: a request at a leaving upstream was always computed again elsewhere. Change: chosen by predicted cost: it ends there in time, or what is computed moves by KV export and import while the old stream goes on, or it is computed again. An upstream declared after its host was found to leave is marked, too.

--- a/libraries/upstreams/engine_client.cpp
+++ b/libraries/upstreams/engine_client.cpp
@@ -177,6 +177,40 @@
     m_client.cancel(id);
 }
 
+void engine_client::move_cache(const std::string& from_url,
+                               const std::string& stream_id,
+                               const std::string& to_url,
+                               std::chrono::milliseconds timeout,
+                               std::function<void(bool)> on_done)
+{
+    http_client_request read;
+    read.url = from_url + "/kv/" + stream_id;
+    read.timeout = timeout;
+    auto blocks = std::make_shared<std::string>();
+    http_transfer_handlers on_read;
+    on_read.on_body = [blocks](std::string_view piece) { *blocks += piece; };
+    on_read.on_done =
+        [this, blocks, to_url, timeout,
+         done = std::move(on_done)](const http_transfer_result& result)
+    {
+        if (!result.is_complete() || result.status != status_ok)
+        {
+            done(false);
+            return;
+        }
+        http_client_request write;
+        write.method = "POST";
+        write.url = to_url + "/kv";
+        write.body = *blocks;
+        write.timeout = timeout;
+        http_transfer_handlers on_written;
+        on_written.on_done = [done](const http_transfer_result& written)
+        { done(written.is_complete() && written.status == status_ok); };
+        m_client.start(std::move(write), std::move(on_written));
+    };
+    m_client.start(std::move(read), std::move(on_read));
+}
+
 void engine_client::cancel_stream(const std::string& url,
                                   const std::string& stream_id)
 {
--- a/libraries/upstreams/engine_client.hpp
+++ b/libraries/upstreams/engine_client.hpp
@@ -52,6 +52,17 @@
     /// Stops listening to an attempt; `on_ended` still comes.
     void cancel(http_client::transfer_id id);
 
+    /// Moves what an engine has computed for a stream to another engine.
+    /// @param from_url of the engine that runs the stream
+    /// @param stream_id the stream
+    /// @param to_url of the other engine
+    /// @param timeout of either half of the way
+    /// @param on_done called with whether the other engine has it
+    void move_cache(const std::string& from_url, const std::string& stream_id,
+                    const std::string& to_url,
+                    std::chrono::milliseconds timeout,
+                    std::function<void(bool)> on_done);
+
     /// Tells an engine that a stream is no longer wanted.
     /// @param url of the engine
     /// @param stream_id the stream
--- a/services/daleshelfd/entry_host.cpp
+++ b/services/daleshelfd/entry_host.cpp
@@ -61,7 +61,8 @@
     , m_watcher(
           m_node, m_client, settings.platform_url,
           [this](const host_id& host) { m_peers.add_leaving(host); },
-          [this](const upstream_id& id) { m_requests.on_upstream_leaving(id); },
+          [this](const upstream_id& id, absl::Time leaves_at)
+          { m_requests.on_upstream_leaving(id, leaves_at); },
           [this] { on_reclaimed(); })
     , m_caller_api(m_node, m_requests, m_replication, m_services, m_claims,
                    m_spans)
--- a/services/daleshelfd/live_request.hpp
+++ b/services/daleshelfd/live_request.hpp
@@ -20,6 +20,8 @@
 namespace daleshelf
 {
 
+struct upstream_entry;
+
 /// What a host does with a request.
 enum class copy_role
 {
@@ -50,6 +52,13 @@
     /// Another host has been asked to run it and has not answered.
     bool is_relinquishing = false;
     std::optional<attempt_result> deferred_end;
+    /// Where the next attempt goes, if that was chosen beforehand.
+    std::shared_ptr<const upstream_entry> next_upstream;
+    bool is_moving = false; ///< what is computed is on its way there
+    absl::Time first_token_at;
+    std::int64_t tokens_here = 0; ///< tokens since `first_token_at`
+    std::int64_t prompt_tokens = 0;
+    std::int64_t max_tokens = 0; ///< of the whole answer
     std::vector<std::shared_ptr<answer_sink>> sinks;
     http_client::transfer_id transfer = 0;
     span attempt_span;
--- a/services/daleshelfd/platform_watcher.cpp
+++ b/services/daleshelfd/platform_watcher.cpp
@@ -19,13 +19,15 @@
 constexpr absl::Duration load_interval = absl::Milliseconds(500);
 constexpr std::chrono::milliseconds read_timeout{1000};
 constexpr int status_ok = 200;
+// Who only hears that a host is leaving does not know when.
+constexpr absl::Duration assumed_notice = absl::Seconds(2);
 
 } // namespace
 
 platform_watcher::platform_watcher(
     node_state& node, http_client& client, std::string platform_url,
     std::function<void(const host_id&)> on_news,
-    std::function<void(const upstream_id&)> on_upstream_leaving,
+    std::function<void(const upstream_id&, absl::Time)> on_upstream_leaving,
     std::function<void()> on_self_leaving)
     : m_node(node)
     , m_client(client)
@@ -88,7 +90,10 @@
     }
     for (const auto& notice : *find_array(fields, "notices"))
     {
-        on_host_leaving(host_id(require_string(notice.as_object(), "host")));
+        const auto& fields_of_one = notice.as_object();
+        on_host_leaving(host_id(require_string(fields_of_one, "host")),
+                        absl::FromUnixMillis(
+                            require_integer(fields_of_one, "leaves_at_ms")));
     }
 }
 
@@ -112,7 +117,8 @@
     }
 }
 
-void platform_watcher::on_host_leaving(const host_id& host)
+void platform_watcher::on_host_leaving(const host_id& host,
+                                       std::optional<absl::Time> leaves_at)
 {
     {
         absl::MutexLock lock(&m_mutex);
@@ -127,22 +133,39 @@
         m_on_self_leaving();
         return;
     }
+    mark_leaving(host, leaves_at.value_or(absl::Now() + assumed_notice));
+}
+
+/// NOTE: an upstream may be declared after its host was found to leave.
+void platform_watcher::mark_leaving(const host_id& host, absl::Time leaves_at)
+{
     const auto config = m_node.current_configuration();
     for (const auto& upstream : config->upstreams())
     {
-        if (upstream->host != host)
+        const bool is_news = upstream->host == host &&
+                             !m_node.loads().load(upstream->id).is_leaving;
+        if (!is_news)
         {
             continue;
         }
         log(events::upstream_leaving,
             {{"upstream", upstream->id.value()}, {"host", host.value()}});
         m_node.loads().set_leaving(upstream->id);
-        m_on_upstream_leaving(upstream->id);
+        m_on_upstream_leaving(upstream->id, leaves_at);
     }
 }
 
 void platform_watcher::read_loads()
 {
+    absl::flat_hash_set<host_id> leaving;
+    {
+        absl::MutexLock lock(&m_mutex);
+        leaving = m_leaving;
+    }
+    for (const auto& host : leaving)
+    {
+        mark_leaving(host, absl::Now() + assumed_notice);
+    }
     const auto config = m_node.current_configuration();
     for (const auto& upstream : config->upstreams())
     {
@@ -170,7 +193,7 @@
     if (report.is_leaving && !was_leaving)
     {
         log(events::upstream_leaving, {{"upstream", id.value()}});
-        m_on_upstream_leaving(id);
+        m_on_upstream_leaving(id, absl::Now() + assumed_notice);
     }
 }
 
--- a/services/daleshelfd/platform_watcher.hpp
+++ b/services/daleshelfd/platform_watcher.hpp
@@ -8,6 +8,7 @@
 #include <base/timer_queue.hpp>
 #include <functional>
 #include <http/forward.hpp>
+#include <optional>
 #include <string>
 
 namespace daleshelf
@@ -24,25 +25,29 @@
     /// @param client sends requests; must outlive this object
     /// @param platform_url URL of the platform
     /// @param on_news called with each host found to leave, to tell others
-    /// @param on_upstream_leaving called when an upstream is known to leave
+    /// @param on_upstream_leaving called when an upstream is known to leave,
+    ///        with the time when it is gone
     /// @param on_self_leaving called when this host is to leave
     platform_watcher(
         node_state& node, http_client& client, std::string platform_url,
         std::function<void(const host_id&)> on_news,
-        std::function<void(const upstream_id&)> on_upstream_leaving,
+        std::function<void(const upstream_id&, absl::Time)> on_upstream_leaving,
         std::function<void()> on_self_leaving);
     platform_watcher(const platform_watcher&) = delete;
     platform_watcher& operator=(const platform_watcher&) = delete;
     ~platform_watcher() = default;
 
     /// A host is leaving, whoever said so.
-    void on_host_leaving(const host_id& host);
+    /// @param leaves_at when it is gone, if that is known
+    void on_host_leaving(const host_id& host,
+                         std::optional<absl::Time> leaves_at = {});
 
 private:
     void read_notices();
     void take_notices(const std::string& body);
     void read_hosts();
     void take_hosts(const std::string& body);
+    void mark_leaving(const host_id& host, absl::Time leaves_at);
     void read_loads();
     void take_load(const upstream_id& id, const std::string& body);
     void get(const std::string& url,
@@ -52,7 +57,7 @@
     http_client& m_client;
     std::string m_platform_url;
     std::function<void(const host_id&)> m_on_news;
-    std::function<void(const upstream_id&)> m_on_upstream_leaving;
+    std::function<void(const upstream_id&, absl::Time)> m_on_upstream_leaving;
     std::function<void()> m_on_self_leaving;
     absl::Mutex m_mutex;
     absl::flat_hash_set<host_id> m_leaving ABSL_GUARDED_BY(m_mutex);
--- a/services/daleshelfd/request_service.cpp
+++ b/services/daleshelfd/request_service.cpp
@@ -6,6 +6,9 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <array>
+#include <base/json.hpp>
+#include <requests/move_choice.hpp>
 #include <routing/router.hpp>
 #include <telemetry/log.hpp>
 #include <utility>
@@ -35,6 +38,21 @@
             verdict::not_run, overload_pause};
 }
 
+std::string move_name(move_kind kind)
+{
+    static constexpr std::array<const char*, 3> names{"finish", "move_cache",
+                                                      "recompute"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+/// @return what the body says; what engines take if it says nothing
+std::int64_t read_max_tokens(const request_description& description)
+{
+    constexpr std::int64_t engine_default = 16;
+    const auto body = parse_object(description.body);
+    return find_integer(body, "max_tokens").value_or(engine_default);
+}
+
 } // namespace
 
 request_service::request_service(node_state& node, engine_client& engines,
@@ -159,25 +177,136 @@
     return true;
 }
 
-void request_service::on_upstream_leaving(const upstream_id& id)
+void request_service::on_upstream_leaving(const upstream_id& id,
+                                          absl::Time leaves_at)
 {
     for (const auto& request : all())
     {
         absl::MutexLock lock(&request->mutex);
-        auto& machine = request->machine;
+        const auto& machine = request->machine;
         const bool is_meant = request->role == copy_role::owner &&
                               !request->is_relinquishing &&
                               machine.upstream() == id;
-        if (!is_meant || machine.is_ended())
+        if (is_meant && !machine.is_ended())
         {
-            continue;
+            leave_upstream(request, leaves_at);
         }
-        log(events::request_moved,
-            {{"request", request->id.value()}, {"from", id.value()}});
-        perform(request, machine.on_upstream_leaving());
     }
 }
 
+/// The request's mutex is held.
+void request_service::leave_upstream(const request_ptr& request,
+                                     absl::Time leaves_at)
+{
+    const auto& machine = request->machine;
+    const auto now = absl::Now();
+    move_situation situation;
+    situation.time_left = leaves_at - now;
+    if (request->tokens_here > 1)
+    {
+        situation.between_tokens = (now - request->first_token_at) /
+                                   static_cast<double>(request->tokens_here);
+    }
+    const auto produced = machine.answer().next().value();
+    situation.tokens_left = request->max_tokens - produced;
+    situation.tokens_held = request->prompt_tokens + produced;
+    situation.has_stream = !machine.stream_id().empty();
+    const auto kind = choose_move(situation);
+    m_node.metrics()
+        .find_counter("daleshelf_requests_leaving_total",
+                      "Requests at upstreams that were leaving.",
+                      "way=\"" + move_name(kind) + "\"")
+        .add();
+    if (kind == move_kind::finish)
+    {
+        return;
+    }
+    log(events::request_moved, {{"request", request->id.value()},
+                                {"from", machine.upstream().value()},
+                                {"way", move_name(kind)}});
+    if (kind == move_kind::move_cache)
+    {
+        move_cache(request, situation.time_left);
+        return;
+    }
+    go_on_elsewhere(request, machine.attempt());
+}
+
+/// The old stream goes on while what it has computed is on its way.
+void request_service::move_cache(const request_ptr& request,
+                                 absl::Duration time_left)
+{
+    if (request->is_moving)
+    {
+        return;
+    }
+    const auto& machine = request->machine;
+    const auto attempt = machine.attempt();
+    const auto config = m_node.current_configuration();
+    const auto* from = config->find_upstream(machine.upstream());
+    const auto choice = choose_upstream(request);
+    if (from == nullptr || choice.what != routing_choice::outcome::chosen)
+    {
+        return; // it stays while it can; its end is dealt with as any other
+    }
+    request->is_moving = true;
+    request->next_upstream = choice.upstream;
+    m_engines.move_cache(from->url, machine.stream_id(), choice.upstream->url,
+                         absl::ToChronoMilliseconds(time_left / 2),
+                         [this, request, attempt](bool)
+                         {
+                             // Without the cache it is computed again.
+                             absl::MutexLock lock(&request->mutex);
+                             request->is_moving = false;
+                             go_on_elsewhere(request, attempt);
+                         });
+}
+
+void request_service::go_on_elsewhere(const request_ptr& request,
+                                      const attempt_id& attempt)
+{
+    const bool is_present = request->machine.attempt() == attempt &&
+                            request->role == copy_role::owner &&
+                            !request->machine.is_ended() &&
+                            !request->is_relinquishing;
+    if (is_present)
+    {
+        perform(request, request->machine.on_upstream_leaving());
+    }
+    // A place that was not used after all is given back.
+    if (const auto unused = take_next_upstream(request))
+    {
+        m_node.loads().end(unused->id);
+    }
+}
+
+std::shared_ptr<const upstream_entry>
+request_service::take_next_upstream(const request_ptr& request)
+{
+    return std::exchange(request->next_upstream, nullptr);
+}
+
+/// Chooses an upstream that the request has not been at and counts it in.
+routing_choice request_service::choose_upstream(const request_ptr& request)
+{
+    const auto& machine = request->machine;
+    const auto& description = machine.description();
+    const auto config = m_node.current_configuration();
+    const auto* deployment =
+        config->find_deployment(description.deployment, description.workspace);
+    if (deployment == nullptr)
+    {
+        return {};
+    }
+    routing_request wanted;
+    wanted.prefix = description.prefix;
+    wanted.prompt_tokens = request->prompt_tokens;
+    wanted.now = absl::Now();
+    wanted.strategy = config->policy().routing;
+    wanted.excluded = machine.tried();
+    return m_node.routes().choose(deployment->upstreams, wanted);
+}
+
 std::size_t request_service::in_flight() const
 {
     absl::MutexLock lock(&m_mutex);
@@ -374,20 +503,15 @@
                                   const start_attempt& action)
 {
     auto& machine = request->machine;
-    const auto& description = machine.description();
-    const auto config = m_node.current_configuration();
-    const auto* deployment =
-        config->find_deployment(description.deployment, description.workspace);
     routing_choice choice;
-    if (deployment != nullptr)
+    choice.upstream = take_next_upstream(request);
+    if (choice.upstream)
     {
-        routing_request wanted;
-        wanted.prefix = description.prefix;
-        wanted.prompt_tokens = estimate_tokens(description.body);
-        wanted.now = absl::Now();
-        wanted.strategy = config->policy().routing;
-        wanted.excluded = machine.tried();
-        choice = m_node.routes().choose(deployment->upstreams, wanted);
+        choice.what = routing_choice::outcome::chosen;
+    }
+    else
+    {
+        choice = choose_upstream(request);
     }
     if (choice.what != routing_choice::outcome::chosen)
     {
@@ -425,6 +549,7 @@
     auto& machine = request->machine;
     const auto parent =
         trace_context::from_header(machine.description().traceparent);
+    request->tokens_here = 0;
     auto& hop = request->attempt_span;
     hop.name = resume_id.empty() ? "upstream" : "upstream resume";
     hop.context = parent.child();
@@ -542,6 +667,10 @@
                                   const deliver_token& action)
 {
     m_observer->on_changed(request->id);
+    if (++request->tokens_here == 1)
+    {
+        request->first_token_at = absl::Now();
+    }
     if (!request->is_confirmed)
     {
         return;
@@ -643,6 +772,8 @@
             role == copy_role::owner ? copy_role::replica : role;
         entry = std::make_shared<live_request>(
             description, config->policy().max_attempts, first_role);
+        entry->prompt_tokens = estimate_tokens(description.body);
+        entry->max_tokens = read_max_tokens(description);
     }
     return entry;
 }
--- a/services/daleshelfd/request_service.hpp
+++ b/services/daleshelfd/request_service.hpp
@@ -27,6 +27,7 @@
 
 class node_state;
 class request_observer;
+struct routing_choice;
 struct upstream_entry;
 
 /// Limits of what is kept after a request has ended.
@@ -124,8 +125,10 @@
     /// @return all requests that are known, ended ones too
     [[nodiscard]] std::vector<request_summary> summaries() const;
 
-    /// Moves the requests at an upstream that is leaving.
-    void on_upstream_leaving(const upstream_id& id);
+    /// Brings the requests at an upstream that is leaving through.
+    /// @param id the upstream
+    /// @param leaves_at when it is gone
+    void on_upstream_leaving(const upstream_id& id, absl::Time leaves_at);
 
     /// @return requests owned here that have not ended
     [[nodiscard]] std::size_t in_flight() const;
@@ -153,6 +156,12 @@
     void end_attempt(const request_ptr& request, const attempt_id& attempt,
                      const attempt_result& result);
     void own(const request_ptr& request);
+    void leave_upstream(const request_ptr& request, absl::Time leaves_at);
+    void move_cache(const request_ptr& request, absl::Duration time_left);
+    void go_on_elsewhere(const request_ptr& request, const attempt_id& attempt);
+    std::shared_ptr<const upstream_entry>
+    take_next_upstream(const request_ptr& request);
+    routing_choice choose_upstream(const request_ptr& request);
     void watch_deadline(const request_ptr& request);
     void on_deadline(const request_ptr& request);
     static void show(live_request& request,
