admission: Let requests wait in a fair order, and refuse at once beyond

Cause: an overloaded upstream got whatever came; a workspace that floods held up the others; refusals said to come back in one second, always. An upstream's limit counts what is likely to be there from all entry hosts. What was accepted and has to move is placed whatever the limits.

--- a/libraries/requests/request_machine.hpp
+++ b/libraries/requests/request_machine.hpp
@@ -123,6 +123,12 @@
         return m_attempt;
     }
 
+    /// @return whether some upstream has been asked to run it
+    [[nodiscard]] bool has_begun() const
+    {
+        return !m_tried.empty() || m_was_ambiguous;
+    }
+
     /// @return upstreams that this request should not go to again
     [[nodiscard]] const absl::flat_hash_set<upstream_id>& tried() const
     {
--- a/libraries/resources/configuration.cpp
+++ b/libraries/resources/configuration.cpp
@@ -148,6 +148,12 @@
     m_policy.retry_budget_percent =
         find_number(body, "retry_budget_percent")
             .value_or(m_policy.retry_budget_percent);
+    if (find_string(body, "fair_share") == "requests")
+    {
+        m_policy.fair_share = share_basis::requests;
+    }
+    m_policy.longest_queue_wait =
+        read_time(body, "longest_queue_wait_ms", m_policy.longest_queue_wait);
     const auto routing = find_string(body, "routing").value_or("affinity");
     if (routing == "least_in_flight")
     {
--- a/libraries/resources/configuration.hpp
+++ b/libraries/resources/configuration.hpp
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <base/identifiers.hpp>
+#include <base/share_basis.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -85,6 +86,8 @@
     std::chrono::milliseconds default_deadline{120000};
     std::int64_t max_attempts = 4;
     double retry_budget_percent = 20;
+    share_basis fair_share = share_basis::work;
+    std::chrono::milliseconds longest_queue_wait{2000};
     routing_strategy routing = routing_strategy::affinity;
     std::chrono::milliseconds first_token_target{520};
     std::chrono::milliseconds between_tokens_target{62};
--- a/libraries/routing/load_table.cpp
+++ b/libraries/routing/load_table.cpp
@@ -24,7 +24,7 @@
 {
     absl::MutexLock lock(&m_mutex);
     auto& load = m_loads[id];
-    if (load.in_flight >= limit)
+    if (load.estimate() >= limit)
     {
         return false;
     }
@@ -33,6 +33,14 @@
     return true;
 }
 
+void load_table::begin(const upstream_id& id)
+{
+    absl::MutexLock lock(&m_mutex);
+    auto& load = m_loads[id];
+    ++load.in_flight;
+    ++load.sent_since_report;
+}
+
 void load_table::end(const upstream_id& id)
 {
     absl::MutexLock lock(&m_mutex);
--- a/libraries/routing/load_table.hpp
+++ b/libraries/routing/load_table.hpp
@@ -41,10 +41,14 @@
     /// @return what is known of the upstream
     [[nodiscard]] upstream_load load(const upstream_id& id) const;
 
-    /// Counts a request in, if fewer than `limit` are in flight.
+    /// Counts a request in, if fewer than `limit` are likely to be there, those
+    /// of other entry hosts included.
     /// @return whether it was counted
     bool try_begin(const upstream_id& id, std::int64_t limit);
 
+    /// Counts a request in, whatever the limit says.
+    void begin(const upstream_id& id);
+
     /// Counts a request out.
     void end(const upstream_id& id);
 
--- a/libraries/routing/router.cpp
+++ b/libraries/routing/router.cpp
@@ -58,17 +58,22 @@
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const candidate& left, const candidate& right)
                      { return left.score < right.score; });
-    // 2. Take the first that has room.
-    for (const auto& entry : candidates)
+    // 2. Take the first that has room; what was accepted needs none.
+    if (!request.is_limited)
     {
-        const auto& upstream = *entry.upstream;
-        if (m_loads.try_begin(upstream->id, upstream->max_concurrency))
-        {
-            m_memory.add(request.prefix, upstream->id, request.now);
-            return {routing_choice::outcome::chosen, upstream};
-        }
+        const auto& upstream = *candidates.front().upstream;
+        m_loads.begin(upstream->id);
+        return {routing_choice::outcome::chosen, upstream};
+    }
+    // 3. The best one, or none: the others are worse even though they have
+    //    room, and what is spilled to them is computed again there.
+    const auto& upstream = *candidates.front().upstream;
+    if (!m_loads.try_begin(upstream->id, upstream->max_concurrency))
+    {
+        return {routing_choice::outcome::overloaded, nullptr};
     }
-    return {routing_choice::outcome::overloaded, nullptr};
+    m_memory.add(request.prefix, upstream->id, request.now);
+    return {routing_choice::outcome::chosen, upstream};
 }
 
 /// @return the load, unless the upstream was tried, is leaving or has just
--- a/libraries/routing/router.hpp
+++ b/libraries/routing/router.hpp
@@ -30,6 +30,9 @@
     absl::Time now;
     absl::flat_hash_set<upstream_id> excluded; ///< tried already
     routing_strategy strategy = routing_strategy::affinity;
+    /// Whether limits count; an accepted request that has to move is not
+    /// refused for them.
+    bool is_limited = true;
 };
 
 /// Why nothing was chosen, or what was.
--- a/services/daleshelfd/entry_host.cpp
+++ b/services/daleshelfd/entry_host.cpp
@@ -50,7 +50,9 @@
     , m_spans("daleshelfd", settings.traces_endpoint, m_client)
     , m_log(m_client, settings.platform_url)
     , m_engines(m_client)
-    , m_requests(m_node, m_engines, m_spans, answer_limits(settings))
+    , m_admission(m_node)
+    , m_requests(m_node, m_engines, m_admission, m_spans,
+                 answer_limits(settings))
     , m_services(m_node, m_client, m_spans)
     , m_peers(m_control, m_node, transport_options(settings),
               settings.peers_seeds,
--- a/services/daleshelfd/entry_host.hpp
+++ b/services/daleshelfd/entry_host.hpp
@@ -2,6 +2,7 @@
 /// All parts of one daleshelfd process, wired together.
 #pragma once
 
+#include "admission_service.hpp"
 #include "caller_api.hpp"
 #include "claim_service.hpp"
 #include "configuration_follower.hpp"
@@ -63,6 +64,7 @@
     span_exporter m_spans;
     log_client m_log;
     engine_client m_engines;
+    admission_service m_admission;
     request_service m_requests;
     service_calls m_services;
     control_thread m_control;
--- a/services/daleshelfd/live_request.hpp
+++ b/services/daleshelfd/live_request.hpp
@@ -57,6 +57,9 @@
     bool is_moving = false; ///< what is computed is on its way there
     absl::Time first_token_at;
     std::int64_t tokens_here = 0; ///< tokens since `first_token_at`
+    absl::Time attempt_started;
+    double weight = 1;       ///< of the workspace
+    double charged_work = 0; ///< tokens, when it left the queue
     std::int64_t prompt_tokens = 0;
     std::int64_t max_tokens = 0; ///< of the whole answer
     std::vector<std::shared_ptr<answer_sink>> sinks;
--- a/services/daleshelfd/request_service.cpp
+++ b/services/daleshelfd/request_service.cpp
@@ -1,5 +1,6 @@
 #include "request_service.hpp"
 
+#include "admission_service.hpp"
 #include "node_state.hpp"
 #include "request_observer.hpp"
 
@@ -56,9 +57,14 @@
 } // namespace
 
 request_service::request_service(node_state& node, engine_client& engines,
+                                 admission_service& admission,
                                  span_exporter& spans,
                                  const kept_answer_limits& limits)
-    : m_node(node), m_engines(engines), m_spans(spans), m_limits(limits)
+    : m_node(node)
+    , m_engines(engines)
+    , m_admission(admission)
+    , m_spans(spans)
+    , m_limits(limits)
 {
 }
 
@@ -304,6 +310,7 @@
     wanted.now = absl::Now();
     wanted.strategy = config->policy().routing;
     wanted.excluded = machine.tried();
+    wanted.is_limited = !machine.has_begun();
     return m_node.routes().choose(deployment->upstreams, wanted);
 }
 
@@ -502,25 +509,129 @@
 void request_service::perform_one(const request_ptr& request,
                                   const start_attempt& action)
 {
-    auto& machine = request->machine;
-    routing_choice choice;
-    choice.upstream = take_next_upstream(request);
-    if (choice.upstream)
+    if (const auto chosen = take_next_upstream(request))
     {
-        choice.what = routing_choice::outcome::chosen;
+        place(request, action.attempt, chosen);
+        return;
     }
-    else
+    // Who comes now does not overtake those who wait; who has begun does.
+    if (!action.is_retry && m_admission.has_waiting())
+    {
+        wait_for_room(request, action.attempt);
+        return;
+    }
+    const auto choice = choose_upstream(request);
+    if (choice.what == routing_choice::outcome::chosen)
     {
-        choice = choose_upstream(request);
+        place(request, action.attempt, choice.upstream);
+        return;
     }
-    if (choice.what != routing_choice::outcome::chosen)
+    if (choice.what == routing_choice::outcome::overloaded)
     {
-        perform(request, machine.on_unplaced(action.attempt,
-                                             unplaced_error(choice.what)));
+        wait_for_room(request, action.attempt);
         return;
     }
-    machine.set_upstream(action.attempt, choice.upstream->id);
-    call_engine(request, action.attempt, *choice.upstream, "");
+    perform(request, request->machine.on_unplaced(action.attempt,
+                                                  unplaced_error(choice.what)));
+}
+
+void request_service::place(
+    const request_ptr& request, const attempt_id& attempt,
+    const std::shared_ptr<const upstream_entry>& upstream)
+{
+    request->machine.set_upstream(attempt, upstream->id);
+    call_engine(request, attempt, *upstream, "");
+}
+
+void request_service::wait_for_room(const request_ptr& request,
+                                    const attempt_id& attempt)
+{
+    const auto& description = request->machine.description();
+    queued_request queued;
+    queued.id = request->id;
+    queued.workspace = description.workspace;
+    queued.weight = request->weight;
+    queued.priority = description.priority;
+    queued.estimated_work =
+        static_cast<double>(request->prompt_tokens + request->max_tokens);
+    request->charged_work = queued.estimated_work;
+    const auto pause = m_admission.wait(
+        queued, description.deadline,
+        [this, request, attempt]
+        {
+            using turn = admission_service::turn;
+            return try_turn(request, attempt) ? turn::placed : turn::no_room;
+        },
+        [this, request, attempt](std::chrono::milliseconds later)
+        { refuse(request, attempt, later); });
+    if (!pause)
+    {
+        return;
+    }
+    auto error = unplaced_error(routing_choice::outcome::overloaded);
+    perform(request,
+            request->machine.on_unplaced(
+                attempt, request_error(error.status(), error.code(),
+                                       error.what(), error.run(), *pause)));
+}
+
+/// @return false if there is still no room
+bool request_service::try_turn(const request_ptr& request,
+                               const attempt_id& attempt)
+{
+    absl::MutexLock lock(&request->mutex);
+    const bool is_wanted =
+        request->machine.attempt() == attempt && !request->machine.is_ended();
+    if (!is_wanted)
+    {
+        return true;
+    }
+    const auto choice = choose_upstream(request);
+    if (choice.what == routing_choice::outcome::overloaded)
+    {
+        return false;
+    }
+    if (choice.what == routing_choice::outcome::none)
+    {
+        perform(request, request->machine.on_unplaced(
+                             attempt, unplaced_error(choice.what)));
+        return true;
+    }
+    place(request, attempt, choice.upstream);
+    return true;
+}
+
+void request_service::refuse(const request_ptr& request,
+                             const attempt_id& attempt,
+                             std::chrono::milliseconds pause)
+{
+    absl::MutexLock lock(&request->mutex);
+    const auto error = unplaced_error(routing_choice::outcome::overloaded);
+    perform(request,
+            request->machine.on_unplaced(
+                attempt, request_error(error.status(), error.code(),
+                                       error.what(), error.run(), pause)));
+}
+
+/// Shows how long the first token took.
+void request_service::count_first_token(const request_ptr& request)
+{
+    const auto now = absl::Now();
+    const auto elapsed = now - request->attempt_started;
+    m_node.metrics()
+        .find_distribution("daleshelf_first_token_seconds",
+                           "Time from an attempt to its first token.")
+        .observe(absl::ToDoubleSeconds(elapsed));
+}
+
+/// Corrects what the workspace was charged by what the answer really took.
+void request_service::charge(const request_ptr& request)
+{
+    const auto& usage = request->machine.usage();
+    const auto work =
+        static_cast<double>(usage.prefilled_tokens + usage.completion_tokens);
+    m_admission.charge(request->machine.description().workspace,
+                       request->weight, work - request->charged_work);
 }
 
 void request_service::perform_one(const request_ptr& request,
@@ -537,7 +648,7 @@
         return;
     }
     // A stream that runs already takes its place whatever the limit says.
-    m_node.loads().try_begin(upstream->id, INT64_MAX);
+    m_node.loads().begin(upstream->id);
     call_engine(request, action.attempt, *upstream, action.stream_id);
 }
 
@@ -550,6 +661,7 @@
     const auto parent =
         trace_context::from_header(machine.description().traceparent);
     request->tokens_here = 0;
+    request->attempt_started = absl::Now();
     auto& hop = request->attempt_span;
     hop.name = resume_id.empty() ? "upstream" : "upstream resume";
     hop.context = parent.child();
@@ -606,6 +718,7 @@
                                        const attempt_result& result)
 {
     m_node.loads().end(upstream);
+    m_admission.on_room();
     absl::MutexLock lock(&request->mutex);
     auto hop = request->attempt_span;
     hop.end = absl::Now();
@@ -670,6 +783,7 @@
     if (++request->tokens_here == 1)
     {
         request->first_token_at = absl::Now();
+        count_first_token(request);
     }
     if (!request->is_confirmed)
     {
@@ -716,6 +830,10 @@
 {
     m_observer->on_changed(request->id);
     m_timers.cancel(request->deadline_timer);
+    if (request->role == copy_role::owner)
+    {
+        charge(request);
+    }
     request->ended_at = absl::Now();
     request->memory = bytes_per_request + request->machine.answer().memory() +
                       request->machine.description().body.size();
--- a/services/daleshelfd/request_service.hpp
+++ b/services/daleshelfd/request_service.hpp
@@ -25,6 +25,7 @@
 namespace daleshelf
 {
 
+class admission_service;
 class node_state;
 class request_observer;
 struct routing_choice;
@@ -61,10 +62,12 @@
 public:
     /// @param node configuration and loads; must outlive this object
     /// @param engines sends attempts; must outlive this object
+    /// @param admission keeps those that wait; must outlive this object
     /// @param spans takes a span for each attempt; must outlive this object
     /// @param limits of finished answers
     request_service(node_state& node, engine_client& engines,
-                    span_exporter& spans, const kept_answer_limits& limits);
+                    admission_service& admission, span_exporter& spans,
+                    const kept_answer_limits& limits);
     request_service(const request_service&) = delete;
     request_service& operator=(const request_service&) = delete;
     ~request_service() = default;
@@ -162,6 +165,14 @@
     std::shared_ptr<const upstream_entry>
     take_next_upstream(const request_ptr& request);
     routing_choice choose_upstream(const request_ptr& request);
+    void place(const request_ptr& request, const attempt_id& attempt,
+               const std::shared_ptr<const upstream_entry>& upstream);
+    void wait_for_room(const request_ptr& request, const attempt_id& attempt);
+    bool try_turn(const request_ptr& request, const attempt_id& attempt);
+    void refuse(const request_ptr& request, const attempt_id& attempt,
+                std::chrono::milliseconds pause);
+    void count_first_token(const request_ptr& request);
+    void charge(const request_ptr& request);
     void watch_deadline(const request_ptr& request);
     void on_deadline(const request_ptr& request);
     static void show(live_request& request,
@@ -176,6 +187,7 @@
 
     node_state& m_node;
     engine_client& m_engines;
+    admission_service& m_admission;
     span_exporter& m_spans;
     kept_answer_limits m_limits;
     request_observer* m_observer = nullptr;
