--- /dev/null
+++ b/libraries/placement/forward.hpp
@@ -0,0 +1,11 @@
+/// @file
+/// Forward declarations of the placement package.
+#pragma once
+
+namespace daleshelf
+{
+
+struct placement_order;
+struct placement_upstream;
+
+} // namespace daleshelf
--- a/libraries/resources/configuration.cpp
+++ b/libraries/resources/configuration.cpp
@@ -89,6 +89,9 @@
     entry.name = item.key.name;
     entry.engine_model = find_string(item.body, "adapter")
                              .value_or(require_string(item.body, "model"));
+    entry.replicas_per_hall =
+        find_integer(item.body, "replicas_per_hall").value_or(0);
+    entry.priority = find_integer(item.body, "priority").value_or(0);
     entry.workspaces = read_set<workspace_id>(item.body, "workspaces");
     entry.halls = read_set<hall_id>(item.body, "halls");
     m_deployments[entry.name] = std::move(entry);
--- a/libraries/resources/configuration.hpp
+++ b/libraries/resources/configuration.hpp
@@ -56,6 +56,8 @@
 struct deployment_entry
 {
     std::string name;
+    std::int64_t replicas_per_hall = 0; ///< 0: not placed by daleshelf
+    std::int64_t priority = 0;
     std::string engine_model; ///< model or adapter that engines are asked for
     workspace_set workspaces;
     absl::flat_hash_set<hall_id> halls;
@@ -128,6 +130,12 @@
         return m_upstreams;
     }
 
+    [[nodiscard]] const absl::flat_hash_map<std::string, deployment_entry>&
+    deployments() const
+    {
+        return m_deployments;
+    }
+
     [[nodiscard]] const policy_entry& policy() const
     {
         return m_policy;
