daleshelfd: Plan the hall and give engines fenced orders

Cause: the lease and the plan were not in the daemon. Change: the holder of a hall's lease gives one order at a time with its token, waits until the engine is ready and puts on record what it holds; towards engines that check no tokens only while the lease surely holds.

--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -17,6 +17,8 @@
         events::request_failed,        events::request_moved,
         events::request_taken_over,    events::request_handed_off,
         events::upstream_failed,       events::upstream_leaving,
+        events::order_given,           events::order_refused,
+        events::upstreams_short,
     };
     return catalogue;
 }
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -93,6 +93,16 @@
     502, log_severity::info, "upstream_leaving",
     "An upstream is leaving and gets no new work."};
 
+inline constexpr log_event order_given{
+    601, log_severity::info, "order_given",
+    "The planner of the hall has given an order to an engine."};
+inline constexpr log_event order_refused{
+    602, log_severity::warning, "order_refused",
+    "An engine has refused an order for an old fencing token."};
+inline constexpr log_event upstreams_short{
+    603, log_severity::warning, "upstreams_short",
+    "Too few upstreams of the hall can hold a deployment."};
+
 } // namespace events
 
 } // namespace daleshelf
--- a/services/daleshelfd/entry_host.cpp
+++ b/services/daleshelfd/entry_host.cpp
@@ -58,6 +58,9 @@
               settings.peers_seeds,
               [this](const host_id& host) { m_watcher.on_host_leaving(host); })
     , m_follower(m_control, m_node, m_log, m_peers, settings.platform_stream)
+    , m_orders(m_client)
+    , m_planner(m_control, m_node, m_log, m_follower, m_orders,
+                settings.platform_stream + "-leases")
     , m_claims(m_control, m_node, m_log, settings.platform_stream + "-claims")
     , m_replication(m_node, m_peers, m_requests)
     , m_watcher(
@@ -84,6 +87,7 @@
     m_peers.start();
     m_follower.start();
     m_claims.start();
+    m_planner.start();
     m_replication.start();
     log(events::process_started,
         {{"host", settings.host_id},
@@ -130,6 +134,7 @@
     }
     m_node.set_draining();
     m_peers.set_draining();
+    m_planner.release();
     m_drain_asked.Notify();
 }
 
--- a/services/daleshelfd/entry_host.hpp
+++ b/services/daleshelfd/entry_host.hpp
@@ -11,6 +11,7 @@
 #include "node_state.hpp"
 #include "operator_api.hpp"
 #include "peer_service.hpp"
+#include "planner_service.hpp"
 #include "platform_watcher.hpp"
 #include "replication_service.hpp"
 #include "request_service.hpp"
@@ -70,6 +71,8 @@
     control_thread m_control;
     peer_service m_peers;
     configuration_follower m_follower;
+    order_client m_orders;
+    planner_service m_planner;
     claim_service m_claims;
     replication_service m_replication;
     platform_watcher m_watcher;
--- a/services/daleshelfd/node_state.hpp
+++ b/services/daleshelfd/node_state.hpp
@@ -89,6 +89,17 @@
         m_is_current = true;
     }
 
+    /// @return whether this host plans its hall
+    [[nodiscard]] bool is_planner() const
+    {
+        return m_is_planner;
+    }
+
+    void set_planner(bool is_planner)
+    {
+        m_is_planner = is_planner;
+    }
+
     /// @return whether this host is to take no new requests
     [[nodiscard]] bool is_draining() const
     {
@@ -110,6 +121,7 @@
     metric_registry m_metrics;
     std::atomic<bool> m_is_current = false;
     std::atomic<bool> m_is_draining = false;
+    std::atomic<bool> m_is_planner = false;
 };
 
 } // namespace daleshelf
--- a/services/daleshelfd/operator_api.cpp
+++ b/services/daleshelfd/operator_api.cpp
@@ -333,6 +333,7 @@
                     {"hall", m_node.hall().value()},
                     {"ready", m_node.is_current() && !m_node.is_draining()},
                     {"draining", m_node.is_draining()},
+                    {"planner", m_node.is_planner()},
                     {"next", status.next.value()},
                     {"log_reachable", status.is_log_reachable},
                     {"configuration_age_ms", absl::ToInt64Milliseconds(age)},
