--- a/libraries/claims/claim_replica.cpp
+++ b/libraries/claims/claim_replica.cpp
@@ -18,7 +18,7 @@
     claim_actions actions;
     if (m_cursor.begin_read(now))
     {
-        actions.emplace_back(read_claims{m_next});
+        actions.emplace_back(read_claims{m_next, m_has_read});
     }
     append_waiting(now, actions);
     give_up_late(now, actions);
--- a/libraries/claims/claim_replica.hpp
+++ b/libraries/claims/claim_replica.hpp
@@ -35,6 +35,9 @@
 struct read_claims
 {
     log_offset from;
+    /// Whether the log may hold the answer back until there is a record; not
+    /// before this host has caught up once.
+    bool may_wait = false;
 };
 
 /// Append a record of claims.
--- a/libraries/leases/lease_keeper.cpp
+++ b/libraries/leases/lease_keeper.cpp
@@ -27,7 +27,7 @@
     lease_actions actions;
     if (m_cursor.begin_read(now))
     {
-        actions.emplace_back(read_leases{m_next});
+        actions.emplace_back(read_leases{m_next, m_has_read});
     }
     const bool is_caught_up =
         m_has_read && m_cursor.is_reachable() && m_next >= m_cursor.log_next();
--- a/libraries/leases/lease_keeper.hpp
+++ b/libraries/leases/lease_keeper.hpp
@@ -34,6 +34,9 @@
 struct read_leases
 {
     log_offset from;
+    /// Whether the log may hold the answer back until there is a record; not
+    /// before this host has caught up once.
+    bool may_wait = false;
 };
 
 /// Append a proposal to the stream of leases.
--- a/libraries/resources/configuration_replica.cpp
+++ b/libraries/resources/configuration_replica.cpp
@@ -34,7 +34,7 @@
     }
     else if (m_cursor.begin_read(now))
     {
-        actions.emplace_back(read_records{m_store.next()});
+        actions.emplace_back(read_records{m_store.next(), m_is_current});
     }
     // 2. While the log does not answer, learn from peers.
     const bool is_behind = m_peers_next > m_store.next() || !m_is_current;
--- a/libraries/resources/replica_action.hpp
+++ b/libraries/resources/replica_action.hpp
@@ -16,6 +16,9 @@
 struct read_records
 {
     log_offset from;
+    /// Whether the log may hold the answer back until there is a record; not
+    /// before this host has caught up once.
+    bool may_wait = false;
 };
 
 /// Read the newest snapshot from the snapshot stream.
--- a/services/daleshelfd/claim_service.cpp
+++ b/services/daleshelfd/claim_service.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr std::chrono::milliseconds long_poll{2000};
+constexpr std::chrono::milliseconds no_wait{0};
 constexpr absl::Duration tick_interval = absl::Milliseconds(20);
 
 } // namespace
@@ -51,7 +52,7 @@
 
 void claim_service::perform_one(const read_claims& action)
 {
-    m_log.read(m_stream, action.from, long_poll,
+    m_log.read(m_stream, action.from, action.may_wait ? long_poll : no_wait,
                [this](log_read_result result)
                {
                    m_control.post(
--- a/services/daleshelfd/configuration_follower.cpp
+++ b/services/daleshelfd/configuration_follower.cpp
@@ -126,7 +126,7 @@
 
 void configuration_follower::perform_one(const read_records& action)
 {
-    m_log.read(m_stream, action.from, long_poll,
+    m_log.read(m_stream, action.from, action.may_wait ? long_poll : no_wait,
                [this](log_read_result result)
                {
                    m_control.post(
--- a/services/daleshelfd/planner_service.cpp
+++ b/services/daleshelfd/planner_service.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr std::chrono::milliseconds long_poll{2000};
+constexpr std::chrono::milliseconds no_wait{0};
 constexpr absl::Duration tick_interval = absl::Milliseconds(100);
 constexpr absl::Duration plan_interval = absl::Seconds(1);
 constexpr absl::Duration ready_interval = absl::Milliseconds(200);
@@ -75,7 +76,8 @@
     {
         if (const auto* read = std::get_if<read_leases>(&action))
         {
-            m_log.read(m_stream, read->from, long_poll,
+            m_log.read(m_stream, read->from,
+                       read->may_wait ? long_poll : no_wait,
                        [this](log_read_result result)
                        {
                            m_control.post(
