daleshelfd: Say at once that no host has a request

Cause: a caller who asked for an unknown request was held for three seconds, since hosts that lacked it answered nothing. Change: hosts say that they lack it; once all that were asked have said so, or nobody can be asked, the caller is told.

--- a/services/daleshelfd/replication_service.cpp
+++ b/services/daleshelfd/replication_service.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/time/clock.h>
 
+#include <algorithm>
 #include <map>
 #include <protocol/request_codec.hpp>
 #include <telemetry/log.hpp>
@@ -55,6 +56,9 @@
     m_peers.set_handler(Envelope::kProgressBatch,
                         [this](const std::string&, const Envelope& envelope)
                         { take_batch(envelope); });
+    m_peers.set_handler(Envelope::kFetchUnknown,
+                        [this](const std::string&, const Envelope& envelope)
+                        { take_unknown(envelope); });
     m_peers.set_handler(
         Envelope::kFetchRequest,
         [this](const std::string& address, const Envelope& envelope)
@@ -364,14 +368,59 @@
 {
     {
         absl::MutexLock lock(&m_mutex);
-        m_fetches[id].push_back({user, std::move(sink), std::move(on_unknown),
-                                 absl::Now() + fetch_wait});
+        m_fetches[id].push_back(
+            {user, std::move(sink), on_unknown, absl::Now() + fetch_wait, {}});
+    }
+    if (ask_for(id, user, token_position(0)) == 0)
+    {
+        {
+            absl::MutexLock lock(&m_mutex);
+            m_fetches.erase(id);
+        }
+        on_unknown(); // there is nobody to ask
     }
-    ask_for(id, user, token_position(0));
 }
 
-void replication_service::ask_for(const request_id& id,
-                                  const workspace_id& user, token_position from)
+void replication_service::take_unknown(const protocol::Envelope& envelope)
+{
+    const request_id id(envelope.fetch_unknown().id());
+    const host_id host(envelope.from_host());
+    const auto asked =
+        std::min(search_order(id, candidates()).size(), asked_at_once);
+    std::vector<waiting_fetch> ended;
+    {
+        absl::MutexLock lock(&m_mutex);
+        const auto found = m_fetches.find(id);
+        if (found == m_fetches.end())
+        {
+            return;
+        }
+        auto& waiting = found->second;
+        for (auto& fetch : waiting)
+        {
+            fetch.without.insert(host);
+            if (fetch.without.size() >= asked)
+            {
+                ended.push_back(fetch);
+            }
+        }
+        std::erase_if(waiting, [asked](const waiting_fetch& fetch)
+                      { return fetch.without.size() >= asked; });
+        if (waiting.empty())
+        {
+            m_fetches.erase(found);
+        }
+    }
+    for (const auto& fetch : ended)
+    {
+        fetch.on_unknown();
+    }
+}
+
+/// @return how many hosts were asked
+std::size_t replication_service::ask_for(const request_id& id,
+                                         const workspace_id& user,
+                                         token_position from)
 {
     auto order = search_order(id, candidates());
     if (order.size() > asked_at_once)
@@ -387,6 +436,7 @@
         request.set_from(from.value());
         m_peers.send(host, std::move(envelope));
     }
+    return order.size();
 }
 
 void replication_service::answer_fetch(const std::string& address,
@@ -398,6 +448,9 @@
     if (!known ||
         known->description.workspace != workspace_id(request.workspace()))
     {
+        protocol::Envelope reply;
+        reply.mutable_fetch_unknown()->set_id(id.value());
+        m_peers.send(address, std::move(reply));
         return;
     }
     send_copy(address, id, protocol::RequestCopy::READER);
--- a/services/daleshelfd/replication_service.hpp
+++ b/services/daleshelfd/replication_service.hpp
@@ -79,6 +79,7 @@
         std::shared_ptr<answer_sink> sink;
         std::function<void()> on_unknown;
         absl::Time deadline;
+        absl::flat_hash_set<host_id> without; ///< hosts that do not have it
     };
 
     /// A request offered to another host.
@@ -95,14 +96,15 @@
     void look_after_copy(const request_summary& request);
     void check_fetches();
     void offer(const request_id& id);
-    void ask_for(const request_id& id, const workspace_id& user,
-                 token_position from);
+    std::size_t ask_for(const request_id& id, const workspace_id& user,
+                        token_position from);
     void send_copy(const std::string& address, const request_id& id,
                    protocol::RequestCopy::Role role);
     void choose_new_replica(const request_id& id);
     void take_copy(const std::string& address,
                    const protocol::Envelope& envelope);
     void take_copy_taken(const protocol::Envelope& envelope);
+    void take_unknown(const protocol::Envelope& envelope);
     void take_batch(const protocol::Envelope& envelope);
     void answer_fetch(const std::string& address,
                       const protocol::FetchRequest& request);
--- a/tests/sessions/golden_session_test.cpp
+++ b/tests/sessions/golden_session_test.cpp
@@ -48,6 +48,9 @@
     text =
         std::regex_replace(text, std::regex("\"configuration_age_ms\":[0-9]+"),
                            "\"configuration_age_ms\":AGE");
+    // Whether it holds the lease yet is a matter of time.
+    text = std::regex_replace(text, std::regex("planner +(true|false)"),
+                              "planner               HELD");
     return std::regex_replace(text, std::regex("configuration_age_ms +[0-9]+"),
                               "configuration_age_ms  AGE");
 }
