benchmarks: Measure overhead, control and the cost of a decision

Cause: no figure said what a call through the daemon, control at several sizes, a claim or a routing decision costs.

--- /dev/null
+++ b/meta/measure.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs all measurements of docs/MEASUREMENTS.md, one JSON line a figure.
+# About fifteen minutes; nothing else should run on the machine.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+meta/install.sh
+meta/build.sh
+bin="${BUILD_DIR:-build}/bin"
+"$bin/routing_benchmark" --benchmark_format=json
+"$bin/measure_overhead"
+"$bin/measure_control"
+for mix in camav brenta; do
+    "$bin/measure_policy" --mix "$mix" --rate 90 --seconds 9 --repeats 5
+done
