routing: Do not count at an upstream what has ended there

Cause: an upstream's estimate counts what was sent since its last report; plain services report nothing, so that after as many calls as their limit they were held for full for ever (found by the overhead measurement: 3,000 to 6,000 of 6,000 calls refused at 64 and 512 callers). Change: what has ended does not count. A test, seen failing without it.

--- a/libraries/routing/load_table.cpp
+++ b/libraries/routing/load_table.cpp
@@ -44,7 +44,11 @@
 void load_table::end(const upstream_id& id)
 {
     absl::MutexLock lock(&m_mutex);
-    --m_loads[id].in_flight;
+    auto& load = m_loads[id];
+    --load.in_flight;
+    // What has ended is not there any more, reported or not.
+    load.sent_since_report = std::max<std::int64_t>(
+        0, std::min(load.sent_since_report, load.in_flight));
 }
 
 void load_table::set_report(const upstream_id& id, const load_report& report)
--- a/libraries/routing/load_table.hpp
+++ b/libraries/routing/load_table.hpp
@@ -24,8 +24,8 @@
 /// What is known of one upstream.
 struct upstream_load
 {
-    std::int64_t in_flight = 0; ///< from this entry host
-    std::int64_t sent_since_report = 0;
+    std::int64_t in_flight = 0;         ///< from this entry host
+    std::int64_t sent_since_report = 0; ///< and still in flight
     load_report report;
     bool is_leaving = false; ///< never taken back for an incarnation
     absl::Time failed_until = absl::InfinitePast();
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -73,6 +73,18 @@
               routes.choose(ring, request).what);
 }
 
+TEST(load_table, does_not_count_what_has_ended_at_an_upstream_without_reports)
+{
+    load_table loads;
+    const upstream_id service("index");
+    for (int i = 0; i < 100; ++i)
+    {
+        ASSERT_TRUE(loads.try_begin(service, 10)) << i;
+        loads.end(service);
+    }
+    EXPECT_EQ(0, loads.load(service).estimate());
+}
+
 TEST(router, leaves_out_what_was_tried)
 {
     const auto ring = make_ring(1);
