--- a/benchmarks/measure_policy.cpp
+++ b/benchmarks/measure_policy.cpp
@@ -10,6 +10,7 @@
 #include <absl/time/clock.h>
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <base/json.hpp>
 #include <csignal>
 #include <iostream>
@@ -31,7 +32,9 @@
     int seconds = 12;
     std::uint64_t seed = 1;
     bool has_wave = true;
-    std::string policy; ///< further fields of the policy, as JSON
+    double flood_rate = 0; ///< further requests a second of one workspace
+    std::string flood;     ///< count, prompt or output
+    std::string policy;    ///< further fields of the policy, as JSON
 };
 
 constexpr int engines_per_hall[] = {4, 3, 3};
@@ -55,9 +58,10 @@
 
     boost::json::object run()
     {
-        const auto plan =
+        auto plan =
             plan_requests(m_mix, m_options.rate,
                           absl::Seconds(m_options.seconds), m_options.seed);
+        add_flood(plan);
         load_driver driver(m_fleet.client(), [this] { return m_entry_urls; });
         std::thread wave(
             [this]
@@ -72,6 +76,10 @@
         const auto held = absl::ToDoubleSeconds(absl::Now() - start);
         wave.join();
         auto report = summarize(samples, latency_target());
+        if (m_options.flood_rate > 0)
+        {
+            add_isolation(report, samples);
+        }
         for (const auto& field : count_recomputed(collect_blocks()))
         {
             report[field.key()] = field.value();
@@ -87,6 +95,49 @@
     }
 
 private:
+    /// One workspace sends much more than its share.
+    void add_flood(std::vector<planned_request>& plan) const
+    {
+        if (m_options.flood_rate <= 0)
+        {
+            return;
+        }
+        workload mix;
+        const bool is_long_prompt = m_options.flood == "prompt";
+        const bool is_long_output = m_options.flood == "output";
+        mix.kinds = {{1, 0, is_long_prompt ? 1500 : 100,
+                      is_long_output ? 300 : 20, "normal", false}};
+        mix.workspace_shares = {1};
+        auto flood = plan_requests(mix, m_options.flood_rate,
+                                   absl::Seconds(m_options.seconds),
+                                   m_options.seed + 1000);
+        for (auto& request : flood)
+        {
+            request.workspace = flooder;
+            request.prompt = "flood " + request.prompt;
+            plan.push_back(std::move(request));
+        }
+        std::sort(plan.begin(), plan.end(),
+                  [](const planned_request& left, const planned_request& right)
+                  { return left.at < right.at; });
+    }
+
+    /// What the others met.
+    static void add_isolation(boost::json::object& report,
+                              const std::vector<request_sample>& samples)
+    {
+        std::vector<request_sample> others;
+        std::copy_if(samples.begin(), samples.end(), std::back_inserter(others),
+                     [](const request_sample& sample)
+                     { return sample.workspace != flooder; });
+        for (const auto& field : summarize(others, latency_target()))
+        {
+            report["others_" + std::string(field.key())] = field.value();
+        }
+    }
+
+    static constexpr const char* flooder = "workspace-4";
+
     void start_entry_hosts()
     {
         std::vector<test::host_options> all;
@@ -302,6 +353,10 @@
         "runs of each policy, each with another seed");
     add("policy", options::value(&run.policy),
         "further fields of the policy, as a JSON object");
+    add("flood", options::value(&run.flood)->default_value("count"),
+        "how one workspace floods: count, prompt or output");
+    add("flood-rate", options::value(&run.flood_rate)->default_value(0),
+        "its further requests a second; 0: none");
     add("calm", options::bool_switch(&is_calm), "without a reclaim wave");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description),
--- a/libraries/placement/forward.hpp
+++ b/libraries/placement/forward.hpp
@@ -5,6 +5,7 @@
 namespace daleshelf
 {
 
+class host_requester;
 struct placement_order;
 struct placement_upstream;
 
--- a/libraries/requests/move_choice.cpp
+++ b/libraries/requests/move_choice.cpp
@@ -1,5 +1,7 @@
 #include "move_choice.hpp"
 
+#include <array>
+
 namespace daleshelf
 {
 
@@ -14,8 +16,15 @@
 
 } // namespace
 
-move_kind choose_move(const move_situation& situation)
+move_kind choose_move(const move_situation& situation, move_policy policy)
 {
+    if (policy != move_policy::cheapest)
+    {
+        static constexpr std::array<move_kind, 4> only{
+            move_kind::finish, move_kind::finish, move_kind::move_cache,
+            move_kind::recompute};
+        return only.at(static_cast<std::size_t>(policy));
+    }
     // 1. Nothing is cheaper than to end where it is.
     const auto needed = situation.between_tokens *
                         static_cast<double>(situation.tokens_left) *
--- a/libraries/requests/move_choice.hpp
+++ b/libraries/requests/move_choice.hpp
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <base/move_policy.hpp>
 #include <cstdint>
 
 namespace daleshelf
@@ -29,6 +30,8 @@
 
 /// Chooses the way with the lowest predicted cost.
 /// @param situation what is known
-[[nodiscard]] move_kind choose_move(const move_situation& situation);
+/// @param policy which ways may be taken
+[[nodiscard]] move_kind choose_move(const move_situation& situation,
+                                    move_policy policy);
 
 } // namespace daleshelf
--- a/libraries/resources/configuration.cpp
+++ b/libraries/resources/configuration.cpp
@@ -151,6 +151,19 @@
     m_policy.retry_budget_percent =
         find_number(body, "retry_budget_percent")
             .value_or(m_policy.retry_budget_percent);
+    const auto move = find_string(body, "move").value_or("cheapest");
+    if (move == "finish_only")
+    {
+        m_policy.move = move_policy::finish_only;
+    }
+    else if (move == "cache_only")
+    {
+        m_policy.move = move_policy::cache_only;
+    }
+    else if (move == "recompute_only")
+    {
+        m_policy.move = move_policy::recompute_only;
+    }
     if (find_string(body, "fair_share") == "requests")
     {
         m_policy.fair_share = share_basis::requests;
--- a/libraries/resources/configuration.hpp
+++ b/libraries/resources/configuration.hpp
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <base/identifiers.hpp>
+#include <base/move_policy.hpp>
 #include <base/share_basis.hpp>
 #include <chrono>
 #include <memory>
@@ -88,6 +89,7 @@
     std::chrono::milliseconds default_deadline{120000};
     std::int64_t max_attempts = 4;
     double retry_budget_percent = 20;
+    move_policy move = move_policy::cheapest;
     share_basis fair_share = share_basis::work;
     std::chrono::milliseconds longest_queue_wait{2000};
     routing_strategy routing = routing_strategy::affinity;
--- a/libraries/resources/resource_schema.cpp
+++ b/libraries/resources/resource_schema.cpp
@@ -165,6 +165,11 @@
         {.name = "fair_share",
          .meaning = "what workspaces are charged by while requests wait",
          .choices = {"work", "requests"}},
+        {.name = "move",
+         .meaning = "how requests leave a leaving upstream; all but the first "
+                    "are for comparison",
+         .choices = {"cheapest", "finish_only", "cache_only",
+                     "recompute_only"}},
         {.name = "longest_queue_wait_ms",
          .type = field_type::whole_number,
          .most = 600000,
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -18,7 +18,7 @@
         events::request_taken_over,    events::request_handed_off,
         events::upstream_failed,       events::upstream_leaving,
         events::order_given,           events::order_refused,
-        events::upstreams_short,
+        events::upstreams_short,       events::host_ordered,
     };
     return catalogue;
 }
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -103,6 +103,10 @@
     603, log_severity::warning, "upstreams_short",
     "Too few upstreams of the hall can hold a deployment."};
 
+inline constexpr log_event host_ordered{
+    604, log_severity::info, "host_ordered",
+    "The planner of the hall has ordered a host."};
+
 } // namespace events
 
 } // namespace daleshelf
--- a/meta/measure.sh
+++ b/meta/measure.sh
@@ -9,6 +9,17 @@
 "$bin/routing_benchmark" --benchmark_format=json
 "$bin/measure_overhead"
 "$bin/measure_control"
+for move in cheapest finish_only cache_only recompute_only; do
+    "$bin/measure_policy" --rate 90 --seconds 9 --repeats 3 \
+        --routings affinity --policy "{\"move\":\"$move\"}"
+done
+for flood in count prompt output; do
+    for basis in work requests; do
+        "$bin/measure_policy" --rate 60 --seconds 9 --repeats 3 --calm \
+            --routings affinity --flood "$flood" --flood-rate 60 \
+            --policy "{\"fair_share\":\"$basis\"}"
+    done
+done
 for mix in camav brenta; do
     "$bin/measure_policy" --mix "$mix" --rate 90 --seconds 9 --repeats 5
 done
--- a/services/daleshelfd/caller_api.cpp
+++ b/services/daleshelfd/caller_api.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_format.hpp"
 #include "claim_service.hpp"
+#include "freshness_gate.hpp"
 #include "http_sinks.hpp"
 #include "node_state.hpp"
 #include "replication_service.hpp"
@@ -170,12 +171,13 @@
 caller_api::caller_api(node_state& node, request_service& requests,
                        replication_service& replication,
                        service_calls& services, claim_service& claims,
-                       span_exporter& spans)
+                       freshness_gate& gate, span_exporter& spans)
     : m_node(node)
     , m_requests(requests)
     , m_replication(replication)
     , m_services(services)
     , m_claims(claims)
+    , m_gate(gate)
     , m_spans(spans)
     , m_incarnation_name(random_hex(random_id_bytes))
 {
@@ -362,7 +364,8 @@
         {
             sink = std::make_shared<whole_sink>(exchange);
         }
-        m_requests.start(description, std::move(sink));
+        m_gate.run([this, description, sink]
+                   { m_requests.start(description, sink); });
     };
     run_claimed(exchange, user.id, description.id, description.deadline, start,
                 [this, exchange, workspace = user.id](const request_id& winner)
@@ -509,8 +512,9 @@
     call.context = begin_span(exchange, "/services");
     const auto start = [this, exchange, call]
     {
-        m_services.start(call, [exchange](http_response response)
-                         { exchange->respond(std::move(response)); });
+        const auto respond = [exchange](http_response response)
+        { exchange->respond(std::move(response)); };
+        m_gate.run([this, call, respond] { m_services.start(call, respond); });
     };
     run_claimed(exchange, user.id, call.id, call.deadline, start,
                 [this, exchange, workspace = user.id](const request_id& winner)
--- a/services/daleshelfd/caller_api.hpp
+++ b/services/daleshelfd/caller_api.hpp
@@ -18,6 +18,7 @@
 
 class answer_sink;
 class claim_service;
+class freshness_gate;
 class node_state;
 class replication_service;
 class request_service;
@@ -32,7 +33,8 @@
     /// All arguments must outlive this object.
     caller_api(node_state& node, request_service& requests,
                replication_service& replication, service_calls& services,
-               claim_service& claims, span_exporter& spans);
+               claim_service& claims, freshness_gate& gate,
+               span_exporter& spans);
 
     /// Answers one request.
     void handle(const std::shared_ptr<http_exchange>& exchange);
@@ -76,6 +78,7 @@
     replication_service& m_replication;
     service_calls& m_services;
     claim_service& m_claims;
+    freshness_gate& m_gate;
     span_exporter& m_spans;
     std::string m_incarnation_name;
     std::atomic<std::uint64_t> m_last_id = 0;
--- a/services/daleshelfd/entry_host.cpp
+++ b/services/daleshelfd/entry_host.cpp
@@ -59,7 +59,8 @@
               [this](const host_id& host) { m_watcher.on_host_leaving(host); })
     , m_follower(m_control, m_node, m_log, m_peers, settings.platform_stream)
     , m_orders(m_client)
-    , m_planner(m_control, m_node, m_log, m_follower, m_orders,
+    , m_cloud(m_client, settings.platform_url)
+    , m_planner(m_control, m_node, m_log, m_follower, m_orders, m_cloud,
                 settings.platform_stream + "-leases")
     , m_claims(m_control, m_node, m_log, settings.platform_stream + "-claims")
     , m_replication(m_node, m_peers, m_requests)
@@ -70,7 +71,7 @@
           { m_requests.on_upstream_leaving(id, leaves_at); },
           [this] { on_reclaimed(); })
     , m_caller_api(m_node, m_requests, m_replication, m_services, m_claims,
-                   m_spans)
+                   m_gate, m_spans)
     , m_operator_api(m_node, m_follower, m_peers, operator_options(settings),
                      [this] { start_drain(); })
 {
@@ -84,6 +85,8 @@
                        settings.operators_port),
         [this](const std::shared_ptr<http_exchange>& exchange)
         { m_operator_api.handle(exchange); });
+    m_gate.set_refresh(
+        [this] { m_watcher.refresh([this] { m_gate.set_refreshed(); }); });
     m_peers.start();
     m_follower.start();
     m_claims.start();
--- a/services/daleshelfd/entry_host.hpp
+++ b/services/daleshelfd/entry_host.hpp
@@ -8,6 +8,7 @@
 #include "configuration_follower.hpp"
 #include "control_thread.hpp"
 #include "daemon_settings.hpp"
+#include "freshness_gate.hpp"
 #include "node_state.hpp"
 #include "operator_api.hpp"
 #include "peer_service.hpp"
@@ -72,10 +73,12 @@
     peer_service m_peers;
     configuration_follower m_follower;
     order_client m_orders;
+    cloud_client m_cloud;
     planner_service m_planner;
     claim_service m_claims;
     replication_service m_replication;
     platform_watcher m_watcher;
+    freshness_gate m_gate;
     caller_api m_caller_api;
     operator_api m_operator_api;
     absl::Notification m_drain_asked;
--- a/services/daleshelfd/planner_service.cpp
+++ b/services/daleshelfd/planner_service.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/time/clock.h>
 
+#include <array>
 #include <base/digest.hpp>
 #include <base/json.hpp>
 #include <telemetry/log.hpp>
@@ -33,16 +34,20 @@
 planner_service::planner_service(control_thread& control, node_state& node,
                                  log_client& log,
                                  configuration_follower& follower,
-                                 order_client& orders, std::string stream)
+                                 order_client& orders, cloud_client& cloud,
+                                 std::string stream)
     : m_control(control)
     , m_node(node)
     , m_log(log)
     , m_follower(follower)
     , m_orders(orders)
+    , m_cloud(cloud)
     , m_stream(std::move(stream))
     , m_keeper(lease_name("planner/" + node.hall().value()), node.host(),
                incarnation(absl::ToUnixMicros(absl::Now())), lease_options(),
                stable_hash(node.host().value()))
+    , m_requester(node.hall(), random_hex(change_id_bytes),
+                  host_request_options(), stable_hash(node.host().value()))
 {
 }
 
@@ -117,6 +122,7 @@
     {
         log(events::upstreams_short, {{"deployment", name}});
     }
+    request_hosts(!planned.short_of_upstreams.empty());
     if (!planned.orders.empty())
     {
         begin(planned.orders.front());
@@ -289,6 +295,43 @@
         [report] { report(false); });
 }
 
+/// Hosts cost money: asked for only while the lease surely holds.
+void planner_service::request_hosts(bool is_short)
+{
+    const auto now = absl::Now();
+    if (!m_keeper.held(now))
+    {
+        return;
+    }
+    const auto action = m_requester.on_tick(is_short, now);
+    if (!action)
+    {
+        return;
+    }
+    const auto take = [this](const host_order_result& result)
+    { m_control.post([this, result] { take_host_result(result); }); };
+    if (action->what == host_request_action::kind::look_up)
+    {
+        m_cloud.find_host(action->token, take);
+        return;
+    }
+    log(events::host_ordered,
+        {{"token", action->token},
+         {"reclaimable", action->is_reclaimable ? "true" : "false"}});
+    m_cloud.start_host({action->token, m_node.hall(), action->is_reclaimable},
+                       take);
+}
+
+void planner_service::take_host_result(const host_order_result& result)
+{
+    using taker = void (host_requester::*)(absl::Time);
+    static constexpr std::array<taker, 4> takers{
+        &host_requester::on_started, &host_requester::on_refused,
+        &host_requester::on_unknown, &host_requester::on_absent};
+    const auto take = takers.at(static_cast<std::size_t>(result.what));
+    (m_requester.*take)(absl::Now());
+}
+
 void planner_service::finish_order()
 {
     m_is_ordering = false;
--- a/services/daleshelfd/planner_service.hpp
+++ b/services/daleshelfd/planner_service.hpp
@@ -7,7 +7,9 @@
 #include <base/identifiers.hpp>
 #include <leases/lease_keeper.hpp>
 #include <optional>
+#include <placement/host_requester.hpp>
 #include <placement/placement_plan.hpp>
+#include <platform/cloud_client.hpp>
 #include <platform/log_client.hpp>
 #include <string>
 #include <upstreams/order_client.hpp>
@@ -30,10 +32,11 @@
     /// @param log the platform's log
     /// @param follower takes the changes of what upstreams hold
     /// @param orders gives orders to engines
+    /// @param cloud orders hosts
     /// @param stream the stream that holds the leases
     planner_service(control_thread& control, node_state& node, log_client& log,
                     configuration_follower& follower, order_client& orders,
-                    std::string stream);
+                    cloud_client& cloud, std::string stream);
 
     /// Starts to follow the stream.
     void start();
@@ -53,6 +56,8 @@
     void unload(const upstream_entry& upstream, const std::string& model);
     void set_models(const upstream_id& upstream, const std::string& model,
                     bool is_held, std::function<void(bool)> on_done);
+    void request_hosts(bool is_short);
+    void take_host_result(const host_order_result& result);
     void finish_order();
 
     control_thread& m_control;
@@ -60,8 +65,10 @@
     log_client& m_log;
     configuration_follower& m_follower;
     order_client& m_orders;
+    cloud_client& m_cloud;
     std::string m_stream;
     lease_keeper m_keeper;
+    host_requester m_requester;
     bool m_is_ordering = false;
     absl::Time m_next_plan = absl::InfinitePast();
 };
--- a/services/daleshelfd/platform_watcher.cpp
+++ b/services/daleshelfd/platform_watcher.cpp
@@ -69,6 +69,21 @@
     m_client.start(std::move(request), std::move(handlers));
 }
 
+void platform_watcher::refresh(std::function<void()> on_done)
+{
+    std::int64_t from = 0;
+    {
+        absl::MutexLock lock(&m_mutex);
+        from = m_next_notice;
+    }
+    get(m_platform_url + "/cloud/notices?from=" + std::to_string(from),
+        [this, done = std::move(on_done)](const std::string& body)
+        {
+            take_notices(body);
+            done();
+        });
+}
+
 void platform_watcher::read_notices()
 {
     std::int64_t from = 0;
--- a/services/daleshelfd/platform_watcher.hpp
+++ b/services/daleshelfd/platform_watcher.hpp
@@ -37,6 +37,10 @@
     platform_watcher& operator=(const platform_watcher&) = delete;
     ~platform_watcher() = default;
 
+    /// Reads the notices now.
+    /// @param on_done called once they are known, if the platform answers
+    void refresh(std::function<void()> on_done);
+
     /// A host is leaving, whoever said so.
     /// @param leaves_at when it is gone, if that is known
     void on_host_leaving(const host_id& host,
--- a/services/daleshelfd/request_service.cpp
+++ b/services/daleshelfd/request_service.cpp
@@ -217,7 +217,8 @@
     situation.tokens_left = request->max_tokens - produced;
     situation.tokens_held = request->prompt_tokens + produced;
     situation.has_stream = !machine.stream_id().empty();
-    const auto kind = choose_move(situation);
+    const auto config = m_node.current_configuration();
+    const auto kind = choose_move(situation, config->policy().move);
     m_node.metrics()
         .find_counter("daleshelf_requests_leaving_total",
                       "Requests at upstreams that were leaving.",
--- a/tests/histories/configuration_history_test.cpp
+++ b/tests/histories/configuration_history_test.cpp
@@ -263,6 +263,67 @@
         "the new host has the configuration from its peers");
 }
 
+TEST_F(configuration_race, catches_up_when_records_were_trimmed_while_frozen)
+{
+    auto& frozen = *m_fleet.host("entry-c").process;
+    frozen.send(SIGSTOP);
+    for (int i = 0; i < 12; ++i)
+    {
+        m_fleet.apply("entry-a",
+                      {test::make_resource("model", "m0", {{"weights", "w"}})});
+    }
+    (void)m_fleet.send("POST",
+                       m_fleet.platform_url() +
+                           "/log/daleshelf-configuration/retention",
+                       R"({"first":11})");
+    frozen.send(SIGCONT);
+    m_fleet.wait_until_current("entry-c");
+    const auto seen =
+        m_fleet.operate("entry-c", "GET", "/apis/v1/resources/model/m0");
+    EXPECT_EQ(12, require_integer(parse_object(seen.body), "version"));
+}
+
+TEST_F(configuration_race, is_whole_after_all_hosts_were_replaced_at_once)
+{
+    m_fleet.apply("entry-a",
+                  {test::make_resource("model", "m0", {{"weights", "w"}})});
+    for (const auto* host : {"entry-a", "entry-b", "entry-c"})
+    {
+        m_fleet.host(host).process->send(SIGKILL);
+        m_fleet.host(host).process->wait();
+    }
+    for (const auto* host : {"entry-a", "entry-b", "entry-c"})
+    {
+        m_fleet.restart_host(host);
+        m_fleet.wait_until_current(host);
+        const auto seen =
+            m_fleet.operate(host, "GET", "/apis/v1/resources/model/m0");
+        EXPECT_EQ(200, seen.status);
+    }
+}
+
+TEST_F(configuration_race, keeps_what_it_has_when_the_log_is_restored_older)
+{
+    for (int i = 0; i < 5; ++i)
+    {
+        m_fleet.apply("entry-a",
+                      {test::make_resource("model", "m0", {{"weights", "w"}})});
+    }
+    m_fleet.wait_until_current("entry-b");
+    (void)m_fleet.send("POST",
+                       m_fleet.platform_url() +
+                           "/log/daleshelf-configuration/retention",
+                       R"({"next":2})");
+    const auto pending = m_fleet.operate(
+        "entry-b", "POST", "/apis/v1/changes",
+        R"({"id":"late","operations":[{"kind":"model","name":"m1",)"
+        R"("body":{"weights":"w"}}]})");
+    EXPECT_EQ(202, pending.status) << "it must not be called accepted";
+    const auto seen =
+        m_fleet.operate("entry-b", "GET", "/apis/v1/resources/model/m0");
+    EXPECT_EQ(5, require_integer(parse_object(seen.body), "version"));
+}
+
 TEST_F(configuration_race, tells_on_which_hosts_a_change_is_in_force)
 {
     m_fleet.apply("entry-a",
--- a/tests/histories/placement_history_test.cpp
+++ b/tests/histories/placement_history_test.cpp
@@ -1,3 +1,4 @@
+#include <absl/time/clock.h>
 #include <gtest/gtest.h>
 
 #include <base/json.hpp>
@@ -101,6 +102,24 @@
     EXPECT_EQ(200, response.status) << response.body;
 }
 
+TEST_F(placement_history, orders_one_host_although_the_answer_was_lost)
+{
+    start_hosts();
+    m_fleet.set_platform_fault("cloud", {{"lose_answers", 0}});
+    declare(3); // there are two engines
+    const auto started = [this]
+    {
+        const auto answer =
+            m_fleet.send("GET", m_fleet.platform_url() + "/hosts");
+        const auto body = parse_object(answer.body);
+        return find_array(body, "hosts")->size();
+    };
+    m_fleet.set_platform_fault("cloud", {{"refuse_starts", 1}});
+    test::wait_until([&] { return started() >= 1; }, "a host was started");
+    absl::SleepFor(absl::Seconds(3));
+    EXPECT_EQ(1U, started());
+}
+
 TEST_F(placement_history, goes_on_with_a_higher_token_when_the_planner_freezes)
 {
     start_hosts();
--- a/tests/histories/request_history_test.cpp
+++ b/tests/histories/request_history_test.cpp
@@ -283,6 +283,72 @@
     check_all_whole();
 }
 
+TEST_F(request_history, serves_in_a_hall_that_is_cut_off_and_joins_again)
+{
+    m_fleet.set_cut("entry-a", "entry-b", true);
+    m_fleet.set_cut("entry-a", "entry-c", true);
+    test::wait_until(
+        [this] { return m_fleet.state_of("entry-b", "entry-a") == "dead"; },
+        "the hall is held for lost");
+    m_fleet.set_platform_fault("log", {{"down", true}});
+    run(callers, 10, [] {});
+    check_all_whole();
+    m_fleet.set_platform_fault("log", {{"down", false}});
+    m_fleet.set_cut("entry-a", "entry-b", false);
+    m_fleet.set_cut("entry-a", "entry-c", false);
+    test::wait_until(
+        [this]
+        {
+            return m_fleet.state_of("entry-b", "entry-a") == "alive" &&
+                   m_fleet.state_of("entry-a", "entry-c") == "alive";
+        },
+        "the hall has joined again");
+}
+
+TEST_F(request_history, survives_the_loss_of_an_owner_during_a_one_way_cut)
+{
+    run(callers, tokens,
+        [this]
+        {
+            (void)m_fleet.operate(
+                "entry-a", "POST", "/apis/v1/faults",
+                R"({"address":"*","direction":"incoming","cut":true})");
+            absl::SleepFor(absl::Milliseconds(200));
+            kill_entry("a");
+        });
+    check_all_whole();
+}
+
+TEST_F(request_history, sends_nothing_new_to_a_leaving_upstream_after_a_pause)
+{
+    auto& paused = *m_fleet.host("entry-b").process;
+    paused.send(SIGSTOP);
+    reclaim("host", "engine-a", 600000);
+    test::wait_until(
+        [this]
+        {
+            const auto answer =
+                m_fleet.operate("entry-c", "GET", "/apis/v1/hosts");
+            const auto body = parse_object(answer.body);
+            return !find_array(body, "leaving")->empty();
+        },
+        "the others know that the upstream is leaving");
+    // The paused host's last reading of the notices is old by now.
+    absl::SleepFor(absl::Seconds(2));
+    const auto before = received("engine-a");
+    paused.send(SIGCONT);
+    for (int i = 0; i < 12; ++i)
+    {
+        caller_request request;
+        request.prompt = "after the pause " + std::to_string(i);
+        request.max_tokens = 2;
+        test::test_caller caller(m_fleet.client(),
+                                 {m_fleet.host("entry-b").callers_url});
+        EXPECT_TRUE(caller.complete(request).is_complete);
+    }
+    EXPECT_EQ(before, received("engine-a"));
+}
+
 TEST_F(request_history, cuts_off_nothing_at_a_planned_stop)
 {
     run(callers, tokens,
