membership: Keep the cost of control flat as the fleet grows

Cause: every host compared all it knows with a seed every ten seconds, which at 580 hosts is some 24 KB/s a host and 2 MB/s at a seed (worked out from 60 bytes a member); every host read the platform's notices and host list; the control thread woke 120 times a second. Change: comparisons become rarer as members grow and seeds are asked every fourth time; three hosts a hall read the platform, the others hear by gossip, 64 leaving hosts a message; reads follow each other without a tick.

--- a/benchmarks/measure_control.cpp
+++ b/benchmarks/measure_control.cpp
@@ -2,6 +2,7 @@
 /// What control costs: time from accepted to in force, bytes and processor
 /// time of a host by the size of the fleet, claims for each append, and how
 /// long a leaving upstream still gets work. See docs/MEASUREMENTS.md.
+#include "load/process_figures.hpp"
 #include "load/run_report.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -9,45 +10,17 @@
 
 #include <algorithm>
 #include <base/json.hpp>
-#include <fstream>
 #include <iostream>
+#include <set>
 #include <tests/support/fleet.hpp>
 #include <tests/support/waiting.hpp>
 #include <thread>
-#include <unistd.h>
 
 namespace daleshelf::benchmark
 {
 namespace
 {
 
-/// @return processor seconds that a process has used
-double processor_seconds(pid_t pid)
-{
-    std::ifstream input("/proc/" + std::to_string(pid) + "/stat");
-    std::string text((std::istreambuf_iterator<char>(input)), {});
-    // Fields 14 and 15 of proc(5), counted after the name in brackets.
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string skipped;
-    for (int i = 0; i < 11; ++i)
-    {
-        fields >> skipped;
-    }
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
-std::int64_t resident_kilobytes(pid_t pid)
-{
-    std::ifstream input("/proc/" + std::to_string(pid) + "/statm");
-    std::int64_t total = 0;
-    std::int64_t resident = 0;
-    input >> total >> resident;
-    return resident * ::sysconf(_SC_PAGESIZE) / 1024;
-}
-
 /// A fleet of entry hosts in three halls with nothing to serve.
 class control_fleet
 {
@@ -167,7 +140,7 @@
     absl::SleepFor(absl::Seconds(3));
     const auto bytes_before = bytes();
     const auto processor_before = processor_seconds(pid);
-    constexpr int seconds = 10;
+    constexpr int seconds = 15;
     absl::SleepFor(absl::Seconds(seconds));
     std::cout
         << boost::json::serialize(boost::json::object{
@@ -323,13 +296,21 @@
 } // namespace
 } // namespace daleshelf::benchmark
 
-int main()
+int main(int argc, char** argv)
 {
     using namespace daleshelf::benchmark;
+    // Parts can be named: slope, in_force, leaving, claims.
+    const std::set<std::string> named(argv + 1, argv + argc);
+    const auto is_wanted = [&named](const std::string& part)
+    { return named.empty() || named.contains(part); };
     for (const int hosts : {2, 4, 8, 16, 32})
     {
-        measure_slope(hosts);
+        if (is_wanted("slope"))
+        {
+            measure_slope(hosts);
+        }
     }
+    if (is_wanted("in_force"))
     {
         control_fleet control(6);
         measure_in_force("healthy", control, 100, 0);
@@ -338,10 +319,16 @@
         control.fleet().set_platform_fault("log", {{"slow_ms", 0}});
         measure_in_force("just_back", control, 8, 2000);
     }
-    measure_leaving();
+    if (is_wanted("leaving"))
+    {
+        measure_leaving();
+    }
     for (const int callers : {3, 30, 120})
     {
-        measure_claims(callers);
+        if (is_wanted("claims"))
+        {
+            measure_claims(callers);
+        }
     }
     return 0;
 }
--- a/benchmarks/measure_overhead.cpp
+++ b/benchmarks/measure_overhead.cpp
@@ -2,6 +2,7 @@
 /// What an entry host adds to a call: the same call through it and straight to
 /// the upstream, at several numbers of callers; and its memory with many open
 /// streams. See docs/MEASUREMENTS.md.
+#include "load/process_figures.hpp"
 #include "load/run_report.hpp"
 
 #include <absl/synchronization/blocking_counter.h>
@@ -9,7 +10,6 @@
 #include <absl/time/clock.h>
 
 #include <base/json.hpp>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <tests/support/fleet.hpp>
@@ -84,23 +84,6 @@
     std::atomic<int> m_failed = 0;
 };
 
-/// @return resident memory of a process, in kilobytes
-std::int64_t resident_kilobytes(pid_t pid)
-{
-    std::ifstream input("/proc/" + std::to_string(pid) + "/status");
-    std::string word;
-    while (input >> word)
-    {
-        if (word == "VmRSS:")
-        {
-            std::int64_t value = 0;
-            input >> value;
-            return value;
-        }
-    }
-    return 0;
-}
-
 class overhead
 {
 public:
@@ -154,6 +137,8 @@
     {
         const auto& host = m_fleet.host("entry-a");
         const auto before = resident_kilobytes(host.process->pid());
+        const auto processor_before = processor_seconds(host.process->pid());
+        constexpr int tokens = 600;
         std::atomic<int> open = 0;
         absl::BlockingCounter done(streams);
         for (int i = 0; i < streams; ++i)
@@ -181,6 +166,10 @@
                          {"streams", streams},
                          {"before_kb", before},
                          {"during_kb", during},
+                         {"processor_us_per_token",
+                          (processor_seconds(host.process->pid()) -
+                           processor_before) /
+                              streams / tokens * 1e6},
                          {"after_kb", resident_kilobytes(host.process->pid())}})
                   << std::endl;
     }
--- a/benchmarks/routing_benchmark.cpp
+++ b/benchmarks/routing_benchmark.cpp
@@ -70,6 +70,46 @@
                            static_cast<double>(state.iterations()));
 }
 
+/// What a change costs every host: the configuration is made ready again.
+void rebuild(benchmark::State& state)
+{
+    resource_store store;
+    change declared{change_id("c"), {}};
+    const auto put = [&declared](resource_kind kind, const std::string& name,
+                                 boost::json::object body)
+    {
+        declared.operations.push_back(
+            {change_operation::action::put, {kind, name}, {}, std::move(body)});
+    };
+    // Each engine holds two of forty models.
+    constexpr std::int64_t models = 40;
+    for (std::int64_t i = 0; i < models; ++i)
+    {
+        const auto name = "m" + std::to_string(i);
+        put(resource_kind::deployment, name, {{"model", name}});
+    }
+    for (std::int64_t i = 0; i < state.range(0); ++i)
+    {
+        put(resource_kind::upstream, "engine-" + std::to_string(i),
+            {{"type", "engine"},
+             {"url", "http://127.0.0.1:1"},
+             {"hall", "hall-" + std::to_string(i % 8)},
+             {"models",
+              boost::json::array{"m" + std::to_string(i % models),
+                                 "m" + std::to_string((i + 1) % models)}}});
+    }
+    store.apply(log_offset(0), to_record({declared}));
+    for (auto _ : state) // NOLINT: named by the library
+    {
+        const configuration config(store);
+        benchmark::DoNotOptimize(config.upstreams().size());
+    }
+    state.counters["snapshot_bytes"] =
+        static_cast<double>(boost::json::serialize(store.to_snapshot()).size());
+}
+
+BENCHMARK(rebuild)->Arg(10)->Arg(170)->Arg(1700)->Unit(benchmark::kMicrosecond);
+
 BENCHMARK(choose)->Arg(10)->Arg(170)->Arg(1700);
 
 } // namespace
--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -13,6 +13,7 @@
 // News is passed on this many times the logarithm of the fleet's size.
 constexpr double transmission_factor = 3;
 constexpr std::size_t members_per_sync = 64;
+constexpr std::uint64_t syncs_per_seed = 4;
 constexpr std::size_t leave_messages = 6;
 constexpr std::uint64_t periods_between_probes = 4;
 
@@ -58,7 +59,8 @@
             message.updates.push_back(found->second);
         }
     }
-    message.leaving = m_leaving_updates.take(most, transmissions());
+    message.leaving =
+        m_leaving_updates.take(m_options.leaving_per_message, transmissions());
     return message;
 }
 
@@ -90,9 +92,8 @@
     const bool is_alone = candidates(true).empty() && candidates(false).empty();
     if (now >= m_next_sync)
     {
-        m_next_sync =
-            now + (is_alone ? m_options.period : m_options.sync_interval);
-        send_sync(out);
+        m_next_sync = now + next_sync_interval(is_alone);
+        send_sync(is_alone, out);
     }
     return out;
 }
@@ -224,8 +225,20 @@
     ++m_revision;
 }
 
-void membership::send_sync(messages& out)
+absl::Duration membership::next_sync_interval(bool is_alone) const
 {
+    if (is_alone)
+    {
+        return m_options.period;
+    }
+    const auto intervals =
+        1 + m_members.size() / m_options.members_per_interval;
+    return m_options.sync_interval * static_cast<std::int64_t>(intervals);
+}
+
+void membership::send_sync(bool is_alone, messages& out)
+{
+    ++m_syncs;
     const auto sequence = ++m_last_sequence;
     auto targets = candidates(true);
     const auto others = candidates(false);
@@ -236,7 +249,9 @@
         out.push_back({target.address,
                        make(gossip_message::kind::sync_request, sequence)});
     }
-    if (!m_seeds.empty())
+    // Seeds would else hear from the whole fleet.
+    const bool is_seeds_turn = is_alone || m_syncs % syncs_per_seed == 0;
+    if (!m_seeds.empty() && is_seeds_turn)
     {
         const auto& seed = m_seeds[m_random() % m_seeds.size()];
         out.push_back(
--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -29,6 +29,11 @@
     absl::Duration forget_time = absl::Minutes(10); ///< of dead hosts
     int indirect_pings = 3;
     std::size_t updates_per_message = 12;
+    /// A hall's worth of hosts can begin to leave at once.
+    std::size_t leaving_per_message = 64;
+    /// With more members the comparisons become rarer in proportion, so that
+    /// their cost stays the same.
+    std::size_t members_per_interval = 32;
 };
 
 /// Knows which entry hosts are there.
@@ -121,7 +126,8 @@
     void send_indirect(const pending_ping& lost, std::uint64_t sequence,
                        messages& out);
     void expire_suspects(absl::Time now);
-    void send_sync(messages& out);
+    void send_sync(bool is_alone, messages& out);
+    absl::Duration next_sync_interval(bool is_alone) const;
     void answer_sync(const gossip_message& message, messages& out);
     void take_ack(std::uint64_t sequence, messages& out);
     bool take(const member& heard, absl::Time now);
@@ -143,6 +149,7 @@
     std::map<std::uint64_t, pending_ping> m_pings;
     std::uint64_t m_last_sequence = 0;
     std::uint64_t m_period = 0;
+    std::uint64_t m_syncs = 0;
     std::uint64_t m_revision = 0;
     absl::Time m_next_period = absl::InfinitePast();
     absl::Time m_next_sync = absl::InfinitePast();
--- a/services/daleshelfd/claim_service.cpp
+++ b/services/daleshelfd/claim_service.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::chrono::milliseconds long_poll{2000};
 constexpr std::chrono::milliseconds no_wait{0};
-constexpr absl::Duration tick_interval = absl::Milliseconds(20);
+constexpr absl::Duration tick_interval = absl::Milliseconds(100);
 
 } // namespace
 
@@ -57,7 +57,11 @@
                {
                    m_control.post(
                        [this, result = std::move(result)]
-                       { perform(m_replica.on_records(result, absl::Now())); });
+                       {
+                           perform(m_replica.on_records(result, absl::Now()));
+                           // The next read need not wait for a tick.
+                           perform(m_replica.on_tick(absl::Now()));
+                       });
                });
 }
 
--- a/services/daleshelfd/configuration_follower.cpp
+++ b/services/daleshelfd/configuration_follower.cpp
@@ -24,7 +24,7 @@
 
 constexpr std::chrono::milliseconds long_poll{2000};
 constexpr std::chrono::milliseconds no_wait{0};
-constexpr absl::Duration tick_interval = absl::Milliseconds(20);
+constexpr absl::Duration tick_interval = absl::Milliseconds(100);
 constexpr absl::Duration longest_proposal_wait = absl::Seconds(5);
 constexpr absl::Duration coverage_interval = absl::Milliseconds(100);
 constexpr int status_gone = 410;
@@ -131,7 +131,11 @@
                {
                    m_control.post(
                        [this, result = std::move(result)]
-                       { perform(m_replica.on_records(result, absl::Now())); });
+                       {
+                           perform(m_replica.on_records(result, absl::Now()));
+                           // The next read need not wait for a tick.
+                           perform(m_replica.on_tick(absl::Now()));
+                       });
                });
 }
 
--- a/services/daleshelfd/platform_watcher.cpp
+++ b/services/daleshelfd/platform_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include "node_state.hpp"
 
+#include <base/digest.hpp>
 #include <base/json.hpp>
 #include <http/http_client.hpp>
 #include <memory>
@@ -18,6 +19,7 @@
 constexpr absl::Duration host_list_interval = absl::Seconds(2);
 constexpr absl::Duration load_interval = absl::Milliseconds(500);
 constexpr std::chrono::milliseconds read_timeout{1000};
+constexpr std::size_t watchers_per_hall = 3;
 constexpr int status_ok = 200;
 // Who only hears that a host is leaving does not know when.
 constexpr absl::Duration assumed_notice = absl::Seconds(2);
@@ -84,8 +86,32 @@
         });
 }
 
+/// In a large hall a few hosts read for all; the others hear from them by
+/// gossip. While views differ some more read, which does no harm.
+bool platform_watcher::is_watching() const
+{
+    const auto view = m_node.peers();
+    const auto rank = [](const host_id& host)
+    { return stable_hash(host.value()); };
+    const auto own_rank = rank(m_node.host());
+    std::size_t before = 0;
+    for (const auto& [id, item] : view->members)
+    {
+        const bool is_before = item.hall == m_node.hall() &&
+                               view->is_reachable(id) && !item.is_draining &&
+                               rank(id) < own_rank;
+        before += is_before ? 1 : 0;
+    }
+    return before < watchers_per_hall;
+}
+
 void platform_watcher::read_notices()
 {
+    m_timers.after(notice_interval, [this] { read_notices(); });
+    if (!is_watching())
+    {
+        return;
+    }
     std::int64_t from = 0;
     {
         absl::MutexLock lock(&m_mutex);
@@ -93,7 +119,6 @@
     }
     get(m_platform_url + "/cloud/notices?from=" + std::to_string(from),
         [this](const std::string& body) { take_notices(body); });
-    m_timers.after(notice_interval, [this] { read_notices(); });
 }
 
 void platform_watcher::take_notices(const std::string& body)
@@ -114,9 +139,13 @@
 
 void platform_watcher::read_hosts()
 {
+    m_timers.after(host_list_interval, [this] { read_hosts(); });
+    if (!is_watching())
+    {
+        return;
+    }
     get(m_platform_url + "/hosts",
         [this](const std::string& body) { take_hosts(body); });
-    m_timers.after(host_list_interval, [this] { read_hosts(); });
 }
 
 void platform_watcher::take_hosts(const std::string& body)
--- a/services/daleshelfd/platform_watcher.hpp
+++ b/services/daleshelfd/platform_watcher.hpp
@@ -47,6 +47,7 @@
                          std::optional<absl::Time> leaves_at = {});
 
 private:
+    bool is_watching() const;
     void read_notices();
     void take_notices(const std::string& body);
     void read_hosts();
