--- a/libraries/resources/configuration_replica.cpp
+++ b/libraries/resources/configuration_replica.cpp
@@ -247,7 +247,7 @@
 std::optional<change_outcome>
 configuration_replica::propose(const change& proposed)
 {
-    const auto known = m_store.find_change(proposed.id);
+    auto known = m_store.find_change(proposed.id);
     if (known)
     {
         return known;
@@ -365,7 +365,7 @@
 std::optional<change_outcome>
 configuration_replica::find_change(const change_id& id) const
 {
-    const auto settled = m_store.find_change(id);
+    auto settled = m_store.find_change(id);
     if (!settled && m_proposals.contains(id))
     {
         return change_outcome();
--- a/services/daleshelfd/caller_api.cpp
+++ b/services/daleshelfd/caller_api.cpp
@@ -375,10 +375,11 @@
 /// Claims the request's idempotency key, if it has one.
 /// @param on_won called if the request may run; at once if it has no key
 /// @param on_lost called with the request that has the key
-void caller_api::run_claimed(const exchange_ptr& exchange,
-                             const workspace_id& user, const request_id& id,
-                             absl::Time deadline, std::function<void()> on_won,
-                             std::function<void(const request_id&)> on_lost)
+void caller_api::run_claimed(
+    const exchange_ptr& exchange, const workspace_id& user,
+    const request_id& id, absl::Time deadline,
+    const std::function<void()>& on_won,
+    const std::function<void(const request_id&)>& on_lost)
 {
     const auto& request = exchange->request();
     const auto key = request.header("idempotency-key");
--- a/services/daleshelfd/caller_api.hpp
+++ b/services/daleshelfd/caller_api.hpp
@@ -58,8 +58,8 @@
                       const workspace_entry& user);
     void run_claimed(const exchange_ptr& exchange, const workspace_id& user,
                      const request_id& id, absl::Time deadline,
-                     std::function<void()> on_won,
-                     std::function<void(const request_id&)> on_lost);
+                     const std::function<void()>& on_won,
+                     const std::function<void(const request_id&)>& on_lost);
     void send_answer_again(const exchange_ptr& exchange,
                            const workspace_id& user, const request_id& id);
     void send_call_answer_again(const exchange_ptr& exchange,
--- a/services/daleshelfd/replication_service.cpp
+++ b/services/daleshelfd/replication_service.cpp
@@ -364,7 +364,7 @@
 
 void replication_service::fetch(const request_id& id, const workspace_id& user,
                                 std::shared_ptr<answer_sink> sink,
-                                std::function<void()> on_unknown)
+                                const std::function<void()>& on_unknown)
 {
     {
         absl::MutexLock lock(&m_mutex);
--- a/services/daleshelfd/replication_service.hpp
+++ b/services/daleshelfd/replication_service.hpp
@@ -51,7 +51,7 @@
     /// @param on_unknown called if no reachable host has it
     void fetch(const request_id& id, const workspace_id& user,
                std::shared_ptr<answer_sink> sink,
-               std::function<void()> on_unknown);
+               const std::function<void()>& on_unknown);
 
     /// Hands all owned requests to other hosts, as soon as some take them.
     void start_handoff();
--- a/tests/claims/claim_replica_test.cpp
+++ b/tests/claims/claim_replica_test.cpp
@@ -109,7 +109,7 @@
     claim_log& m_log;
 };
 
-void run(std::vector<claiming_host*> hosts, int ticks)
+void run(const std::vector<claiming_host*>& hosts, int ticks)
 {
     for (int i = 0; i < ticks; ++i)
     {
--- a/tests/histories/claim_history_test.cpp
+++ b/tests/histories/claim_history_test.cpp
@@ -79,6 +79,7 @@
     void run(int callers, int keys, const std::function<void()>& faults)
     {
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(callers));
         for (int caller = 0; caller < callers; ++caller)
         {
             threads.emplace_back(
--- a/tests/histories/configuration_history_test.cpp
+++ b/tests/histories/configuration_history_test.cpp
@@ -45,7 +45,7 @@
     }
 
     /// Reads of one thread at one host come in order.
-    void add(reading entry)
+    void add(const reading& entry)
     {
         absl::MutexLock lock(&m_mutex);
         auto& highest = m_highest[entry.host + "/" + entry.name];
@@ -80,11 +80,11 @@
     {
         std::mt19937 random(static_cast<unsigned int>(number));
         const std::vector<std::string> hosts{"entry-a", "entry-b", "entry-c"};
-        const auto reader = hosts[static_cast<std::size_t>(number) % 3];
+        const auto& reader = hosts[static_cast<std::size_t>(number) % 3];
         for (int round = 0; round < rounds; ++round)
         {
             const auto name = "m" + std::to_string(random() % 3);
-            const auto writer = hosts[random() % hosts.size()];
+            const auto& writer = hosts[random() % hosts.size()];
             try
             {
                 write_once(number, round, name, reader, writer);
@@ -124,6 +124,7 @@
     void run_writers(int writers, int rounds)
     {
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(writers));
         for (int i = 0; i < writers; ++i)
         {
             threads.emplace_back([this, i, rounds] { write(i, rounds); });
--- a/tests/histories/request_history_test.cpp
+++ b/tests/histories/request_history_test.cpp
@@ -87,6 +87,7 @@
              bool is_repeatable = true)
     {
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(callers));
         for (int i = 0; i < callers; ++i)
         {
             threads.emplace_back([this, i, tokens, is_repeatable]
