tests: Make the pause before a notice show

Change: the host hears no peer, the platform answers slowly, and callers wait in the kernel through the pause. As strict as before, and it can fail.

--- a/tests/histories/request_history_test.cpp
+++ b/tests/histories/request_history_test.cpp
@@ -322,6 +322,10 @@
 
 TEST_F(request_history, sends_nothing_new_to_a_leaving_upstream_after_a_pause)
 {
+    // Nobody tells it: it has to find out by itself, and the platform is slow.
+    (void)m_fleet.operate(
+        "entry-b", "POST", "/apis/v1/faults",
+        R"({"address":"*","direction":"incoming","cut":true})");
     auto& paused = *m_fleet.host("entry-b").process;
     paused.send(SIGSTOP);
     reclaim("host", "engine-a", 600000);
@@ -334,18 +338,33 @@
             return !find_array(body, "leaving")->empty();
         },
         "the others know that the upstream is leaving");
+    m_fleet.set_platform_fault("cloud", {{"slow_ms", 300}});
     // The paused host's last reading of the notices is old by now.
     absl::SleepFor(absl::Seconds(2));
     const auto before = received("engine-a");
+    // These wait in the kernel, to be read in the first moment after the
+    // pause, before any notice.
+    constexpr int waiting_callers = 24;
+    std::vector<std::thread> threads;
+    threads.reserve(waiting_callers);
+    for (int i = 0; i < waiting_callers; ++i)
+    {
+        threads.emplace_back(
+            [this, i]
+            {
+                caller_request request;
+                request.prompt = "after the pause " + std::to_string(i);
+                request.max_tokens = 2;
+                test::test_caller caller(m_fleet.client(),
+                                         {m_fleet.host("entry-b").callers_url});
+                EXPECT_TRUE(caller.complete(request).is_complete);
+            });
+    }
+    absl::SleepFor(absl::Milliseconds(500));
     paused.send(SIGCONT);
-    for (int i = 0; i < 12; ++i)
+    for (auto& thread : threads)
     {
-        caller_request request;
-        request.prompt = "after the pause " + std::to_string(i);
-        request.max_tokens = 2;
-        test::test_caller caller(m_fleet.client(),
-                                 {m_fleet.host("entry-b").callers_url});
-        EXPECT_TRUE(caller.complete(request).is_complete);
+        thread.join();
     }
     EXPECT_EQ(before, received("engine-a"));
 }
