--- a/benchmarks/load/load_driver.cpp
+++ b/benchmarks/load/load_driver.cpp
@@ -5,6 +5,7 @@
 #include <absl/time/clock.h>
 #include <boost/json.hpp>
 
+#include <base/http_status.hpp>
 #include <http/event_stream.hpp>
 #include <memory>
 #include <utility>
@@ -16,10 +17,6 @@
 {
 
 constexpr std::chrono::milliseconds longest_request{60000};
-constexpr int status_ok = 200;
-constexpr int status_see_other = 303;
-constexpr int status_too_many_requests = 429;
-constexpr int status_unavailable = 503;
 constexpr int most_connections = 10;
 
 } // namespace
@@ -160,7 +157,7 @@
     };
     handlers.on_body = [state](std::string_view piece)
     {
-        if (state->status != status_ok || state->request.is_service_call)
+        if (state->status != http_status::ok || state->request.is_service_call)
         {
             return;
         }
@@ -173,13 +170,15 @@
     {
         if (state->request.is_service_call)
         {
-            state->is_done = result.is_complete() && state->status == status_ok;
+            state->is_done =
+                result.is_complete() && state->status == http_status::ok;
         }
         state->sample.is_answered = state->is_done;
-        state->sample.is_refused = state->status == status_too_many_requests ||
-                                   state->status == status_unavailable;
+        state->sample.is_refused =
+            state->status == http_status::too_many_requests ||
+            state->status == http_status::unavailable;
         const bool is_cut = !result.is_complete() || state->has_moved ||
-                            state->status == status_see_other;
+                            state->status == http_status::see_other;
         const bool goes_on = !state->is_done && is_cut && !state->id.empty() &&
                              state->connections < most_connections;
         if (goes_on)
--- /dev/null
+++ b/libraries/base/http_status.hpp
@@ -0,0 +1,26 @@
+/// @file
+/// HTTP statuses by name (RFC 9110, section 15).
+#pragma once
+
+namespace daleshelf::http_status
+{
+
+inline constexpr int ok = 200;
+inline constexpr int created = 201;
+inline constexpr int accepted = 202;
+inline constexpr int see_other = 303;
+inline constexpr int bad_request = 400;
+inline constexpr int first_client_error = 400;
+inline constexpr int unauthorized = 401;
+inline constexpr int not_found = 404;
+inline constexpr int conflict = 409;
+inline constexpr int gone = 410;
+inline constexpr int payload_too_large = 413;
+inline constexpr int unprocessable = 422;
+inline constexpr int too_many_requests = 429;
+inline constexpr int first_server_error = 500;
+inline constexpr int bad_gateway = 502;
+inline constexpr int unavailable = 503;
+inline constexpr int gateway_timeout = 504;
+
+} // namespace daleshelf::http_status
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -7,6 +7,7 @@
 #include <microhttpd.h>
 
 #include <arpa/inet.h>
+#include <base/http_status.hpp>
 #include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
@@ -23,7 +24,6 @@
 
 constexpr unsigned int listen_backlog = 1024;
 constexpr std::size_t connection_memory_bytes = 16384;
-constexpr int status_payload_too_large = 413;
 
 MHD_Result collect_header(void* cls, MHD_ValueKind, const char* key,
                           const char* value)
@@ -78,7 +78,7 @@
 http_response too_large_response(std::size_t limit)
 {
     http_response response;
-    response.status = status_payload_too_large;
+    response.status = http_status::payload_too_large;
     response.body = R"({"error":{"message":"the body is larger than )" +
                     std::to_string(limit) +
                     R"( bytes","type":"invalid_request_error",)"
--- a/libraries/platform/cloud_client.cpp
+++ b/libraries/platform/cloud_client.cpp
@@ -1,5 +1,6 @@
 #include "cloud_client.hpp"
 
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <http/http_client.hpp>
 #include <memory>
@@ -12,10 +13,6 @@
 {
 
 constexpr std::chrono::milliseconds call_timeout{3000};
-constexpr int status_ok = 200;
-constexpr int status_created = 201;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
 
 host_order_result to_result(const http_transfer_result& transfer,
                             const std::string& body)
@@ -27,18 +24,18 @@
         result.what = transfer.is_sent ? outcome::unknown : outcome::refused;
         return result;
     }
-    if (transfer.status == status_not_found)
+    if (transfer.status == http_status::not_found)
     {
         result.what = outcome::absent;
         return result;
     }
-    if (transfer.status == status_unavailable)
+    if (transfer.status == http_status::unavailable)
     {
         result.what = outcome::refused;
         return result;
     }
-    const bool is_started =
-        transfer.status == status_ok || transfer.status == status_created;
+    const bool is_started = transfer.status == http_status::ok ||
+                            transfer.status == http_status::created;
     try
     {
         if (is_started)
--- a/libraries/platform/log_client.cpp
+++ b/libraries/platform/log_client.cpp
@@ -1,5 +1,6 @@
 #include "log_client.hpp"
 
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <http/http_client.hpp>
 #include <memory>
@@ -13,9 +14,6 @@
 
 constexpr std::chrono::milliseconds append_timeout{3000};
 constexpr std::chrono::milliseconds read_timeout{3000};
-constexpr int status_ok = 200;
-constexpr int status_gone = 410;
-constexpr int first_server_error = 500;
 
 /// Collects a whole answer.
 struct collected_answer
@@ -34,11 +32,11 @@
         result.state = transfer.is_sent ? outcome::unknown : outcome::refused;
         return result;
     }
-    if (transfer.status >= first_server_error)
+    if (transfer.status >= http_status::first_server_error)
     {
         return result; // it may have been appended all the same
     }
-    if (transfer.status != status_ok)
+    if (transfer.status != http_status::ok)
     {
         result.state = outcome::refused;
         return result;
@@ -76,8 +74,8 @@
 {
     log_read_result result;
     using outcome = log_read_result::outcome;
-    const bool is_answer =
-        transfer.status == status_ok || transfer.status == status_gone;
+    const bool is_answer = transfer.status == http_status::ok ||
+                           transfer.status == http_status::gone;
     if (!transfer.is_complete() || !is_answer)
     {
         result.message = transfer.is_complete() ? body : transfer.error;
@@ -88,7 +86,7 @@
         const auto fields = parse_object(body);
         result.first = log_offset(require_integer(fields, "first"));
         result.next = log_offset(require_integer(fields, "next"));
-        if (transfer.status == status_gone)
+        if (transfer.status == http_status::gone)
         {
             result.state = outcome::trimmed;
             return result;
--- a/libraries/requests/request_machine.cpp
+++ b/libraries/requests/request_machine.cpp
@@ -3,6 +3,7 @@
 #include "retry_decision.hpp"
 
 #include <algorithm>
+#include <base/http_status.hpp>
 #include <utility>
 
 namespace daleshelf
@@ -11,9 +12,6 @@
 namespace
 {
 
-constexpr int status_bad_gateway = 502;
-constexpr int status_gateway_timeout = 504;
-
 } // namespace
 
 request_machine::request_machine(request_description description,
@@ -261,7 +259,7 @@
     {
         return next_attempt();
     }
-    return fail(request_error(status_bad_gateway, "owner_lost",
+    return fail(request_error(http_status::bad_gateway, "owner_lost",
                               "the host that ran the request is gone and it "
                               "may not be repeated",
                               verdict::may_have_run));
@@ -291,7 +289,7 @@
     }
     const auto attempt = m_attempt;
     auto actions =
-        fail(request_error(status_gateway_timeout, "deadline_exceeded",
+        fail(request_error(http_status::gateway_timeout, "deadline_exceeded",
                            "the deadline has passed", run()));
     actions.push_back(cancel_attempt{attempt});
     return actions;
--- a/libraries/requests/retry_decision.cpp
+++ b/libraries/requests/retry_decision.cpp
@@ -1,13 +1,13 @@
 #include "retry_decision.hpp"
 
+#include <base/http_status.hpp>
+
 namespace daleshelf
 {
 
 namespace
 {
 
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
 constexpr std::chrono::milliseconds short_pause{1000};
 
 } // namespace
@@ -20,7 +20,7 @@
         repeats == repeatability::repeatable || run == verdict::not_run;
     if (!may_repeat)
     {
-        return request_error(status_bad_gateway, "upstream_failed",
+        return request_error(http_status::bad_gateway, "upstream_failed",
                              "the upstream failed and the request may not be "
                              "repeated: " +
                                  result.message,
@@ -28,7 +28,7 @@
     }
     if (!may_retry)
     {
-        return request_error(status_unavailable, "no_upstream_answered",
+        return request_error(http_status::unavailable, "no_upstream_answered",
                              "no upstream could answer: " + result.message, run,
                              result.retry_after.value_or(short_pause));
     }
--- a/libraries/upstreams/attempt_status.cpp
+++ b/libraries/upstreams/attempt_status.cpp
@@ -2,17 +2,14 @@
 
 #include <absl/strings/numbers.h>
 
+#include <base/http_status.hpp>
+
 namespace daleshelf
 {
 
 namespace
 {
 
-constexpr int first_client_error = 400;
-constexpr int first_server_error = 500;
-constexpr int status_too_many_requests = 429;
-constexpr int status_not_found = 404;
-
 bool says_not_executed(const http_response& head)
 {
     return find_header(head, "x-request-executed") == "no";
@@ -70,17 +67,19 @@
         return result;
     }
     result.retry_after = read_retry_after(head);
-    const bool is_client_error = result.status >= first_client_error &&
-                                 result.status < first_server_error;
+    const bool is_client_error =
+        result.status >= http_status::first_client_error &&
+        result.status < http_status::first_server_error;
     if (says_not_executed(head))
     {
         const bool is_request_wrong =
-            is_client_error && result.status != status_too_many_requests &&
-            result.status != status_not_found;
+            is_client_error &&
+            result.status != http_status::too_many_requests &&
+            result.status != http_status::not_found;
         result.what = is_request_wrong ? outcome::rejected : outcome::refused;
         return result;
     }
-    if (result.status < first_client_error)
+    if (result.status < http_status::first_client_error)
     {
         result.what = outcome::completed;
     }
--- a/libraries/upstreams/engine_client.cpp
+++ b/libraries/upstreams/engine_client.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/numbers.h>
 
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <http/event_stream.hpp>
 #include <memory>
@@ -15,7 +16,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
 constexpr std::size_t longest_error_body = 2000;
 
 /// Reads one engine's answer as it comes.
@@ -39,7 +39,7 @@
 
     void take_body(std::string_view piece)
     {
-        if (m_head.status != status_ok)
+        if (m_head.status != http_status::ok)
         {
             m_error_body += piece.substr(
                 0, longest_error_body -
@@ -193,7 +193,7 @@
         [this, blocks, to_url, timeout,
          done = std::move(on_done)](const http_transfer_result& result)
     {
-        if (!result.is_complete() || result.status != status_ok)
+        if (!result.is_complete() || result.status != http_status::ok)
         {
             done(false);
             return;
@@ -205,7 +205,7 @@
         write.timeout = timeout;
         http_transfer_handlers on_written;
         on_written.on_done = [done](const http_transfer_result& written)
-        { done(written.is_complete() && written.status == status_ok); };
+        { done(written.is_complete() && written.status == http_status::ok); };
         m_client.start(std::move(write), std::move(on_written));
     };
     m_client.start(std::move(read), std::move(on_read));
--- a/libraries/upstreams/order_client.cpp
+++ b/libraries/upstreams/order_client.cpp
@@ -1,5 +1,6 @@
 #include "order_client.hpp"
 
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <http/http_client.hpp>
 #include <memory>
@@ -12,8 +13,6 @@
 {
 
 constexpr std::chrono::milliseconds order_timeout{2000};
-constexpr int status_ok = 200;
-constexpr int status_conflict = 409;
 
 bool is_ready(const std::string& body, const std::string& model)
 {
@@ -53,13 +52,13 @@
     handlers.on_done =
         [done = std::move(on_done)](const http_transfer_result& result)
     {
-        if (result.is_complete() && result.status == status_ok)
+        if (result.is_complete() && result.status == http_status::ok)
         {
             done(order_outcome::taken);
             return;
         }
         const bool is_stale =
-            result.is_complete() && result.status == status_conflict;
+            result.is_complete() && result.status == http_status::conflict;
         done(is_stale ? order_outcome::stale : order_outcome::unknown);
     };
     m_client.start(std::move(request), std::move(handlers));
--- a/meta/quickstart.sh
+++ b/meta/quickstart.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 meta/install.sh
 meta/build.sh
-bin="$PWD/${BUILD_DIR:-build}/bin"
+bin="$(cd "${BUILD_DIR:-build}" && pwd)/bin"
 work="$(mktemp -d)"
 pids=()
 keep=no
@@ -55,6 +55,7 @@
 
 echo "== entry hosts of three halls"
 operator_token=operator-secret
+seeds=""
 for hall in a b c; do
     cat >"$work/entry-$hall.toml" <<SETTINGS
 [host]
@@ -65,6 +66,9 @@
 [operators]
 port = 0
 token_sha256 = "$(digest $operator_token)"
+[peers]
+port = 0
+seeds = [$seeds]
 [platform]
 url = "$platform"
 [traces]
@@ -72,6 +76,9 @@
 SETTINGS
     "$bin/daleshelfd" --settings "$work/entry-$hall.toml" --check-settings
     start "entry-$hall" "$bin/daleshelfd" --settings "$work/entry-$hall.toml"
+    if [ -z "$seeds" ]; then
+        seeds="\"$(field_of "entry-$hall" peers)\""
+    fi
 done
 
 echo "== configuration"
@@ -88,6 +95,15 @@
 "$bin/daleshelf" apply -f "$work/configuration.json"
 "$bin/daleshelf" get upstream
 
+echo "== the other entry hosts, as entry-a sees them"
+for _ in $(seq 1 200); do
+    if [ "$("$bin/daleshelf" hosts | grep -c alive)" = 2 ]; then
+        break
+    fi
+    sleep 0.05
+done
+"$bin/daleshelf" hosts
+
 for hall in a b c; do
     entry="http://$(field_of "entry-$hall" callers)"
     for _ in $(seq 1 100); do
@@ -107,9 +123,15 @@
     -d '{"model":"captions","prompt":"a title for a mountain film","max_tokens":6,"stream":true}'
 
 echo "== a whole chat answer through hall c"
-curl -sf "http://$(field_of entry-c callers)/v1/chat/completions" \
+answer="$(curl -sf "http://$(field_of entry-c callers)/v1/chat/completions" \
     -H 'Authorization: Bearer studio-key' \
-    -d '{"model":"captions","messages":[{"role":"user","content":"rewrite the caption"}],"max_tokens":6}'
+    -d '{"model":"captions","messages":[{"role":"user","content":"rewrite the caption"}],"max_tokens":6}')"
+echo "$answer"
+id="$(echo "$answer" | sed 's/.*"id":"\([^"]*\)".*/\1/')"
+
+echo "== the same answer again by its id, through hall a"
+curl -sf "http://$(field_of entry-a callers)/v1/requests/$id" \
+    -H 'Authorization: Bearer studio-key'
 echo
 
 echo "== a plain service through hall a"
--- a/services/daleshelfd/caller_api.cpp
+++ b/services/daleshelfd/caller_api.cpp
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <array>
 #include <base/digest.hpp>
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <base/request_error.hpp>
 #include <http/http_exchange.hpp>
@@ -32,12 +33,6 @@
 namespace
 {
 
-constexpr int status_bad_request = 400;
-constexpr int status_unauthorized = 401;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_unprocessable = 422;
-constexpr int status_unavailable = 503;
 constexpr std::chrono::milliseconds short_pause{1000};
 constexpr std::chrono::milliseconds claim_pause{2000};
 constexpr absl::Duration longest_claim_wait = absl::Seconds(3);
@@ -46,12 +41,12 @@
 
 request_error bad_request(const std::string& message)
 {
-    return {status_bad_request, "bad_request", message, verdict::not_run};
+    return {http_status::bad_request, "bad_request", message, verdict::not_run};
 }
 
 request_error not_found(const std::string& message)
 {
-    return {status_not_found, "not_found", message, verdict::not_run};
+    return {http_status::not_found, "not_found", message, verdict::not_run};
 }
 
 std::int64_t read_priority(const http_request& request)
@@ -243,7 +238,7 @@
     else if (path == "/readyz")
     {
         const bool is_ready = m_node.is_current() && !m_node.is_draining();
-        response.status = is_ready ? 200 : status_unavailable;
+        response.status = is_ready ? 200 : http_status::unavailable;
         response.body =
             is_ready ? R"({"status":"ready"})" : R"({"status":"not_ready"})";
     }
@@ -266,7 +261,7 @@
     absl::string_view key = header;
     if (!absl::ConsumePrefix(&key, "Bearer "))
     {
-        throw request_error(status_unauthorized, "unauthorized",
+        throw request_error(http_status::unauthorized, "unauthorized",
                             "a bearer key is needed", verdict::not_run);
     }
     const auto config = m_node.current_configuration();
@@ -274,7 +269,7 @@
         config->find_workspace_by_key(sha256_hex({key.data(), key.size()}));
     if (user == nullptr)
     {
-        throw request_error(status_unauthorized, "unauthorized",
+        throw request_error(http_status::unauthorized, "unauthorized",
                             "the bearer key is not known", verdict::not_run);
     }
     return *user;
@@ -345,7 +340,7 @@
     const auto& request = exchange->request();
     if (!m_node.is_current())
     {
-        throw request_error(status_unavailable, "not_ready",
+        throw request_error(http_status::unavailable, "not_ready",
                             "this host has no configuration yet",
                             verdict::not_run, short_pause);
     }
@@ -413,11 +408,11 @@
             exchange->respond(
                 outcome.what == state::mismatch
                     ? to_error_response(
-                          {status_unprocessable, "idempotency_key_reused",
+                          {http_status::unprocessable, "idempotency_key_reused",
                            "the key was used with another request",
                            verdict::not_run})
                     : to_error_response(
-                          {status_unavailable, "claim_unavailable",
+                          {http_status::unavailable, "claim_unavailable",
                            "whether the key was used cannot be told now",
                            verdict::not_run, claim_pause}));
         });
@@ -534,7 +529,7 @@
             return;
         }
         auto refusal = to_error_response(
-            {status_conflict, "already_claimed",
+            {http_status::conflict, "already_claimed",
              "another call has this key; whether it ran cannot be told",
              verdict::may_have_run});
         refusal.headers.push_back({"Daleshelf-Request-Id", id.value()});
--- a/services/daleshelfd/caller_format.cpp
+++ b/services/daleshelfd/caller_format.cpp
@@ -1,6 +1,7 @@
 #include "caller_format.hpp"
 
 #include <algorithm>
+#include <base/http_status.hpp>
 #include <cmath>
 #include <http/event_stream.hpp>
 
@@ -10,24 +11,20 @@
 namespace
 {
 
-constexpr int first_server_error = 500;
-constexpr int status_see_other = 303;
-constexpr int status_unauthorized = 401;
-constexpr int status_too_many_requests = 429;
 constexpr double milliseconds_per_second = 1000;
 
 std::string error_type(int status)
 {
-    if (status >= first_server_error)
+    if (status >= http_status::first_server_error)
     {
         return "server_error";
     }
-    if (status == status_unauthorized)
+    if (status == http_status::unauthorized)
     {
         return "authentication_error";
     }
-    return status == status_too_many_requests ? "rate_limit_error"
-                                              : "invalid_request_error";
+    return status == http_status::too_many_requests ? "rate_limit_error"
+                                                    : "invalid_request_error";
 }
 
 boost::json::object make_choice(const request_machine& request,
@@ -171,7 +168,7 @@
 http_response to_moved_response(const request_machine& request)
 {
     http_response response;
-    response.status = status_see_other;
+    response.status = http_status::see_other;
     response.body = moved_body(request);
     response.headers = {
         {"Location", request_location(request)},
--- a/services/daleshelfd/configuration_follower.cpp
+++ b/services/daleshelfd/configuration_follower.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <base/digest.hpp>
+#include <base/http_status.hpp>
 #include <http/event_stream.hpp>
 #include <http/http_exchange.hpp>
 #include <telemetry/log.hpp>
@@ -27,7 +28,6 @@
 constexpr absl::Duration tick_interval = absl::Milliseconds(100);
 constexpr absl::Duration longest_proposal_wait = absl::Seconds(5);
 constexpr absl::Duration coverage_interval = absl::Milliseconds(100);
-constexpr int status_gone = 410;
 
 std::string to_event_text(const resource_event& event)
 {
@@ -395,7 +395,7 @@
             if (from < store.events_from())
             {
                 http_response response;
-                response.status = status_gone;
+                response.status = http_status::gone;
                 response.body = boost::json::serialize(
                     boost::json::object{{"error", "offset_too_old"},
                                         {"first", store.events_from().value()},
--- a/services/daleshelfd/entry_host.cpp
+++ b/services/daleshelfd/entry_host.cpp
@@ -63,7 +63,7 @@
     , m_planner(m_control, m_node, m_log, m_follower, m_orders, m_cloud,
                 settings.platform_stream + "-leases")
     , m_claims(m_control, m_node, m_log, settings.platform_stream + "-claims")
-    , m_replication(m_node, m_peers, m_requests)
+    , m_replication(m_node, m_peers, m_requests, m_spans)
     , m_watcher(
           m_node, m_client, settings.platform_url,
           [this](const host_id& host) { m_peers.add_leaving(host); },
--- a/services/daleshelfd/operator_api.cpp
+++ b/services/daleshelfd/operator_api.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <base/digest.hpp>
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <http/http_exchange.hpp>
 #include <utility>
@@ -23,14 +24,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_accepted = 202;
-constexpr int status_bad_request = 400;
-constexpr int status_unauthorized = 401;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_unprocessable = 422;
-constexpr int status_unavailable = 503;
 constexpr std::int64_t default_wait_ms = 10000;
 constexpr std::int64_t longest_wait_ms = 60000;
 
@@ -49,8 +42,9 @@
 
 int status_of(change_outcome::state state)
 {
-    static constexpr std::array statuses{status_accepted, status_ok,
-                                         status_conflict, status_unprocessable};
+    static constexpr std::array statuses{http_status::accepted, http_status::ok,
+                                         http_status::conflict,
+                                         http_status::unprocessable};
     return statuses.at(static_cast<std::size_t>(state));
 }
 
@@ -81,7 +75,7 @@
 {
     if (!is_authorized(exchange->request()))
     {
-        exchange->respond(error_response(status_unauthorized,
+        exchange->respond(error_response(http_status::unauthorized,
                                          "the operators' bearer token is "
                                          "needed"));
         return;
@@ -92,7 +86,8 @@
     }
     catch (const json_error& error)
     {
-        exchange->respond(error_response(status_bad_request, error.what()));
+        exchange->respond(
+            error_response(http_status::bad_request, error.what()));
     }
 }
 
@@ -159,7 +154,8 @@
     }
     else
     {
-        exchange->respond(error_response(status_not_found, "no such path"));
+        exchange->respond(
+            error_response(http_status::not_found, "no such path"));
     }
 }
 
@@ -168,8 +164,9 @@
     const auto known = resource_kind_from_string(kind);
     if (!known)
     {
-        exchange->respond(error_response(
-            status_not_found, "'" + kind + "' is not a kind of resource"));
+        exchange->respond(
+            error_response(http_status::not_found,
+                           "'" + kind + "' is not a kind of resource"));
         return;
     }
     const auto config = m_node.current_configuration();
@@ -182,8 +179,8 @@
         }
     }
     exchange->respond(json_response(
-        status_ok, boost::json::object{{"next", config->next().value()},
-                                       {"items", std::move(items)}}));
+        http_status::ok, boost::json::object{{"next", config->next().value()},
+                                             {"items", std::move(items)}}));
 }
 
 void operator_api::get(const exchange_ptr& exchange, const std::string& kind,
@@ -197,10 +194,10 @@
     if (found == config->resources().end())
     {
         exchange->respond(error_response(
-            status_not_found, "no " + kind + " named '" + name + "'"));
+            http_status::not_found, "no " + kind + " named '" + name + "'"));
         return;
     }
-    exchange->respond(json_response(status_ok, to_json(*found->second)));
+    exchange->respond(json_response(http_status::ok, to_json(*found->second)));
 }
 
 void operator_api::propose(const exchange_ptr& exchange)
@@ -217,7 +214,7 @@
         [exchange]
         {
             auto response =
-                error_response(status_unavailable,
+                error_response(http_status::unavailable,
                                "too many changes wait for the log; this one "
                                "was not taken");
             response.headers.push_back({"Retry-After", "5"});
@@ -235,11 +232,11 @@
             if (!found)
             {
                 exchange->respond(error_response(
-                    status_not_found, "no change with this id is known"));
+                    http_status::not_found, "no change with this id is known"));
                 return;
             }
             exchange->respond(
-                json_response(status_ok, to_json(change_id(id), *found)));
+                json_response(http_status::ok, to_json(change_id(id), *found)));
         });
 }
 
@@ -258,13 +255,13 @@
             if (!coverage.outcome)
             {
                 exchange->respond(error_response(
-                    status_not_found, "no change with this id is known"));
+                    http_status::not_found, "no change with this id is known"));
                 return;
             }
             auto body = to_json(change_id(id), *coverage.outcome);
             body["in_force"] = to_names(coverage.in_force);
             body["missing"] = to_names(coverage.missing);
-            exchange->respond(json_response(status_ok, body));
+            exchange->respond(json_response(http_status::ok, body));
         });
 }
 
@@ -288,7 +285,7 @@
     }
     const auto& transport = m_peers.transport();
     exchange->respond(json_response(
-        status_ok,
+        http_status::ok,
         boost::json::object{{"self", m_node.host().value()},
                             {"address", transport.address()},
                             {"bytes_sent", transport.bytes_sent()},
@@ -307,7 +304,7 @@
                                : cut_direction::outgoing;
     m_peers.set_cut(require_string(fields, "address"), direction,
                     find_boolean(fields, "cut").value_or(true));
-    exchange->respond(json_response(status_ok, boost::json::object{}));
+    exchange->respond(json_response(http_status::ok, boost::json::object{}));
 }
 
 void operator_api::watch(const exchange_ptr& exchange)
@@ -327,7 +324,7 @@
         {
             const auto age = absl::Now() - status.last_contact;
             exchange->respond(json_response(
-                status_ok,
+                http_status::ok,
                 boost::json::object{
                     {"host", m_node.host().value()},
                     {"hall", m_node.hall().value()},
@@ -343,7 +340,7 @@
 
 void operator_api::drain(const exchange_ptr& exchange)
 {
-    exchange->respond(json_response(status_accepted,
+    exchange->respond(json_response(http_status::accepted,
                                     boost::json::object{{"draining", true}}));
     m_on_drain();
 }
--- a/services/daleshelfd/platform_watcher.cpp
+++ b/services/daleshelfd/platform_watcher.cpp
@@ -3,6 +3,7 @@
 #include "node_state.hpp"
 
 #include <base/digest.hpp>
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <http/http_client.hpp>
 #include <memory>
@@ -20,7 +21,6 @@
 constexpr absl::Duration load_interval = absl::Milliseconds(500);
 constexpr std::chrono::milliseconds read_timeout{1000};
 constexpr std::size_t watchers_per_hall = 3;
-constexpr int status_ok = 200;
 // Who only hears that a host is leaving does not know when.
 constexpr absl::Duration assumed_notice = absl::Seconds(2);
 
@@ -55,7 +55,7 @@
     handlers.on_done =
         [body, take = std::move(on_body)](const http_transfer_result& result)
     {
-        if (!result.is_complete() || result.status != status_ok)
+        if (!result.is_complete() || result.status != http_status::ok)
         {
             return;
         }
--- a/services/daleshelfd/replication_service.cpp
+++ b/services/daleshelfd/replication_service.cpp
@@ -41,8 +41,9 @@
 } // namespace
 
 replication_service::replication_service(node_state& node, peer_service& peers,
-                                         request_service& requests)
-    : m_node(node), m_peers(peers), m_requests(requests)
+                                         request_service& requests,
+                                         span_exporter& spans)
+    : m_node(node), m_peers(peers), m_requests(requests), m_spans(spans)
 {
     using protocol::Envelope;
     m_requests.set_observer(*this);
@@ -302,6 +303,7 @@
     request_snapshot snapshot{from_wire(copy.description()),
                               from_wire(copy.progress())};
     const auto id = snapshot.description.id;
+    add_peer_span(envelope, snapshot.description);
     const bool is_offer = copy.role() == protocol::RequestCopy::OWNER;
     if (is_offer && m_node.is_draining())
     {
@@ -335,6 +337,24 @@
     }
 }
 
+/// The hop from the entry host that runs a request to this one.
+void replication_service::add_peer_span(const protocol::Envelope& envelope,
+                                        const request_description& description)
+{
+    const auto parent = trace_context::from_header(description.traceparent);
+    span hop;
+    hop.name = "peer";
+    hop.context = parent.child();
+    hop.parent_span_id = parent.span_id;
+    hop.start = absl::Now();
+    hop.end = hop.start;
+    hop.attributes = {{"from", envelope.from_host()},
+                      {"host", m_node.host().value()},
+                      {"role", protocol::RequestCopy::Role_Name(
+                                   envelope.request_copy().role())}};
+    m_spans.add(std::move(hop));
+}
+
 void replication_service::take_copy_taken(const protocol::Envelope& envelope)
 {
     const auto& taken = envelope.copy_taken();
--- a/services/daleshelfd/replication_service.hpp
+++ b/services/daleshelfd/replication_service.hpp
@@ -33,7 +33,7 @@
 public:
     /// All arguments must outlive this object.
     replication_service(node_state& node, peer_service& peers,
-                        request_service& requests);
+                        request_service& requests, span_exporter& spans);
 
     /// Starts the timers.
     void start();
@@ -103,6 +103,8 @@
     void choose_new_replica(const request_id& id);
     void take_copy(const std::string& address,
                    const protocol::Envelope& envelope);
+    void add_peer_span(const protocol::Envelope& envelope,
+                       const request_description& description);
     void take_copy_taken(const protocol::Envelope& envelope);
     void take_unknown(const protocol::Envelope& envelope);
     void take_batch(const protocol::Envelope& envelope);
@@ -114,6 +116,7 @@
     node_state& m_node;
     peer_service& m_peers;
     request_service& m_requests;
+    span_exporter& m_spans;
     absl::Mutex m_mutex;
     absl::flat_hash_set<request_id> m_dirty ABSL_GUARDED_BY(m_mutex);
     absl::flat_hash_map<request_id, outgoing_state>
--- a/services/daleshelfd/request_service.cpp
+++ b/services/daleshelfd/request_service.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <requests/move_choice.hpp>
 #include <routing/router.hpp>
@@ -21,8 +22,6 @@
 namespace
 {
 
-constexpr int status_unavailable = 503;
-constexpr int status_too_many_requests = 429;
 constexpr std::chrono::milliseconds overload_pause{1000};
 constexpr absl::Duration failure_pause = absl::Seconds(1);
 constexpr std::size_t bytes_per_request = 1024;
@@ -31,12 +30,12 @@
 {
     if (why == routing_choice::outcome::overloaded)
     {
-        return {status_too_many_requests, "overloaded",
+        return {http_status::too_many_requests, "overloaded",
                 "all upstreams are at their limits", verdict::not_run,
                 overload_pause};
     }
-    return {status_unavailable, "no_upstream", "no upstream serves this now",
-            verdict::not_run, overload_pause};
+    return {http_status::unavailable, "no_upstream",
+            "no upstream serves this now", verdict::not_run, overload_pause};
 }
 
 std::string move_name(move_kind kind)
--- a/services/daleshelfd/service_calls.cpp
+++ b/services/daleshelfd/service_calls.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <base/digest.hpp>
+#include <base/http_status.hpp>
 #include <requests/retry_decision.hpp>
 #include <routing/router.hpp>
 #include <telemetry/log.hpp>
@@ -21,9 +22,6 @@
 {
 
 constexpr std::size_t most_kept_answers = 2000;
-constexpr int first_error_status = 400;
-constexpr int status_unavailable = 503;
-constexpr int status_too_many_requests = 429;
 constexpr std::chrono::milliseconds overload_pause{1000};
 constexpr absl::Duration failure_pause = absl::Seconds(1);
 
@@ -114,14 +112,15 @@
         call->was_ambiguous ? verdict::may_have_run : verdict::not_run;
     if (choice.what == routing_choice::outcome::overloaded)
     {
-        answer(call, to_error_response({status_too_many_requests, "overloaded",
-                                        "all upstreams are at their limits",
-                                        run, overload_pause}));
+        answer(call,
+               to_error_response({http_status::too_many_requests, "overloaded",
+                                  "all upstreams are at their limits", run,
+                                  overload_pause}));
         return;
     }
     if (choice.what == routing_choice::outcome::none)
     {
-        answer(call, to_error_response({status_unavailable, "no_upstream",
+        answer(call, to_error_response({http_status::unavailable, "no_upstream",
                                         "no upstream serves this now", run,
                                         overload_pause}));
         return;
@@ -200,7 +199,7 @@
     passed.status = call->response.status;
     passed.body = std::move(call->response.body);
     passed.content_type = call->response.content_type;
-    if (passed.status >= first_error_status)
+    if (passed.status >= http_status::first_client_error)
     {
         passed.headers.push_back({"Daleshelf-Verdict", to_string(run)});
     }
--- a/standins/common/fault_switch.cpp
+++ b/standins/common/fault_switch.cpp
@@ -2,6 +2,7 @@
 
 #include "program.hpp"
 
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <http/http_exchange.hpp>
 #include <utility>
@@ -12,9 +13,6 @@
 namespace
 {
 
-constexpr int status_unavailable = 503;
-constexpr int status_timeout = 504;
-
 void set_flag(const boost::json::object& fields, std::string_view key,
               bool& target)
 {
@@ -68,7 +66,8 @@
     }
     for (const auto& exchange : released)
     {
-        exchange->respond(error_response(status_unavailable, "was hanging"));
+        exchange->respond(
+            error_response(http_status::unavailable, "was hanging"));
     }
 }
 
@@ -87,7 +86,7 @@
     }
     if (now.is_down)
     {
-        exchange->respond(error_response(status_unavailable, "down"));
+        exchange->respond(error_response(http_status::unavailable, "down"));
         return;
     }
     if (now.slow_ms > 0)
@@ -107,7 +106,8 @@
               auto response = call();
               const bool is_lost = take_lost_answer();
               exchange->respond(
-                  is_lost ? error_response(status_timeout, "the answer is lost")
+                  is_lost ? error_response(http_status::gateway_timeout,
+                                           "the answer is lost")
                           : std::move(response));
           });
 }
--- a/tests/resources/configuration_replica_test.cpp
+++ b/tests/resources/configuration_replica_test.cpp
@@ -1,3 +1,5 @@
+#include "sample_change.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -10,19 +12,6 @@
 namespace
 {
 
-change make_change(const std::string& id, const std::string& name,
-                   std::optional<std::int64_t> expected_version)
-{
-    change_operation operation;
-    operation.key = {resource_kind::model, name};
-    operation.body = {{"weights", "w-" + id}};
-    if (expected_version)
-    {
-        operation.expected_version = resource_version(*expected_version);
-    }
-    return {change_id(id), {operation}};
-}
-
 /// The log's two streams, with the faults that the brief lists.
 struct fake_log
 {
--- a/tests/resources/resource_store_test.cpp
+++ b/tests/resources/resource_store_test.cpp
@@ -1,3 +1,5 @@
+#include "sample_change.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -8,19 +10,6 @@
 namespace
 {
 
-change make_change(const std::string& id, const std::string& name,
-                   std::optional<std::int64_t> expected_version)
-{
-    change_operation operation;
-    operation.key = {resource_kind::model, name};
-    operation.body = {{"weights", "w-" + id}};
-    if (expected_version)
-    {
-        operation.expected_version = resource_version(*expected_version);
-    }
-    return {change_id(id), {operation}};
-}
-
 std::string record(const std::string& id, const std::string& name,
                    std::optional<std::int64_t> expected_version)
 {
--- a/tests/sessions/start_test.cpp
+++ b/tests/sessions/start_test.cpp
@@ -50,10 +50,9 @@
     fleet processes;
     processes.start_platform();
     const auto engine = processes.start_engine("engine", {"--model", "m"});
-    processes.start_host(
-        {"entry-a",
-         "a",
-         {"traces.endpoint = \"" + processes.platform_url() + "/v1/traces\""}});
+    processes.start_halls(
+        {"a", "b"},
+        {"traces.endpoint = \"" + processes.platform_url() + "/v1/traces\""});
     processes.apply("entry-a", {test::make_workspace("studio", "key"),
                                 test::make_resource("deployment", "captions",
                                                     {{"model", "m"}}),
@@ -73,9 +72,10 @@
                 processes.send("GET", processes.platform_url() + "/v1/traces")
                     .body;
             return spans.find("/v1/completions") != std::string::npos &&
-                   spans.find(R"("name":"upstream")") != std::string::npos;
+                   spans.find(R"("name":"upstream")") != std::string::npos &&
+                   spans.find(R"("name":"peer")") != std::string::npos;
         },
-        "both spans are at the collector");
+        "the spans of all three hops are at the collector");
     EXPECT_NE(std::string::npos, spans.find(trace));
     EXPECT_NE(std::string::npos,
               spans.find(R"("parentSpanId":"b7ad6b7169203331")"));
--- a/tests/support/test_caller.cpp
+++ b/tests/support/test_caller.cpp
@@ -3,6 +3,7 @@
 #include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
 
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <http/event_stream.hpp>
 #include <standins/engine/token_generator.hpp>
@@ -15,9 +16,6 @@
 {
 
 constexpr std::chrono::milliseconds transfer_timeout{60000};
-constexpr int status_ok = 200;
-constexpr int status_see_other = 303;
-constexpr int status_not_found = 404;
 constexpr int most_connections = 60;
 constexpr absl::Duration pause = absl::Milliseconds(200);
 
@@ -154,12 +152,12 @@
                        caller_outcome& outcome)
 {
     const auto status = result.response.status;
-    if (status == status_see_other && result.is_whole)
+    if (status == http_status::see_other && result.is_whole)
     {
         ++outcome.moves;
         return false;
     }
-    if (status == status_ok && is_stream)
+    if (status == http_status::ok && is_stream)
     {
         return take_stream(result.response.body, outcome);
     }
@@ -167,7 +165,7 @@
     {
         return false;
     }
-    if (status == status_ok)
+    if (status == http_status::ok)
     {
         const auto body = parse_object(result.response.body);
         const auto& choice = body.at("choices").at(0).as_object();
@@ -177,7 +175,7 @@
     }
     // A host that has just started may not have found the request yet.
     const bool is_lost_for_now =
-        status == status_not_found && !outcome.request_id.empty();
+        status == http_status::not_found && !outcome.request_id.empty();
     if (is_lost_for_now)
     {
         return false;
--- a/utilities/daleshelf/verbs.cpp
+++ b/utilities/daleshelf/verbs.cpp
@@ -4,12 +4,14 @@
 #include "table.hpp"
 
 #include <base/digest.hpp>
+#include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <fstream>
 #include <http/event_stream.hpp>
 #include <http/http_message.hpp>
 #include <iostream>
 #include <iterator>
+#include <optional>
 #include <resources/resource.hpp>
 #include <stdexcept>
 #include <string_view>
@@ -20,12 +22,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_accepted = 202;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_gone = 410;
-constexpr int status_unprocessable = 422;
 constexpr std::size_t change_id_bytes = 8;
 
 void print_json(const boost::json::value& value)
@@ -39,8 +35,25 @@
     std::cerr << "daleshelf: "
               << message.value_or("status " + std::to_string(answer.status))
               << "\n";
-    return answer.status == status_not_found ? exit_code::not_found
-                                             : exit_code::failure;
+    return answer.status == http_status::not_found ? exit_code::not_found
+                                                   : exit_code::failure;
+}
+
+/// Prints an error, or the JSON that was asked for.
+/// @return the exit code, if there is nothing left to print
+std::optional<exit_code> print_plain(const verb_call& call,
+                                     const operator_answer& answer)
+{
+    if (answer.status != http_status::ok)
+    {
+        return print_error(answer);
+    }
+    if (call.form == output_form::json)
+    {
+        print_json(answer.body);
+        return exit_code::success;
+    }
+    return std::nullopt;
 }
 
 std::string text_of(const boost::json::object& fields, std::string_view key)
@@ -114,10 +127,10 @@
         "POST", "/apis/v1/changes",
         boost::json::serialize(boost::json::object{
             {"id", id}, {"operations", std::move(operations)}}));
-    const bool is_outcome = answer.status == status_ok ||
-                            answer.status == status_accepted ||
-                            answer.status == status_conflict ||
-                            answer.status == status_unprocessable;
+    const bool is_outcome = answer.status == http_status::ok ||
+                            answer.status == http_status::accepted ||
+                            answer.status == http_status::conflict ||
+                            answer.status == http_status::unprocessable;
     return is_outcome ? report_change(call, answer) : print_error(answer);
 }
 
@@ -158,7 +171,7 @@
     {
         const auto answer =
             call.client.send("GET", resource_path(kind, call.arguments.at(1)));
-        if (answer.status != status_ok)
+        if (answer.status != http_status::ok)
         {
             return print_error(answer);
         }
@@ -167,14 +180,9 @@
     }
     const auto answer =
         call.client.send("GET", "/apis/v1/resources/" + url_encode(kind));
-    if (answer.status != status_ok)
+    if (const auto code = print_plain(call, answer))
     {
-        return print_error(answer);
-    }
-    if (call.form == output_form::json)
-    {
-        print_json(answer.body);
-        return exit_code::success;
+        return *code;
     }
     table shown({"NAME", "VERSION", "OFFSET"});
     for (const auto& entry : *find_array(answer.body, "items"))
@@ -191,14 +199,9 @@
 {
     const auto answer = call.client.send(
         "GET", resource_path(call.arguments.at(0), call.arguments.at(1)));
-    if (answer.status != status_ok)
+    if (const auto code = print_plain(call, answer))
     {
-        return print_error(answer);
-    }
-    if (call.form == output_form::json)
-    {
-        print_json(answer.body);
-        return exit_code::success;
+        return *code;
     }
     table shown({"FIELD", "VALUE"});
     for (const auto* key : {"kind", "name", "version", "offset"})
@@ -253,25 +256,21 @@
                                              << std::endl;
                                }
                            });
-    if (status == status_ok)
+    if (status == http_status::ok)
     {
         return exit_code::success;
     }
     std::cerr << "daleshelf: " << rest << "\n";
-    return status == status_gone ? exit_code::not_found : exit_code::failure;
+    return status == http_status::gone ? exit_code::not_found
+                                       : exit_code::failure;
 }
 
 exit_code status(const verb_call& call)
 {
     const auto answer = call.client.send("GET", "/apis/v1/status");
-    if (answer.status != status_ok)
+    if (const auto code = print_plain(call, answer))
     {
-        return print_error(answer);
-    }
-    if (call.form == output_form::json)
-    {
-        print_json(answer.body);
-        return exit_code::success;
+        return *code;
     }
     table shown({"FIELD", "VALUE"});
     for (const auto& field : answer.body)
@@ -286,7 +285,7 @@
 exit_code drain(const verb_call& call)
 {
     const auto answer = call.client.send("POST", "/apis/v1/drain");
-    if (answer.status != status_accepted)
+    if (answer.status != http_status::accepted)
     {
         return print_error(answer);
     }
@@ -297,14 +296,9 @@
 exit_code hosts(const verb_call& call)
 {
     const auto answer = call.client.send("GET", "/apis/v1/hosts");
-    if (answer.status != status_ok)
-    {
-        return print_error(answer);
-    }
-    if (call.form == output_form::json)
+    if (const auto code = print_plain(call, answer))
     {
-        print_json(answer.body);
-        return exit_code::success;
+        return *code;
     }
     table shown({"HOST", "HALL", "STATE", "DRAINING", "NEXT"});
     for (const auto& entry : *find_array(answer.body, "items"))
@@ -321,7 +315,7 @@
 exit_code wait_for_change(const verb_call& call, const std::string& path)
 {
     const auto answer = call.client.send("GET", path + "/wait");
-    if (answer.status != status_ok)
+    if (answer.status != http_status::ok)
     {
         return print_error(answer);
     }
@@ -350,8 +344,8 @@
         return exit_code::usage;
     }
     const auto answer = call.client.send("GET", path);
-    return answer.status == status_ok ? report_change(call, answer)
-                                      : print_error(answer);
+    return answer.status == http_status::ok ? report_change(call, answer)
+                                            : print_error(answer);
 }
 
 } // namespace
