routing: Use an upstream that has just failed if there is no other

Change: what has failed is used when nothing else is left; a socket that the kernel still knows is changed and not added again (no effect was shown).

--- a/libraries/http/http_client.cpp
+++ b/libraries/http/http_client.cpp
@@ -417,7 +417,10 @@
         const int action = is_known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
         if (::epoll_ctl(self.m_epoll, action, socket, &event) != 0)
         {
-            ::epoll_ctl(self.m_epoll, EPOLL_CTL_ADD, socket, &event);
+            // The kernel forgets a socket that is closed, libcurl may not.
+            const int other =
+                action == EPOLL_CTL_ADD ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+            ::epoll_ctl(self.m_epoll, other, socket, &event);
         }
         curl_multi_assign(self.m_multi, socket, &self);
         return 0;
--- a/libraries/routing/router.cpp
+++ b/libraries/routing/router.cpp
@@ -52,6 +52,14 @@
         strategies.at(static_cast<std::size_t>(request.strategy));
     auto candidates = (this->*choice)(ring, request);
     if (candidates.empty())
+    {
+        // What has just failed is better than nothing: to leave it out would
+        // refuse every request for the failure of one.
+        auto last_resort = request;
+        last_resort.now = absl::InfiniteFuture();
+        candidates = (this->*choice)(ring, last_resort);
+    }
+    if (candidates.empty())
     {
         return {};
     }
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -85,6 +85,21 @@
     EXPECT_EQ(0, loads.load(service).estimate());
 }
 
+TEST(router, uses_an_upstream_that_has_just_failed_if_there_is_no_other)
+{
+    const auto ring = make_ring(2);
+    load_table loads;
+    router routes(loads);
+    auto request = with_prefix("guidelines");
+    const auto later = request.now + absl::Seconds(1);
+    loads.set_failed(ring.upstreams()[0]->id, later);
+    EXPECT_EQ(ring.upstreams()[1]->id,
+              routes.choose(ring, request).upstream->id);
+    loads.set_failed(ring.upstreams()[1]->id, later);
+    EXPECT_EQ(routing_choice::outcome::chosen,
+              routes.choose(ring, request).what);
+}
+
 TEST(router, leaves_out_what_was_tried)
 {
     const auto ring = make_ring(1);
