--- a/tests/sessions/start_test.cpp
+++ b/tests/sessions/start_test.cpp
@@ -45,6 +45,18 @@
     EXPECT_FALSE(status.at("log_reachable").as_bool());
 }
 
+TEST(tool, prints_json_for_a_drain_too)
+{
+    fleet processes;
+    processes.start_platform();
+    auto& host = processes.start_host({"entry-a", "a"});
+    const auto result = test::run_program(
+        "daleshelf", {"drain", "-o", "json", "--url", host.operators_url,
+                      "--token", std::string(fleet::operator_token)});
+    EXPECT_EQ("{\"draining\":true}\n", result.output);
+    EXPECT_EQ(0, host.process->wait());
+}
+
 TEST(traces, have_a_span_for_each_hop_of_a_call)
 {
     fleet processes;
--- a/utilities/daleshelf/verbs.cpp
+++ b/utilities/daleshelf/verbs.cpp
@@ -289,6 +289,11 @@
     {
         return print_error(answer);
     }
+    if (call.form == output_form::json)
+    {
+        print_json(answer.body);
+        return exit_code::success;
+    }
     std::cout << "draining\n";
     return exit_code::success;
 }
