--- /dev/null
+++ b/libraries/duties/duty_ledger.cpp
@@ -0,0 +1,208 @@
+#include "duty_ledger.hpp"
+
+#include <boost/json.hpp>
+
+#include <base/json.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr std::string_view grant_kind = "grant";
+constexpr std::string_view renewal_kind = "renewal";
+constexpr std::string_view usage_kind = "usage";
+
+constexpr std::size_t most_settled = 40;
+constexpr absl::Duration read_pause = absl::Milliseconds(400);
+constexpr absl::Duration quiet_read_pause = absl::Seconds(4);
+
+tenant_counts read_counts(const boost::json::object& record)
+{
+    tenant_counts counts;
+    const auto* by_tenant = find_object(record, "counts");
+    if (by_tenant == nullptr)
+    {
+        return counts;
+    }
+    for (const auto& item : *by_tenant)
+    {
+        counts[workspace_id(std::string(item.key()))] =
+            require_integer(*by_tenant, item.key());
+    }
+    return counts;
+}
+
+} // namespace
+
+duty_ledger::duty_ledger(host_id self, incarnation started,
+                         const duty_options& options)
+    : m_self(std::move(self)), m_started(started), m_options(options)
+{
+}
+
+ledger_action duty_ledger::next_action(bool is_holder_heard, absl::Time now)
+{
+    // 1. Read what is known to be unread.
+    const bool is_due = now - m_read_at >= read_pause;
+    if (!m_is_current)
+    {
+        return is_due ? ledger_action(ledger_read{m_next}) : ledger_action();
+    }
+    if (m_is_stopping)
+    {
+        return {};
+    }
+    // 2. Renew the own lease; a lapsed one too, if nobody else has taken it.
+    if (is_own())
+    {
+        if (now - m_renewed_at < m_options.renewal)
+        {
+            return {};
+        }
+        return ledger_append{m_next, lease_record(renewal_kind), std::nullopt};
+    }
+    // 3. While the holder is heard of, there is no hurry to read.
+    if (is_holder_heard)
+    {
+        const bool is_time = now - m_read_at >= quiet_read_pause;
+        return is_time ? ledger_action(ledger_read{m_next}) : ledger_action();
+    }
+    // 4. Take over once the lease has lapsed, by what this machine has seen.
+    const bool was_never_held = m_holder.empty() && m_next == log_offset(0);
+    if (was_never_held || now - m_seen_at >= m_options.lease + m_options.margin)
+    {
+        return ledger_append{m_next, lease_record(grant_kind), std::nullopt};
+    }
+    return is_due ? ledger_action(ledger_read{m_next}) : ledger_action();
+}
+
+std::optional<ledger_append> duty_ledger::settle(std::int64_t window,
+                                                 const tenant_counts& counts,
+                                                 absl::Time now) const
+{
+    if (!m_is_current || !token(now) || m_settled.contains(window))
+    {
+        return std::nullopt;
+    }
+    boost::json::object by_tenant;
+    for (const auto& [tenant, count] : counts)
+    {
+        by_tenant[tenant.value()] = count;
+    }
+    boost::json::object record;
+    record["kind"] = std::string(usage_kind);
+    record["holder"] = m_self.value();
+    record["started"] = m_started.value();
+    record["window"] = window;
+    record["counts"] = std::move(by_tenant);
+    return ledger_append{m_next, boost::json::serialize(record), window};
+}
+
+void duty_ledger::on_records(log_offset from, log_offset first, log_offset end,
+                             const std::vector<std::string>& records,
+                             absl::Time now)
+{
+    m_read_at = now;
+    auto offset = std::max(from, first);
+    for (const auto& record : records)
+    {
+        if (offset >= m_next)
+        {
+            apply(offset, record, now);
+            m_next = offset.next();
+        }
+        offset = offset.next();
+    }
+    if (records.empty() && m_next < first)
+    {
+        m_next = first;
+    }
+    if (!m_was_read)
+    {
+        // Whoever holds the lease may have renewed it just now.
+        m_seen_at = now;
+        m_was_read = true;
+    }
+    m_is_current = m_next >= end;
+    if (!m_is_current)
+    {
+        m_read_at = absl::InfinitePast();
+    }
+}
+
+void duty_ledger::on_appended(const ledger_append& append, absl::Time sent_at)
+{
+    apply(append.at, append.record, sent_at);
+    m_next = append.at.next();
+    m_renewed_at = sent_at;
+    if (is_own())
+    {
+        m_valid_until = sent_at + m_options.lease;
+    }
+}
+
+void duty_ledger::on_uncertain()
+{
+    m_is_current = false;
+}
+
+std::optional<std::int64_t> duty_ledger::token(absl::Time now,
+                                               absl::Duration needed) const
+{
+    if (!is_own() || now + needed >= m_valid_until)
+    {
+        return std::nullopt;
+    }
+    return m_token;
+}
+
+void duty_ledger::apply(log_offset offset, const std::string& record,
+                        absl::Time now)
+{
+    try
+    {
+        const auto object = parse_object(record);
+        const auto kind = require_string(object, "kind");
+        const auto holder = host_id(require_string(object, "holder"));
+        const auto started = incarnation(require_integer(object, "started"));
+        m_seen_at = now;
+        if (kind == grant_kind)
+        {
+            m_holder = holder;
+            m_holder_started = started;
+            m_token = offset.value();
+            return;
+        }
+        if (kind == usage_kind)
+        {
+            m_settled.emplace(require_integer(object, "window"),
+                              read_counts(object));
+            while (m_settled.size() > most_settled)
+            {
+                m_settled.erase(m_settled.begin());
+            }
+        }
+    }
+    catch (const json_error&)
+    {
+        // A record that cannot be read says nothing to any machine.
+    }
+}
+
+bool duty_ledger::is_own() const
+{
+    return m_holder == m_self && m_holder_started == m_started;
+}
+
+std::string duty_ledger::lease_record(std::string_view kind) const
+{
+    boost::json::object record;
+    record["kind"] = std::string(kind);
+    record["holder"] = m_self.value();
+    record["started"] = m_started.value();
+    return boost::json::serialize(record);
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/duties/forward.hpp
@@ -0,0 +1,12 @@
+/// @file
+/// Forward declarations of the duties package.
+#pragma once
+
+namespace daleshelf
+{
+
+class duty_ledger;
+class scale_planner;
+class usage_counter;
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/ingress/forward.hpp
@@ -0,0 +1,24 @@
+/// @file
+/// Forward declarations of the ingress package.
+#pragma once
+
+namespace daleshelf
+{
+
+class event_splitter;
+class partition_guard;
+class prompt_memory;
+class retry_allowance;
+class route_table;
+class server_choice;
+class server_directory;
+class token_quota;
+struct ingress_configuration;
+struct ingress_route;
+struct ingress_service;
+struct ingress_tenant;
+struct request_facts;
+struct server_entry;
+struct tenant_limit;
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/ingress/server_choice.hpp
@@ -0,0 +1,119 @@
+/// @file
+/// Which server gets a request.
+#pragma once
+
+#include "ingress_configuration.hpp"
+#include "prompt_memory.hpp"
+#include "request_facts.hpp"
+#include "server_directory.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/random/random.h>
+#include <absl/time/time.h>
+
+#include <optional>
+
+namespace daleshelf
+{
+
+/// Work at one server that one machine has sent there.
+struct server_load
+{
+    std::int64_t active = 0;        ///< requests in flight
+    std::int64_t unread_tokens = 0; ///< of prompts before their first event
+};
+
+/// What an attempt has told of a server.
+enum class attempt_outcome
+{
+    answered,    ///< a good answer, or its beginning
+    failed,      ///< the server's own failure
+    refused,     ///< the server is full
+    unreachable, ///< no connection, or it broke
+    silent,      ///< nothing came for too long
+};
+
+/// One request that needs a server.
+struct choice_request
+{
+    service_name service;
+    bool is_engine = false;
+    const request_facts* facts = nullptr;
+    absl::flat_hash_set<upstream_id> excluded; ///< tried before
+};
+
+/// Picks the server with the least work ahead of the request. The work is what
+/// this machine has in flight there, what its peers have told, and the prompt
+/// tokens that the server would have to read; of prompts that nobody has sent
+/// lately, a rendezvous hash tells every machine the same server. Servers that
+/// have failed lately are passed over for a while.
+class server_choice
+{
+public:
+    server_choice(const server_directory& directory, hall_id own_hall,
+                  std::uint64_t seed);
+
+    /// @return the server, or null if none may get the request
+    [[nodiscard]] const server_entry* choose(const choice_request& request,
+                                             absl::Time now);
+
+    /// Notes that a request is sent to the server.
+    /// @return prompt tokens that the server probably has to read
+    std::int64_t start(const upstream_id& server, const request_facts& facts,
+                       std::int64_t cache_tokens);
+
+    /// Notes that a prompt of `unread` tokens has been read.
+    void prompt_read(const upstream_id& server, std::int64_t unread);
+
+    /// Notes that a request no longer runs at the server.
+    void end(const upstream_id& server);
+
+    /// Notes how an attempt went.
+    void report(const upstream_id& server, attempt_outcome outcome,
+                absl::Time now);
+
+    /// Replaces what a peer has in flight.
+    void set_peer_load(const host_id& peer,
+                       absl::flat_hash_map<upstream_id, server_load> loads);
+
+    /// Forgets a peer that is gone.
+    void drop_peer(const host_id& peer);
+
+    /// Forgets servers that are no longer listed.
+    void drop_unlisted();
+
+    /// @return what this machine has in flight, by server
+    [[nodiscard]] const absl::flat_hash_map<upstream_id, server_load>&
+    own_loads() const
+    {
+        return m_own;
+    }
+
+    /// @return what all machines have in flight at a server, as far as known
+    [[nodiscard]] server_load total_load(const upstream_id& server) const;
+
+private:
+    struct health
+    {
+        int failures = 0; ///< one after the other
+        absl::Time suspect_until = absl::InfinitePast();
+    };
+
+    double cost_of(const server_entry& server, const choice_request& request,
+                   const upstream_id& home, absl::Time now);
+    std::optional<upstream_id>
+    find_home(const std::vector<const server_entry*>& servers,
+              const request_facts& facts) const;
+
+    const server_directory& m_directory;
+    hall_id m_own_hall;
+    absl::BitGen m_random;
+    absl::flat_hash_map<upstream_id, server_load> m_own;
+    absl::flat_hash_map<host_id, absl::flat_hash_map<upstream_id, server_load>>
+        m_peers;
+    absl::flat_hash_map<upstream_id, health> m_health;
+    absl::flat_hash_map<upstream_id, prompt_memory> m_prompts;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/ingress/server_directory.cpp
@@ -0,0 +1,113 @@
+#include "server_directory.hpp"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace daleshelf
+{
+
+bool server_directory::set(const server_entry& entry)
+{
+    auto [place, is_new] = m_servers.try_emplace(entry.id, entry);
+    const bool was_draining = !is_new && place->second.is_draining;
+    place->second = entry;
+    // A server that has said that it leaves does not come back: an older
+    // record of it may still arrive.
+    place->second.is_draining = entry.is_draining || was_draining;
+    ++m_revision;
+    return is_new || was_draining != place->second.is_draining;
+}
+
+bool server_directory::remove(const upstream_id& id)
+{
+    if (m_servers.erase(id) == 0)
+    {
+        return false;
+    }
+    m_leaving.erase(id);
+    ++m_revision;
+    return true;
+}
+
+void server_directory::replace_all(const std::vector<server_entry>& entries)
+{
+    absl::flat_hash_set<upstream_id> listed;
+    for (const auto& entry : entries)
+    {
+        listed.insert(entry.id);
+        set(entry);
+    }
+    std::vector<upstream_id> gone;
+    for (const auto& [id, entry] : m_servers)
+    {
+        if (!listed.contains(id))
+        {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone)
+    {
+        remove(id);
+    }
+}
+
+bool server_directory::mark_leaving(const upstream_id& id)
+{
+    if (m_servers.find(id) == m_servers.end())
+    {
+        return false;
+    }
+    return m_leaving.try_emplace(id, true).second;
+}
+
+std::vector<upstream_id> server_directory::leaving() const
+{
+    std::vector<upstream_id> ids;
+    for (const auto& [id, is_leaving] : m_leaving)
+    {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+const server_entry* server_directory::find(const upstream_id& id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+bool server_directory::is_usable(const upstream_id& id) const
+{
+    const auto* entry = find(id);
+    return entry != nullptr && !entry->is_draining && !m_leaving.contains(id);
+}
+
+std::vector<const server_entry*>
+server_directory::usable(const service_name& service) const
+{
+    std::vector<const server_entry*> result;
+    for (const auto& [id, entry] : m_servers)
+    {
+        if (entry.service == service && is_usable(id))
+        {
+            result.push_back(&entry);
+        }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const auto* left, const auto* right)
+              { return left->id < right->id; });
+    return result;
+}
+
+std::vector<const server_entry*> server_directory::all() const
+{
+    std::vector<const server_entry*> result;
+    for (const auto& [id, entry] : m_servers)
+    {
+        result.push_back(&entry);
+    }
+    return result;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/ingress/server_directory.hpp
@@ -0,0 +1,79 @@
+/// @file
+/// The servers that the platform lists, and whether they may get new work.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <base/identifiers.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// One start of one server, as it is listed.
+struct server_entry
+{
+    upstream_id id;
+    service_name service;
+    std::string address; ///< IP:PORT
+    hall_id hall;
+    int slots = 1;
+    bool is_draining = false;
+    bool is_spot = false;
+    std::chrono::milliseconds cold_remaining{0};
+};
+
+/// The newest list of servers. A server that is listed as draining, or no
+/// longer listed, gets no new work; an id never comes back once it is gone.
+class server_directory
+{
+public:
+    /// Takes one record of the list.
+    /// @param entry the server, as it is now
+    /// @return whether anything has changed
+    bool set(const server_entry& entry);
+
+    /// @param id a server that is no longer listed
+    /// @return whether it was listed
+    bool remove(const upstream_id& id);
+
+    /// Takes a whole list; servers that it lacks are removed.
+    void replace_all(const std::vector<server_entry>& entries);
+
+    /// Notes that the server itself, or a peer, has said that it leaves.
+    /// @return whether that is news
+    bool mark_leaving(const upstream_id& id);
+
+    /// @return servers that have said by themselves that they leave
+    [[nodiscard]] std::vector<upstream_id> leaving() const;
+
+    /// @return the server, or null
+    [[nodiscard]] const server_entry* find(const upstream_id& id) const;
+
+    /// @return whether new work may go to the server
+    [[nodiscard]] bool is_usable(const upstream_id& id) const;
+
+    /// @return all servers of a service that may get new work
+    [[nodiscard]] std::vector<const server_entry*>
+    usable(const service_name& service) const;
+
+    /// @return every listed server
+    [[nodiscard]] std::vector<const server_entry*> all() const;
+
+    /// Counts changes, for peers that compare.
+    [[nodiscard]] std::int64_t revision() const
+    {
+        return m_revision;
+    }
+
+private:
+    absl::flat_hash_map<upstream_id, server_entry> m_servers;
+    absl::flat_hash_map<upstream_id, bool> m_leaving;
+    std::int64_t m_revision = 0;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/peers/machine_state.cpp
@@ -0,0 +1,123 @@
+#include "machine_state.hpp"
+
+#include "generated/machine.pb.h"
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr std::uint32_t format_version = 1;
+
+void add_lists(wire::MachineState& message, const machine_state& state)
+{
+    for (const auto& load : state.loads)
+    {
+        auto& item = *message.add_loads();
+        item.set_server(load.server.value());
+        item.set_active(load.active);
+        item.set_unread_tokens(load.unread_tokens);
+    }
+    for (const auto& [tenant, used] : state.uses)
+    {
+        auto& item = *message.add_uses();
+        item.set_tenant(tenant.value());
+        item.set_used(used);
+    }
+    for (const auto& [window, counts] : state.counts)
+    {
+        for (const auto& [tenant, count] : counts)
+        {
+            auto& item = *message.add_counts();
+            item.set_window(window);
+            item.set_tenant(tenant.value());
+            item.set_count(count);
+        }
+    }
+    for (const auto& server : state.leaving_servers)
+    {
+        message.add_leaving_servers(server.value());
+    }
+    for (const auto& machine : state.machines)
+    {
+        auto& item = *message.add_machines();
+        item.set_name(machine.name.value());
+        item.set_address(machine.address);
+    }
+}
+
+void read_lists(const wire::MachineState& message, machine_state& state)
+{
+    for (const auto& item : message.loads())
+    {
+        state.loads.push_back(
+            {upstream_id(item.server()), item.active(), item.unread_tokens()});
+    }
+    for (const auto& item : message.uses())
+    {
+        state.uses[workspace_id(item.tenant())] = item.used();
+    }
+    for (const auto& item : message.counts())
+    {
+        state.counts[item.window()][workspace_id(item.tenant())] = item.count();
+    }
+    for (const auto& server : message.leaving_servers())
+    {
+        state.leaving_servers.emplace_back(server);
+    }
+    for (const auto& item : message.machines())
+    {
+        state.machines.push_back({host_id(item.name()), item.address()});
+    }
+}
+
+} // namespace
+
+std::string encode(const machine_state& state)
+{
+    wire::MachineState message;
+    message.set_format(format_version);
+    message.set_name(state.self.name.value());
+    message.set_address(state.self.address);
+    message.set_incarnation(state.started.value());
+    message.set_sequence(state.sequence);
+    message.set_hall(state.hall.value());
+    message.set_wall_time_ms(state.wall_time_ms);
+    message.set_configuration_version(state.configuration_version);
+    message.set_servers_offset(state.servers_offset.value());
+    message.set_is_stopping(state.is_stopping);
+    message.set_reaches_store(state.reaches_store);
+    message.set_work_ms(state.work_ms);
+    message.set_duty_holder(state.duty_holder.value());
+    message.set_duty_token(state.duty_token);
+    add_lists(message, state);
+    return message.SerializeAsString();
+}
+
+std::optional<machine_state> decode_machine_state(std::string_view bytes)
+{
+    wire::MachineState message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        message.format() != format_version || message.name().empty())
+    {
+        return std::nullopt;
+    }
+    machine_state state;
+    state.self = {host_id(message.name()), message.address()};
+    state.started = incarnation(message.incarnation());
+    state.sequence = message.sequence();
+    state.hall = hall_id(message.hall());
+    state.wall_time_ms = message.wall_time_ms();
+    state.configuration_version = message.configuration_version();
+    state.servers_offset = log_offset(message.servers_offset());
+    state.is_stopping = message.is_stopping();
+    state.reaches_store = message.reaches_store();
+    state.work_ms = message.work_ms();
+    state.duty_holder = host_id(message.duty_holder());
+    state.duty_token = message.duty_token();
+    read_lists(message, state);
+    return state;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/peers/machine_state.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// What one gateway tells the others of itself.
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// Work in flight at one server.
+struct reported_load
+{
+    upstream_id server;
+    std::int64_t active = 0;
+    std::int64_t unread_tokens = 0;
+};
+
+/// Requests begun within one usage window, by tenant.
+using window_counts = std::map<workspace_id, std::int64_t>;
+
+/// Where a machine's peers reach it.
+struct machine_address
+{
+    host_id name;
+    std::string address; ///< IP:PORT
+};
+
+/// The state of one machine, as it tells it.
+struct machine_state
+{
+    machine_address self;
+    incarnation started;
+    std::int64_t sequence = 0;
+    hall_id hall;
+    std::int64_t wall_time_ms = 0;
+    std::int64_t configuration_version = 0;
+    log_offset servers_offset;
+    bool is_stopping = false;
+    bool reaches_store = false;
+    double work_ms = 0; ///< of servers, asked for since the machine's start
+    std::vector<reported_load> loads;
+    std::map<workspace_id, double> uses;          ///< since the machine's start
+    std::map<std::int64_t, window_counts> counts; ///< by window
+    std::vector<upstream_id> leaving_servers;
+    std::vector<machine_address> machines; ///< some that it knows
+    host_id duty_holder;
+    std::int64_t duty_token = -1;
+};
+
+/// @return the bytes of a datagram
+[[nodiscard]] std::string encode(const machine_state& state);
+
+/// @return the state, or nothing if the bytes are no such datagram
+[[nodiscard]] std::optional<machine_state>
+decode_machine_state(std::string_view bytes);
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/peers/peer_table.hpp
@@ -0,0 +1,85 @@
+/// @file
+/// The other gateways, as far as this one hears them; free of I/O.
+#pragma once
+
+#include "machine_state.hpp"
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// One other machine.
+struct peer_record
+{
+    machine_state state;
+    absl::Time heard_at = absl::InfinitePast();
+    absl::Time listed_at = absl::InfinitePast(); ///< named by someone
+    std::string address;
+    /// Counts of earlier starts: those requests have begun all the same.
+    std::map<std::int64_t, window_counts> earlier_counts;
+};
+
+/// Times after which a silent peer counts as out of reach, and as gone.
+struct peer_options
+{
+    absl::Duration reach_time = absl::Seconds(1.5);
+    absl::Duration forget_time = absl::Seconds(15);
+};
+
+/// What has changed through one datagram.
+struct peer_change
+{
+    bool is_news = false; ///< newer than what was known of the machine
+    /// Use by tenant that was not known of before.
+    std::map<workspace_id, double> new_use;
+};
+
+/// Keeps the newest state of each peer. See docs/design/platform.md.
+class peer_table
+{
+public:
+    peer_table(machine_address self, const peer_options& options);
+
+    /// Notes that a machine may be at an address.
+    void add_address(const machine_address& machine, absl::Time now);
+
+    /// Takes a peer's state.
+    [[nodiscard]] peer_change receive(machine_state state, absl::Time now);
+
+    /// Forgets peers that have been silent for long.
+    /// @return those that are forgotten
+    std::vector<host_id> forget_silent(absl::Time now);
+
+    /// @return share of the known machines that are in reach, with this one
+    [[nodiscard]] double reach(absl::Time now) const;
+
+    /// @return requests begun at peers within a window, by tenant
+    [[nodiscard]] window_counts counts_of(std::int64_t window) const;
+
+    /// @return known machines, with this one
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_peers.size() + 1;
+    }
+
+    [[nodiscard]] bool is_in_reach(const host_id& peer, absl::Time now) const;
+
+    [[nodiscard]] const std::map<host_id, peer_record>& peers() const
+    {
+        return m_peers;
+    }
+
+private:
+    void drop_seed(const std::string& address);
+
+    machine_address m_self;
+    peer_options m_options;
+    std::map<host_id, peer_record> m_peers;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/peers/topic_records.cpp
@@ -0,0 +1,41 @@
+#include "topic_records.hpp"
+
+#include "generated/machine.pb.h"
+
+namespace daleshelf
+{
+
+std::string encode(const shared_records& records)
+{
+    wire::TopicRecords message;
+    message.set_topic(records.topic);
+    message.set_next(records.next.value());
+    for (const auto& record : records.records)
+    {
+        auto& item = *message.add_records();
+        item.set_offset(record.offset.value());
+        item.set_key(record.key);
+        item.set_value(record.value);
+    }
+    return message.SerializeAsString();
+}
+
+std::optional<shared_records> decode_shared_records(std::string_view bytes)
+{
+    wire::TopicRecords message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    {
+        return std::nullopt;
+    }
+    shared_records records;
+    records.topic = message.topic();
+    records.next = log_offset(message.next());
+    for (const auto& item : message.records())
+    {
+        records.records.push_back(
+            {log_offset(item.offset()), item.key(), item.value()});
+    }
+    return records;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/peers/topic_records.hpp
@@ -0,0 +1,36 @@
+/// @file
+/// Records of a topic that one gateway hands to another.
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// The newest record of one key.
+struct shared_record
+{
+    log_offset offset;
+    std::string key;
+    std::string value;
+};
+
+/// All that a machine knows of a topic.
+struct shared_records
+{
+    std::string topic;
+    log_offset next; ///< all records before this offset are known
+    std::vector<shared_record> records;
+};
+
+[[nodiscard]] std::string encode(const shared_records& records);
+
+/// @return the records, or nothing if the bytes are none
+[[nodiscard]] std::optional<shared_records>
+decode_shared_records(std::string_view bytes);
+
+} // namespace daleshelf
--- a/libraries/settings/setting.hpp
+++ b/libraries/settings/setting.hpp
@@ -33,7 +33,8 @@
 {
     using member =
         std::variant<std::string Settings::*, std::int64_t Settings::*,
-                     bool Settings::*, std::chrono::milliseconds Settings::*,
+                     double Settings::*, bool Settings::*,
+                     std::chrono::milliseconds Settings::*,
                      std::vector<std::string> Settings::*>;
 
     std::string key; ///< dotted, such as `callers.port`
--- a/libraries/settings/settings_document.cpp
+++ b/libraries/settings/settings_document.cpp
@@ -155,6 +155,25 @@
     target = *value;
 }
 
+void settings_document::read(const std::string& key,
+                             const setting_limits& limits, double& target)
+{
+    m_known.insert(key);
+    const auto node = m_contents->table.at_path(key);
+    if (!node)
+    {
+        return;
+    }
+    const auto value = node.value<double>();
+    if (!value || *value < static_cast<double>(limits.least) ||
+        *value > static_cast<double>(limits.most))
+    {
+        add_fault(key, text_of(key), range_text(limits, ""));
+        return;
+    }
+    target = *value;
+}
+
 void settings_document::read(const std::string& key, const setting_limits&,
                              bool& target)
 {
--- a/libraries/settings/settings_document.hpp
+++ b/libraries/settings/settings_document.hpp
@@ -31,6 +31,9 @@
               std::string& target);
     void read(const std::string& key, const setting_limits& limits,
               std::int64_t& target);
+    /// A number, whole or not.
+    void read(const std::string& key, const setting_limits& limits,
+              double& target);
     void read(const std::string& key, const setting_limits& limits,
               bool& target);
     /// Milliseconds, as a whole number.
--- a/libraries/telemetry/log.cpp
+++ b/libraries/telemetry/log.cpp
@@ -1,10 +1,13 @@
 #include "log.hpp"
 
+#include "bounded_writer.hpp"
+
 #include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <boost/core/null_deleter.hpp>
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -13,6 +16,7 @@
 
 #include <atomic>
 #include <iostream>
+#include <unistd.h>
 
 namespace daleshelf
 {
@@ -33,6 +37,34 @@
     return instance;
 }
 
+/// Writes to standard output without ever waiting for its reader.
+class bounded_backend : public boost::log::sinks::basic_formatted_sink_backend<
+                            char, boost::log::sinks::synchronized_feeding>
+{
+public:
+    bounded_backend() : m_writer(STDOUT_FILENO) {}
+
+    void consume(const boost::log::record_view& /*record*/,
+                 const std::string& line)
+    {
+        m_writer.add(line);
+    }
+
+    void flush_held()
+    {
+        m_writer.flush();
+    }
+
+private:
+    bounded_writer m_writer;
+};
+
+boost::shared_ptr<bounded_backend>& bounded_output()
+{
+    static boost::shared_ptr<bounded_backend> instance;
+    return instance;
+}
+
 std::string to_json_line(const log_event& event,
                          const std::vector<log_field>& fields)
 {
@@ -68,11 +100,20 @@
 } // namespace
 
 void start_logging(const std::string& program, log_format format,
-                   log_severity least)
+                   log_severity least, log_output output)
 {
     options().program = program;
     options().format = format;
     options().least = least;
+    if (output == log_output::bounded_standard_output)
+    {
+        bounded_output() = boost::make_shared<bounded_backend>();
+        using bounded_sink =
+            boost::log::sinks::synchronous_sink<bounded_backend>;
+        boost::log::core::get()->add_sink(
+            boost::make_shared<bounded_sink>(bounded_output()));
+        return;
+    }
     using backend = boost::log::sinks::text_ostream_backend;
     auto stream = boost::make_shared<backend>();
     stream->add_stream(
@@ -82,6 +123,14 @@
     boost::log::core::get()->add_sink(boost::make_shared<frontend>(stream));
 }
 
+void flush_log()
+{
+    if (bounded_output())
+    {
+        bounded_output()->flush_held();
+    }
+}
+
 void log(const log_event& event, const std::vector<log_field>& fields)
 {
     if (event.severity < options().least.load())
--- a/libraries/telemetry/log.hpp
+++ b/libraries/telemetry/log.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Structured log lines on standard error, by Boost.Log.
+/// Structured log lines, by Boost.Log.
 #pragma once
 
 #include "log_event.hpp"
@@ -19,6 +19,15 @@
     json,
 };
 
+/// Where log lines go.
+enum class log_output
+{
+    standard_error,
+    /// Standard output, of which nothing is waited for: lines that its reader
+    /// does not take are kept up to a bound, then dropped and counted.
+    bounded_standard_output,
+};
+
 /// One named value of a log line.
 struct log_field
 {
@@ -40,8 +49,13 @@
 /// @param program the program's name
 /// @param format how lines look
 /// @param least events below this severity are left out
+/// @param output where lines go
 void start_logging(const std::string& program, log_format format,
-                   log_severity least);
+                   log_severity least,
+                   log_output output = log_output::standard_error);
+
+/// Hands on lines that are still held, as far as they are taken at once.
+void flush_log();
 
 /// Writes one line.
 /// @param event what has happened
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -8,21 +8,58 @@
 std::span<const log_event> event_catalogue()
 {
     static constexpr std::array catalogue{
-        events::process_started,       events::process_stopping,
-        events::process_stopped,       events::drain_timed_out,
-        events::configuration_applied, events::log_unreachable,
-        events::log_reachable,         events::record_skipped,
-        events::log_went_back,         events::log_trimmed,
-        events::peer_version_unknown,  events::request_refused,
-        events::request_failed,        events::request_moved,
-        events::request_taken_over,    events::request_handed_off,
-        events::upstream_failed,       events::upstream_leaving,
-        events::order_given,           events::order_refused,
-        events::upstreams_short,       events::host_ordered,
+        events::process_started,
+        events::process_stopping,
+        events::process_stopped,
+        events::drain_timed_out,
+        events::configuration_applied,
+        events::log_unreachable,
+        events::log_reachable,
+        events::record_skipped,
+        events::log_went_back,
+        events::log_trimmed,
+        events::servers_changed,
+        events::records_from_peer,
+        events::settings_reloaded,
+        events::peer_version_unknown,
+        events::peer_joined,
+        events::peer_lost,
+        events::request_refused,
+        events::request_failed,
+        events::request_moved,
+        events::request_taken_over,
+        events::request_handed_off,
+        events::request_ended,
+        events::request_unreadable,
+        events::upstream_failed,
+        events::upstream_leaving,
+        events::order_given,
+        events::order_refused,
+        events::upstreams_short,
+        events::host_ordered,
+        events::lease_held,
+        events::lease_lost,
+        events::usage_settled,
+        events::usage_reported,
+        events::duty_call_failed,
+        events::servers_ordered,
     };
     return catalogue;
 }
 
+log_severity severity_from_name(std::string_view name)
+{
+    for (const auto severity : {log_severity::debug, log_severity::info,
+                                log_severity::warning, log_severity::error})
+    {
+        if (severity_name(severity) == name)
+        {
+            return severity;
+        }
+    }
+    return log_severity::info;
+}
+
 std::string_view severity_name(log_severity severity)
 {
     static constexpr std::array<std::string_view, 4> names{"debug", "info",
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -33,6 +33,10 @@
 /// @return its name in settings and log lines
 [[nodiscard]] std::string_view severity_name(log_severity severity);
 
+/// @param name a name given by `severity_name`
+/// @return the severity; `info` for a name that is not known
+[[nodiscard]] log_severity severity_from_name(std::string_view name);
+
 /// The events by name. Numbers go by package: 1xx process, 2xx configuration
 /// and platform, 3xx membership, 4xx requests, 5xx upstreams, 6xx placement.
 namespace events
@@ -68,9 +72,25 @@
 inline constexpr log_event log_trimmed{
     206, log_severity::warning, "log_trimmed",
     "Records were trimmed before this host read them."};
+inline constexpr log_event servers_changed{
+    207, log_severity::info, "servers_changed",
+    "The list of servers has changed; the fields give its offset."};
+inline constexpr log_event records_from_peer{
+    208, log_severity::info, "records_from_peer",
+    "The store does not answer; a peer has given its newer records."};
+inline constexpr log_event settings_reloaded{
+    209, log_severity::info, "settings_reloaded",
+    "The settings file has been read again; the outcome says whether it is "
+    "in force."};
 inline constexpr log_event peer_version_unknown{
     301, log_severity::error, "peer_version_unknown",
     "A peer speaks another version of the protocol; it is not heard."};
+inline constexpr log_event peer_joined{302, log_severity::info, "peer_joined",
+                                       "A peer is heard for the first time, "
+                                       "or again after a start."};
+inline constexpr log_event peer_lost{303, log_severity::warning, "peer_lost",
+                                     "A peer has been silent for long and is "
+                                     "forgotten."};
 inline constexpr log_event request_refused{
     401, log_severity::info, "request_refused",
     "A request was refused before it ran."};
@@ -86,6 +106,12 @@
 inline constexpr log_event request_handed_off{
     405, log_severity::info, "request_handed_off",
     "Another entry host runs a request, since this one is to go."};
+inline constexpr log_event request_ended{
+    406, log_severity::info, "request_ended",
+    "A request has ended; the fields give its outcome and attempts."};
+inline constexpr log_event request_unreadable{
+    407, log_severity::warning, "request_unreadable",
+    "Bytes that are no request, or one beyond the limits, were rejected."};
 inline constexpr log_event upstream_failed{501, log_severity::warning,
                                            "upstream_failed",
                                            "An attempt at an upstream failed."};
@@ -107,6 +133,24 @@
     604, log_severity::info, "host_ordered",
     "The planner of the hall has ordered a host."};
 
+inline constexpr log_event lease_held{
+    701, log_severity::info, "lease_held",
+    "This host holds the duties; the field gives its fencing token."};
+inline constexpr log_event lease_lost{702, log_severity::warning, "lease_lost",
+                                      "This host no longer holds the duties."};
+inline constexpr log_event usage_settled{
+    703, log_severity::info, "usage_settled",
+    "The counts of a usage window are settled in the log."};
+inline constexpr log_event usage_reported{
+    704, log_severity::info, "usage_reported",
+    "The platform has taken the counts of a usage window."};
+inline constexpr log_event duty_call_failed{
+    705, log_severity::warning, "duty_call_failed",
+    "The platform has not taken a call; it is made again."};
+inline constexpr log_event servers_ordered{
+    706, log_severity::info, "servers_ordered",
+    "A number of servers has been ordered for a hall."};
+
 } // namespace events
 
 } // namespace daleshelf
--- /dev/null
+++ b/libraries/wire/message_parser.cpp
@@ -0,0 +1,175 @@
+#include "message_parser.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+using http_error = boost::beast::http::error;
+
+parse_fault fault_of(const boost::beast::error_code& error)
+{
+    if (error == http_error::header_limit ||
+        error == http_error::buffer_overflow)
+    {
+        return parse_fault::head_too_large;
+    }
+    if (error == http_error::body_limit)
+    {
+        return parse_fault::body_too_large;
+    }
+    if (error == http_error::partial_message)
+    {
+        return parse_fault::cut_off;
+    }
+    return parse_fault::malformed;
+}
+
+} // namespace
+
+template <bool IsRequest>
+std::size_t message_parser<IsRequest>::feed(std::string_view bytes)
+{
+    std::size_t taken = 0;
+    while (taken < bytes.size() && !this->is_done())
+    {
+        error_code error;
+        const auto rest = bytes.substr(taken);
+        const auto size = this->put(
+            boost::asio::const_buffer(rest.data(), rest.size()), error);
+        taken += size;
+        if (error == http_error::need_more || (!error && size == 0))
+        {
+            break;
+        }
+        if (error)
+        {
+            throw parse_error(fault_of(error), error.message());
+        }
+    }
+    return taken;
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::feed_end()
+{
+    error_code error;
+    this->put_eof(error);
+    if (error)
+    {
+        throw parse_error(parse_fault::cut_off, error.message());
+    }
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_field_impl(
+    boost::beast::http::field /*known*/, text name, text value,
+    error_code& /*error*/)
+{
+    m_fields.fields.push_back({std::string(name.data(), name.size()),
+                               std::string(value.data(), value.size())});
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_header_impl(error_code& /*error*/)
+{
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_body_init_impl(
+    const boost::optional<std::uint64_t>& /*length*/, error_code& /*error*/)
+{
+}
+
+template <bool IsRequest>
+std::size_t message_parser<IsRequest>::on_body_impl(text body,
+                                                    error_code& /*error*/)
+{
+    m_body.append(body.data(), body.size());
+    return body.size();
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_chunk_header_impl(std::uint64_t /*size*/,
+                                                     text /*extensions*/,
+                                                     error_code& /*error*/)
+{
+}
+
+template <bool IsRequest>
+std::size_t
+message_parser<IsRequest>::on_chunk_body_impl(std::uint64_t /*remaining*/,
+                                              text body, error_code& /*error*/)
+{
+    m_body.append(body.data(), body.size());
+    return body.size();
+}
+
+template <bool IsRequest>
+void message_parser<IsRequest>::on_finish_impl(error_code& /*error*/)
+{
+}
+
+template class message_parser<true>;
+template class message_parser<false>;
+
+request_head request_parser::take_head()
+{
+    m_head.fields = std::move(m_fields);
+    return std::move(m_head);
+}
+
+bool request_parser::is_ambiguous(const request_head& head)
+{
+    const auto& fields = head.fields;
+    const auto codings = fields.count("Transfer-Encoding");
+    const auto lengths = fields.count("Content-Length");
+    if (codings + lengths > 1)
+    {
+        return true;
+    }
+    constexpr int http_1_1 = 11;
+    return codings == 1 &&
+           (head.version < http_1_1 ||
+            !same_name(*fields.find("Transfer-Encoding"), "chunked"));
+}
+
+void request_parser::on_request_impl(boost::beast::http::verb /*known*/,
+                                     text method, text target, int version,
+                                     error_code& /*error*/)
+{
+    m_head.method.assign(method.data(), method.size());
+    m_head.target.assign(target.data(), target.size());
+    m_head.version = version;
+}
+
+void request_parser::on_response_impl(int /*status*/, text /*reason*/,
+                                      int /*version*/, error_code& /*error*/)
+{
+}
+
+response_head response_parser::take_head()
+{
+    m_head.fields = std::move(m_fields);
+    return std::move(m_head);
+}
+
+void response_parser::on_request_impl(boost::beast::http::verb /*known*/,
+                                      text /*method*/, text /*target*/,
+                                      int /*version*/, error_code& /*error*/)
+{
+}
+
+void response_parser::on_response_impl(int status, text reason, int version,
+                                       error_code& /*error*/)
+{
+    m_head.status = status;
+    m_head.reason.assign(reason.data(), reason.size());
+    m_head.version = version;
+}
+
+} // namespace daleshelf
--- a/meta/generate.sh
+++ b/meta/generate.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Generates the protobuf code again. Needs the package protobuf-compiler.
 set -euo pipefail
-cd "$(dirname "$0")/../libraries/protocol"
-protoc --cpp_out=generated peer.proto
+cd "$(dirname "$0")/../libraries"
+(cd protocol && protoc --cpp_out=generated peer.proto)
+(cd peers && protoc --cpp_out=generated machine.proto)
--- a/services/daleshelfd/main.cpp
+++ b/services/daleshelfd/main.cpp
@@ -7,7 +7,10 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <gateway/gateway_program.hpp>
+#include <gateway/gateway_settings.hpp>
 #include <iostream>
+#include <platform/boot.hpp>
 #include <settings/settings_document.hpp>
 #include <telemetry/log.hpp>
 #include <thread>
@@ -21,19 +24,6 @@
 constexpr int exit_usage = 2;
 constexpr int wake_signal = SIGUSR1;
 
-log_severity severity_from_name(const std::string& name)
-{
-    for (const auto severity : {log_severity::debug, log_severity::info,
-                                log_severity::warning, log_severity::error})
-    {
-        if (severity_name(severity) == name)
-        {
-            return severity;
-        }
-    }
-    return log_severity::info;
-}
-
 void print_events()
 {
     std::cout << "| number | severity | name | meaning |\n"
@@ -46,10 +36,11 @@
     }
 }
 
-void print_settings()
+template <typename Settings>
+void print_settings(std::span<const setting<Settings>> table)
 {
     std::cout << "| key | required | meaning |\n| --- | --- | --- |\n";
-    for (const auto& entry : daemon_setting_table())
+    for (const auto& entry : table)
     {
         const bool is_required = entry.presence == setting_presence::required;
         std::cout << "| `" << entry.key << "` | "
@@ -97,14 +88,38 @@
     return EXIT_SUCCESS;
 }
 
+int run_as_gateway(const std::string& given_path, bool is_check)
+{
+    const auto path =
+        given_path.empty() ? platform::settings_path() : given_path;
+    if (path.empty())
+    {
+        std::cerr << "daleshelfd: --settings FILE is needed\n";
+        return exit_usage;
+    }
+    if (is_check)
+    {
+        check_gateway_settings(path);
+        std::cout << path << ": the settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    return run_gateway(path);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     std::string path;
+    std::string role;
+    options::positional_options_description positions;
+    positions.add("role", 1);
     options::options_description description("daleshelfd");
     auto add = description.add_options();
     add("help", "show the options");
+    add("role", options::value(&role)->default_value("host"),
+        "`host`: an entry host of the product's own interface; `gateway`: the "
+        "gateway of the users' platform");
     add("settings", options::value(&path), "the settings file, in TOML");
     add("check-settings", "check the settings file and end");
     add("list-events", "print the log events as a table and end");
@@ -112,7 +127,10 @@
     try
     {
         options::variables_map values;
-        options::store(options::parse_command_line(argc, argv, description),
+        options::store(options::command_line_parser(argc, argv)
+                           .options(description)
+                           .positional(positions)
+                           .run(),
                        values);
         options::notify(values);
         if (values.count("help") > 0)
@@ -127,9 +145,15 @@
         }
         if (values.count("list-settings") > 0)
         {
-            print_settings();
+            print_settings<daemon_settings>(daemon_setting_table());
+            std::cout << "\n";
+            print_settings<gateway_settings>(gateway_setting_table());
             return EXIT_SUCCESS;
         }
+        if (role == "gateway")
+        {
+            return run_as_gateway(path, values.count("check-settings") > 0);
+        }
         if (path.empty())
         {
             std::cerr << "daleshelfd: --settings FILE is needed\n";
--- /dev/null
+++ b/services/gateway/asio.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// The parts of Boost.Asio that the gateway uses, and short names for them.
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+
+namespace daleshelf
+{
+
+namespace asio = boost::asio;
+
+// NOTE: GCC 12 destroys an awaitable that was never made when co_await stands
+// in a condition, or in one branch of an expression. Each co_await is a
+// statement of its own, or the whole of a co_return; a test checks this.
+
+using asio::awaitable;
+using error_code = boost::system::error_code;
+using monotonic = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+/// Completes with the error and the result, instead of throwing.
+inline constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/byte_channel.cpp
@@ -0,0 +1,151 @@
+#include "byte_channel.hpp"
+
+#include <array>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr std::size_t read_size = 8192;
+// More than a head and a piece of a body; a peer that sends on waits.
+constexpr std::size_t most_input = 262144;
+
+} // namespace
+
+byte_channel::byte_channel(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket))
+    , m_arrived(m_socket.get_executor())
+    , m_drained(m_socket.get_executor())
+{
+    error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+}
+
+void byte_channel::start()
+{
+    asio::co_spawn(
+        m_socket.get_executor(),
+        [self = shared_from_this()] { return self->read_all(); },
+        asio::detached);
+}
+
+void byte_channel::consume(std::size_t size)
+{
+    m_consumed += size;
+    if (m_consumed == m_input.size())
+    {
+        m_input.clear();
+        m_consumed = 0;
+    }
+    else if (m_consumed > read_size)
+    {
+        m_input.erase(0, m_consumed);
+        m_consumed = 0;
+    }
+    if (m_input.size() < most_input)
+    {
+        m_drained.notify();
+    }
+}
+
+awaitable<bool> byte_channel::wait_input(monotonic::time_point deadline)
+{
+    if (m_end != channel_end::open)
+    {
+        co_return true;
+    }
+    co_return co_await m_arrived.wait_until(deadline);
+}
+
+awaitable<byte_channel::write_result>
+byte_channel::write(std::string_view bytes)
+{
+    write_result result;
+    if (m_end == channel_end::broken)
+    {
+        co_return result;
+    }
+    // Most writes fit the socket's buffer: no need to suspend for them.
+    error_code error;
+    result.size = m_socket.write_some(
+        asio::const_buffer(bytes.data(), bytes.size()), error);
+    if (error && error != asio::error::would_block)
+    {
+        end_with(channel_end::broken);
+        co_return result;
+    }
+    if (result.size < bytes.size())
+    {
+        m_writing_since = monotonic::now();
+        const auto rest = bytes.substr(result.size);
+        const auto buffer = asio::const_buffer(rest.data(), rest.size());
+        const auto [write_error, size] =
+            co_await asio::async_write(m_socket, buffer, use_result);
+        m_writing_since.reset();
+        result.size += size;
+        if (write_error)
+        {
+            end_with(channel_end::broken);
+            co_return result;
+        }
+    }
+    result.is_complete = true;
+    co_return result;
+}
+
+void byte_channel::close()
+{
+    error_code ignored;
+    m_socket.close(ignored);
+    end_with(channel_end::broken);
+}
+
+void byte_channel::finish_sending()
+{
+    error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+awaitable<void> byte_channel::read_all()
+{
+    std::array<char, read_size> bytes; // NOLINT
+    while (m_end == channel_end::open)
+    {
+        if (m_input.size() >= most_input)
+        {
+            co_await m_drained.wait_for(std::chrono::seconds(1));
+            continue;
+        }
+        const auto [error, size] = co_await m_socket.async_read_some(
+            asio::mutable_buffer(bytes.data(), bytes.size()), use_result);
+        if (error)
+        {
+            end_with(error == asio::error::eof ? channel_end::finished
+                                               : channel_end::broken);
+            co_return;
+        }
+        m_input.append(bytes.data(), size);
+        m_arrived.notify();
+    }
+}
+
+void byte_channel::end_with(channel_end end)
+{
+    if (m_end == channel_end::broken || m_end == end)
+    {
+        return;
+    }
+    const bool was_open = m_end == channel_end::open;
+    m_end = end;
+    m_arrived.notify();
+    m_drained.notify();
+    if (was_open && m_end_handler)
+    {
+        m_end_handler();
+    }
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/client_session.cpp
@@ -0,0 +1,219 @@
+#include "client_session.hpp"
+
+#include <base/http_status.hpp>
+#include <telemetry/log.hpp>
+#include <wire/message_writer.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr int status_request_timeout = 408;
+constexpr int status_head_too_large = 431;
+constexpr std::chrono::seconds longest_write{20};
+constexpr milliseconds time_to_read_refusal{300};
+
+int status_of(parse_fault fault)
+{
+    switch (fault)
+    {
+    case parse_fault::head_too_large:
+        return status_head_too_large;
+    case parse_fault::body_too_large:
+        return http_status::payload_too_large;
+    case parse_fault::malformed:
+    case parse_fault::cut_off:
+        break;
+    }
+    return http_status::bad_request;
+}
+
+ingress_limits limits_of(const gateway_state& state)
+{
+    return state.routes == nullptr ? ingress_limits()
+                                   : state.routes->configuration().limits;
+}
+
+} // namespace
+
+client_session::client_session(gateway_state& state,
+                               asio::ip::tcp::socket socket)
+    : m_state(state)
+    , m_channel(std::make_shared<byte_channel>(std::move(socket)))
+{
+}
+
+awaitable<void> client_session::run()
+{
+    const auto self = shared_from_this();
+    m_channel->set_end_handler(
+        [this]
+        {
+            if (m_flow != nullptr)
+            {
+                m_flow->cancel();
+            }
+        });
+    m_channel->start();
+    while (m_channel->end() == channel_end::open)
+    {
+        client_request request;
+        const bool is_read = co_await read_request(request);
+        if (!is_read)
+        {
+            break;
+        }
+        const bool is_kept = co_await serve(std::move(request));
+        if (!is_kept)
+        {
+            break;
+        }
+    }
+    m_channel->set_end_handler(nullptr);
+    m_channel->close();
+}
+
+void client_session::close_if_idle()
+{
+    if (m_flow == nullptr && !m_is_reading && m_channel->input().empty())
+    {
+        m_channel->close();
+    }
+}
+
+void client_session::close_if_stuck(monotonic::time_point now)
+{
+    const auto since = m_channel->writing_since();
+    if (since && now - *since > longest_write)
+    {
+        m_channel->close();
+    }
+}
+
+// @return whether there is a whole request
+awaitable<bool> client_session::read_request(client_request& request)
+{
+    const auto limits = limits_of(m_state);
+    request_parser parser(static_cast<std::uint32_t>(limits.header_bytes),
+                          limits.body_bytes);
+    auto deadline = monotonic::now() + limits.idle_timeout;
+    std::optional<parse_error> error;
+    bool has_head = false;
+    while (!error)
+    {
+        if (!m_channel->input().empty() && !m_is_reading)
+        {
+            m_is_reading = true;
+            deadline = monotonic::now() + limits.header_timeout;
+        }
+        try
+        {
+            const auto taken = parser.feed(m_channel->input());
+            m_channel->consume(taken);
+            if (parser.has_head() && !has_head)
+            {
+                has_head = true;
+                request.head = parser.take_head();
+                if (request_parser::is_ambiguous(request.head) ||
+                    request.head.fields.count("Host") != 1)
+                {
+                    throw parse_error(parse_fault::malformed, "ambiguous");
+                }
+                deadline = monotonic::now() + limits.idle_timeout;
+            }
+            request.body += parser.take_body();
+            if (parser.is_complete())
+            {
+                m_is_reading = false;
+                request.received = monotonic::now();
+                co_return true;
+            }
+            if (m_channel->input().size() > limits.header_bytes && !has_head)
+            {
+                throw parse_error(parse_fault::head_too_large, "head");
+            }
+        }
+        catch (const parse_error& caught)
+        {
+            error = caught;
+            continue;
+        }
+        if (m_channel->end() != channel_end::open)
+        {
+            co_return false;
+        }
+        const bool has_input = co_await m_channel->wait_input(deadline);
+        if (!has_input)
+        {
+            if (m_is_reading)
+            {
+                co_await reject(status_request_timeout);
+            }
+            co_return false;
+        }
+        if (has_head)
+        {
+            deadline = monotonic::now() + limits.idle_timeout;
+        }
+    }
+    co_await reject_unread(*error);
+    co_return false;
+}
+
+// @return whether the connection goes on
+awaitable<bool> client_session::serve(client_request request)
+{
+    client_form form;
+    constexpr int http_1_1 = 11;
+    form.takes_chunks = request.head.version >= http_1_1;
+    form.may_keep =
+        keeps_connection(request.head.fields, request.head.version) &&
+        !m_state.is_stopping;
+    form.takes_no_body = request.head.method == "HEAD";
+    client_answer answer(*m_channel, form);
+    {
+        request_flow flow(m_state, answer, std::move(request));
+        m_flow = &flow;
+        co_await flow.run();
+        m_flow = nullptr;
+    }
+    if (!answer.keeps_connection() && m_channel->end() == channel_end::open)
+    {
+        m_channel->finish_sending();
+        co_await m_channel->wait_input(monotonic::now() + time_to_read_refusal);
+    }
+    co_return answer.keeps_connection();
+}
+
+awaitable<void> client_session::reject(int status)
+{
+    client_form form;
+    form.may_keep = false;
+    client_answer answer(*m_channel, form);
+    co_await answer.send_own(status, "");
+}
+
+// Answers a request that cannot be read. What else comes is read and dropped
+// for a moment: closing with unread bytes would reset the answer away.
+awaitable<void> client_session::reject_unread(const parse_error& error)
+{
+    const auto status = status_of(error.fault());
+    log(events::request_unreadable,
+        {{"status", std::to_string(status)}, {"fault", error.what()}});
+    co_await reject(status);
+    m_channel->finish_sending();
+    const auto until = monotonic::now() + time_to_read_refusal;
+    while (m_channel->end() == channel_end::open)
+    {
+        m_channel->consume(m_channel->input().size());
+        const bool has_input = co_await m_channel->wait_input(until);
+        if (!has_input)
+        {
+            break;
+        }
+    }
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/duty_service.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// The duties that one gateway at a time has towards the platform.
+#pragma once
+
+#include "gateway_state.hpp"
+#include "http_call.hpp"
+#include "peer_exchange.hpp"
+
+#include <duties/duty_ledger.hpp>
+#include <platform/duty_calls.hpp>
+#include <set>
+
+namespace daleshelf
+{
+
+/// Keeps the lease, settles each usage window in the log before it is
+/// reported, and reports it as it was settled. See docs/design/platform.md.
+class duty_service
+{
+public:
+    duty_service(gateway_state& state, peer_exchange& peers);
+
+    void start();
+
+    /// Lets another machine take over.
+    void stop()
+    {
+        m_ledger.stop();
+    }
+
+    /// @return the fencing token, while this machine holds the duties for at
+    /// least as long as a call takes
+    [[nodiscard]] std::optional<std::int64_t> token() const;
+
+private:
+    awaitable<void> keep_ledger();
+    awaitable<void> report_usage();
+    awaitable<bool> read(log_offset from);
+    awaitable<void> append(ledger_append append);
+    awaitable<void> report(std::int64_t window);
+    [[nodiscard]] std::optional<ledger_append> next_settlement();
+    [[nodiscard]] std::int64_t oldest_window() const;
+    void note_lease();
+
+    gateway_state& m_state;
+    peer_exchange& m_peers;
+    duty_ledger m_ledger;
+    http_caller m_store;
+    http_caller m_platform;
+    async_event m_settled;
+    std::set<std::int64_t> m_reported;
+    bool m_was_holder = false;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/gateway.cpp
@@ -0,0 +1,306 @@
+#include "gateway.hpp"
+
+#include <base/http_status.hpp>
+#include <base/json.hpp>
+#include <platform/configuration_format.hpp>
+#include <platform/request_format.hpp>
+#include <settings/settings_document.hpp>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds house_pause{500};
+constexpr std::chrono::milliseconds accept_pause{50};
+// The balancer asks every second and lets go after two misses.
+constexpr std::chrono::milliseconds balancer_time{2700};
+constexpr std::chrono::milliseconds stop_margin{600};
+constexpr std::chrono::milliseconds stop_step{50};
+
+} // namespace
+
+gateway::gateway(asio::io_context& context, gateway_settings settings,
+                 std::string settings_path)
+    : m_context(context)
+    , m_settings_path(std::move(settings_path))
+    , m_state(context, std::move(settings))
+    , m_configuration(m_state, std::string(platform::operator_topic),
+                      {[this](const auto& record)
+                       { take_operator_record(record); },
+                       [](const auto&) {}})
+    , m_servers(m_state, std::string(platform::server_topic),
+                {[this](const auto& record) { take_server_record(record); },
+                 [this](const auto& records) { take_server_list(records); }})
+    , m_peers(m_state, {m_configuration, m_servers})
+    , m_duties(m_state, m_peers)
+    , m_clients(open_acceptor(context, m_state.settings.clients_address))
+    , m_readiness(context, m_state.settings.readiness_address,
+                  [this](const std::string&) { return answer_readiness(); })
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+{
+    if (!m_state.settings.metrics_address.empty())
+    {
+        m_metrics = std::make_unique<small_server>(
+            context, m_state.settings.metrics_address,
+            [this](const std::string&) { return answer_metrics(); });
+    }
+}
+
+void gateway::run()
+{
+    start();
+    m_context.run();
+}
+
+void gateway::start()
+{
+    asio::co_spawn(
+        m_context, [this] { return m_configuration.run(); }, asio::detached);
+    asio::co_spawn(
+        m_context, [this] { return m_servers.run(); }, asio::detached);
+    asio::co_spawn(
+        m_context, [this] { return accept_clients(); }, asio::detached);
+    asio::co_spawn(
+        m_context, [this] { return watch_signals(); }, asio::detached);
+    asio::co_spawn(
+        m_context, [this] { return keep_house(); }, asio::detached);
+    m_readiness.start();
+    if (m_metrics)
+    {
+        m_metrics->start();
+    }
+    m_peers.start();
+    m_duties.start();
+    log(events::process_started,
+        {{"host", m_state.self.value()},
+         {"hall", m_state.hall.value()},
+         {"clients", m_state.settings.clients_address},
+         {"started", std::to_string(m_state.started.value())}});
+}
+
+awaitable<void> gateway::accept_clients()
+{
+    while (m_clients.is_open())
+    {
+        auto [error, socket] = co_await m_clients.async_accept(use_result);
+        if (error)
+        {
+            // Out of descriptors, or closed: neither ends the process.
+            asio::steady_timer pause(m_context, accept_pause);
+            co_await pause.async_wait(use_result);
+            continue;
+        }
+        const auto session =
+            std::make_shared<client_session>(m_state, std::move(socket));
+        asio::co_spawn(
+            m_context, [this, session] { return serve_client(session); },
+            asio::detached);
+    }
+}
+
+awaitable<void> gateway::serve_client(std::shared_ptr<client_session> session)
+{
+    m_sessions.insert(session);
+    co_await session->run();
+    m_sessions.erase(session);
+}
+
+awaitable<void> gateway::watch_signals()
+{
+    while (true)
+    {
+        const auto [error, signal] = co_await m_signals.async_wait(use_result);
+        if (error)
+        {
+            co_return;
+        }
+        if (signal == SIGHUP)
+        {
+            reload_settings();
+            continue;
+        }
+        if (!m_state.is_stopping)
+        {
+            asio::co_spawn(
+                m_context, [this] { return stop(); }, asio::detached);
+        }
+    }
+}
+
+awaitable<void> gateway::keep_house()
+{
+    asio::steady_timer timer(m_context);
+    while (true)
+    {
+        timer.expires_after(house_pause);
+        co_await timer.async_wait(use_result);
+        const auto now = monotonic::now();
+        m_state.pool.sweep(now);
+        m_state.choice.drop_unlisted();
+        for (const auto& session : m_sessions)
+        {
+            session->close_if_stuck(now);
+        }
+    }
+}
+
+// A planned stop: not ready at once; then no new connections; then the end
+// when nothing is in flight, or the time is over.
+awaitable<void> gateway::stop()
+{
+    const auto begun = monotonic::now();
+    m_state.is_stopping = true;
+    m_duties.stop();
+    log(events::process_stopping,
+        {{"in_flight", std::to_string(m_state.requests_in_flight)}});
+    const auto time = m_state.settings.stop_time - stop_margin;
+    asio::steady_timer timer(m_context);
+    while (monotonic::now() - begun < time)
+    {
+        timer.expires_after(stop_step);
+        co_await timer.async_wait(use_result);
+        if (monotonic::now() - begun < balancer_time)
+        {
+            continue;
+        }
+        const auto sessions = m_sessions;
+        for (const auto& session : sessions)
+        {
+            session->close_if_idle();
+        }
+        if (m_state.requests_in_flight == 0)
+        {
+            break;
+        }
+    }
+    error_code ignored;
+    m_clients.close(ignored);
+    log(events::process_stopped,
+        {{"in_flight", std::to_string(m_state.requests_in_flight)}});
+    m_context.stop();
+}
+
+void gateway::reload_settings()
+{
+    try
+    {
+        // Addresses and names stay for the life of the process; what may
+        // change takes hold at once.
+        const auto fresh = read_settings<gateway_settings>(
+            m_settings_path, gateway_setting_table());
+        m_state.settings.drain_time = fresh.drain_time;
+        m_state.settings.stop_time = fresh.stop_time;
+        log(events::settings_reloaded, {{"outcome", "in_force"}});
+    }
+    catch (const std::exception& error)
+    {
+        log(events::settings_reloaded,
+            {{"outcome", "kept"}, {"error", error.what()}});
+    }
+}
+
+void gateway::take_operator_record(const platform::keyed_record& record)
+{
+    if (record.key != platform::configuration_key || !record.value)
+    {
+        return;
+    }
+    const auto known =
+        m_state.routes ? m_state.routes->configuration().version : -1;
+    try
+    {
+        auto configuration = platform::read_configuration(*record.value);
+        if (configuration.version <= known)
+        {
+            return;
+        }
+        const auto version = configuration.version;
+        m_state.quota.set_limits(configuration.tenants, gateway_state::now());
+        m_state.routes =
+            std::make_shared<const route_table>(std::move(configuration));
+        log(events::configuration_applied,
+            {{"version", std::to_string(version)},
+             {"before", std::to_string(known)},
+             {"offset", std::to_string(record.offset.value())}});
+    }
+    catch (const json_error& error)
+    {
+        log(events::record_skipped,
+            {{"offset", std::to_string(record.offset.value())},
+             {"in_force", std::to_string(known)},
+             {"error", error.what()}});
+    }
+}
+
+void gateway::take_server_record(const platform::keyed_record& record)
+{
+    const upstream_id id(record.key);
+    if (!record.value)
+    {
+        if (m_state.servers.remove(id))
+        {
+            m_state.pool.drop(id);
+            log(events::servers_changed,
+                {{"server", record.key},
+                 {"state", "gone"},
+                 {"offset", std::to_string(record.offset.value())}});
+        }
+        return;
+    }
+    try
+    {
+        const auto entry = platform::read_server(record.key, *record.value);
+        if (m_state.servers.set(entry))
+        {
+            log(events::servers_changed,
+                {{"server", record.key},
+                 {"state", entry.is_draining ? "draining" : "ready"},
+                 {"address", entry.address},
+                 {"hall", entry.hall.value()},
+                 {"offset", std::to_string(record.offset.value())}});
+        }
+    }
+    catch (const json_error& error)
+    {
+        log(events::record_skipped,
+            {{"server", record.key},
+             {"offset", std::to_string(record.offset.value())},
+             {"error", error.what()}});
+    }
+}
+
+void gateway::take_server_list(
+    const std::map<std::string, platform::keyed_record>& records)
+{
+    std::vector<upstream_id> gone;
+    for (const auto* entry : m_state.servers.all())
+    {
+        if (!records.contains(entry->id.value()))
+        {
+            gone.push_back(entry->id);
+        }
+    }
+    for (const auto& id : gone)
+    {
+        m_state.servers.remove(id);
+        m_state.pool.drop(id);
+    }
+    m_state.has_servers = true;
+}
+
+short_answer gateway::answer_readiness() const
+{
+    return {m_state.is_ready() ? http_status::ok : http_status::unavailable, "",
+            "text/plain"};
+}
+
+short_answer gateway::answer_metrics()
+{
+    return {http_status::ok, m_state.metrics.render(),
+            "text/plain; version=0.0.4"};
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/gateway.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// The gateway: clients in front, servers behind, the platform beside.
+#pragma once
+
+#include "client_session.hpp"
+#include "duty_service.hpp"
+#include "gateway_state.hpp"
+#include "peer_exchange.hpp"
+#include "small_server.hpp"
+#include "topic_follower.hpp"
+
+#include <memory>
+#include <set>
+
+namespace daleshelf
+{
+
+/// All parts of one gateway, on one event loop.
+class gateway
+{
+public:
+    /// @param settings_path read again when the file has changed
+    gateway(asio::io_context& context, gateway_settings settings,
+            std::string settings_path);
+
+    /// Serves until a planned stop has ended.
+    void run();
+
+private:
+    void start();
+    awaitable<void> accept_clients();
+    awaitable<void> serve_client(std::shared_ptr<client_session> session);
+    awaitable<void> watch_signals();
+    awaitable<void> keep_house();
+    awaitable<void> stop();
+    void reload_settings();
+    void take_operator_record(const platform::keyed_record& record);
+    void take_server_record(const platform::keyed_record& record);
+    void take_server_list(
+        const std::map<std::string, platform::keyed_record>& records);
+    [[nodiscard]] short_answer answer_readiness() const;
+    [[nodiscard]] short_answer answer_metrics();
+
+    asio::io_context& m_context;
+    std::string m_settings_path;
+    gateway_state m_state;
+    topic_follower m_configuration;
+    topic_follower m_servers;
+    peer_exchange m_peers;
+    duty_service m_duties;
+    asio::ip::tcp::acceptor m_clients;
+    small_server m_readiness;
+    std::unique_ptr<small_server> m_metrics;
+    asio::signal_set m_signals;
+    std::set<std::shared_ptr<client_session>> m_sessions;
+    bool m_was_bound = false;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/gateway_program.hpp
@@ -0,0 +1,20 @@
+/// @file
+/// `daleshelfd gateway`: the daemon in front of the users' platform.
+#pragma once
+
+#include <string>
+
+namespace daleshelf
+{
+
+/// Serves until a planned stop has ended.
+/// @param settings_path the settings file
+/// @return the exit code of the process
+/// @throws settings_error if the settings are not valid
+int run_gateway(const std::string& settings_path);
+
+/// Checks the settings file.
+/// @throws settings_error if the settings are not valid
+void check_gateway_settings(const std::string& settings_path);
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/gateway_settings.cpp
@@ -0,0 +1,69 @@
+#include "gateway_settings.hpp"
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr std::int64_t longest_time_ms = 86400000;
+constexpr std::int64_t most_retries = 1000000;
+
+std::vector<setting<gateway_settings>> make_table()
+{
+    using settings = gateway_settings;
+    constexpr auto required = setting_presence::required;
+    constexpr auto optional = setting_presence::optional;
+    const setting_limits time{0, longest_time_ms, {}};
+    const setting_limits retries{0, most_retries, {}};
+    return {
+        {"host.id", &settings::host_id, "name of this host", required},
+        {"host.hall", &settings::host_hall, "hall that this host is in",
+         required},
+        {"host.first_start", &settings::is_first_start,
+         "whether the whole system starts for the first time"},
+        {"clients.address", &settings::clients_address,
+         "IP:PORT that clients reach", required},
+        {"readiness.address", &settings::readiness_address,
+         "IP:PORT where the balancer asks whether this host is ready",
+         required},
+        {"metrics.address", &settings::metrics_address,
+         "IP:PORT that serves metrics; empty: none"},
+        {"peers.address", &settings::peers_address,
+         "IP:PORT that other gateways reach, by UDP and TCP", required},
+        {"peers.seeds", &settings::peer_seeds,
+         "IP:PORT of some other gateways; only the IP numbers count"},
+        {"store.address", &settings::store_address,
+         "IP:PORT of the platform's store", required},
+        {"duties.address", &settings::duties_address,
+         "IP:PORT that takes usage reports and orders; empty: none"},
+        {"log.level",
+         &settings::log_level,
+         "events below it are left out",
+         optional,
+         {0, 0, {"debug", "info", "warning", "error"}}},
+        {"drain.server_ms", &settings::drain_time,
+         "how long a leaving server goes on serving", optional, time},
+        {"drain.stop_ms", &settings::stop_time,
+         "time between the order to stop and the end of this process", optional,
+         time},
+        {"retries.ratio", &settings::retry_ratio,
+         "retries against requests, over all machines", optional, retries},
+        {"retries.slack", &settings::retry_slack,
+         "retries beyond the ratio, over all machines", optional, retries},
+        {"usage.window_ms", &settings::usage_window,
+         "length of a window of the usage report", optional, time},
+        {"usage.late_ms", &settings::usage_late,
+         "how long after its end a window is due", optional, time},
+    };
+}
+
+} // namespace
+
+std::span<const setting<gateway_settings>> gateway_setting_table()
+{
+    static const auto table = make_table();
+    return table;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/gateway_settings.hpp
@@ -0,0 +1,40 @@
+/// @file
+/// Settings of the gateway.
+#pragma once
+
+#include <chrono>
+#include <settings/setting.hpp>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// Values of the gateway's settings file; docs/SETTINGS.md lists the keys.
+struct gateway_settings
+{
+    std::string host_id;
+    std::string host_hall;
+    bool is_first_start = false;
+    std::string clients_address;
+    std::string readiness_address;
+    std::string metrics_address;
+    std::string peers_address;
+    std::vector<std::string> peer_seeds;
+    std::string store_address;
+    std::string duties_address;
+    std::string log_level = "info";
+    std::chrono::milliseconds drain_time{2000};
+    std::chrono::milliseconds stop_time{8000};
+    double retry_ratio = 0.2;
+    double retry_slack = 10;
+    std::chrono::milliseconds usage_window{5000};
+    std::chrono::milliseconds usage_late{10000};
+};
+
+/// @return every key that the gateway knows
+[[nodiscard]] std::span<const setting<gateway_settings>>
+gateway_setting_table();
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/gateway_state.cpp
@@ -0,0 +1,49 @@
+#include "gateway_state.hpp"
+
+#include <absl/time/clock.h>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// Before any peer is known, there may be this many machines.
+constexpr double assumed_machines = 12;
+
+retry_budget_options retry_options(const gateway_settings& settings)
+{
+    return {settings.retry_ratio, settings.retry_slack, assumed_machines};
+}
+
+std::uint64_t seed_of(const gateway_settings& settings)
+{
+    return std::hash<std::string>()(settings.host_id) ^
+           static_cast<std::uint64_t>(absl::GetCurrentTimeNanos());
+}
+
+} // namespace
+
+gateway_state::gateway_state(asio::io_context& loop, gateway_settings values)
+    : context(loop)
+    , settings(std::move(values))
+    , self(settings.host_id)
+    , hall(settings.host_hall)
+    , started(absl::ToUnixMillis(absl::Now()))
+    , choice(servers, hall, seed_of(settings))
+    , pool(loop)
+    , quota(settings.is_first_start ? token_quota::initial_level::full
+                                    : token_quota::initial_level::empty)
+    , retries(retry_options(settings))
+    , usage(absl::FromChrono(settings.usage_window))
+{
+    clock.note(self, absl::Now(), now());
+}
+
+absl::Time gateway_state::now()
+{
+    return absl::UnixEpoch() +
+           absl::FromChrono(monotonic::now().time_since_epoch());
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/gateway_state.hpp
@@ -0,0 +1,64 @@
+/// @file
+/// What the gateway's parts share. All of them run on one event loop.
+#pragma once
+
+#include "gateway_settings.hpp"
+#include "server_connection.hpp"
+
+#include <absl/random/random.h>
+
+#include <duties/usage_counter.hpp>
+#include <ingress/retry_allowance.hpp>
+#include <ingress/route_table.hpp>
+#include <ingress/server_choice.hpp>
+#include <ingress/server_directory.hpp>
+#include <ingress/token_quota.hpp>
+#include <memory>
+#include <peers/time_estimate.hpp>
+#include <telemetry/metrics.hpp>
+
+namespace daleshelf
+{
+
+/// The state that requests are decided by.
+struct gateway_state
+{
+    gateway_state(asio::io_context& loop, gateway_settings values);
+
+    /// @return the monotonic clock, as the libraries take it
+    [[nodiscard]] static absl::Time now();
+
+    /// @return the time of day, as all machines together believe it
+    [[nodiscard]] absl::Time time_of_day() const
+    {
+        return clock.at(now());
+    }
+
+    /// @return whether requests can be served
+    [[nodiscard]] bool is_ready() const
+    {
+        return routes != nullptr && has_servers && !is_stopping;
+    }
+
+    asio::io_context& context;
+    gateway_settings settings;
+    host_id self;
+    hall_id hall;
+    incarnation started;
+    metric_registry metrics;
+    time_estimate clock;
+    std::shared_ptr<const route_table> routes; ///< null until one is known
+    server_directory servers;
+    server_choice choice;
+    connection_pool pool;
+    token_quota quota;
+    retry_allowance retries;
+    usage_counter usage;
+    absl::BitGen random;
+    double work_ms = 0; ///< of servers, asked for since this start
+    bool has_servers = false;
+    bool is_stopping = false;
+    std::int64_t requests_in_flight = 0;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/http_call.cpp
@@ -0,0 +1,157 @@
+#include "http_call.hpp"
+
+#include "server_connection.hpp"
+
+#include <wire/message_parser.hpp>
+#include <wire/message_writer.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr std::uint32_t answer_head_bytes = 16384;
+constexpr milliseconds connect_time{1000};
+
+} // namespace
+
+http_caller::http_caller(asio::io_context& context, std::string address)
+    : m_context(context), m_address(std::move(address))
+{
+}
+
+http_caller::~http_caller()
+{
+    interrupt();
+}
+
+awaitable<std::optional<call_answer>>
+http_caller::call(platform::store_call call, milliseconds time,
+                  std::string extra)
+{
+    const auto deadline = monotonic::now() + time;
+    const bool is_usable = m_channel != nullptr &&
+                           m_channel->end() == channel_end::open &&
+                           m_channel->input().empty();
+    if (!is_usable)
+    {
+        const bool is_connected = co_await connect(deadline);
+        if (!is_connected)
+        {
+            co_return std::nullopt;
+        }
+    }
+    std::string bytes;
+    request_head head;
+    head.method = call.method;
+    head.target = call.target;
+    write_start_line(bytes, head);
+    write_field(bytes, "Host", m_address);
+    if (!call.content_type.empty())
+    {
+        write_field(bytes, "Content-Type", call.content_type);
+    }
+    if (call.method != "GET")
+    {
+        write_field(bytes, "Content-Length", std::to_string(call.body.size()));
+    }
+    bytes += extra;
+    write_head_end(bytes);
+    bytes += call.body;
+    const auto channel = m_channel;
+    const auto sent = co_await channel->write(bytes);
+    if (!sent.is_complete)
+    {
+        interrupt();
+        co_return std::nullopt;
+    }
+    auto answer = co_await read(deadline);
+    if (!answer)
+    {
+        interrupt();
+    }
+    co_return answer;
+}
+
+void http_caller::interrupt()
+{
+    if (m_channel)
+    {
+        m_channel->close();
+        m_channel.reset();
+    }
+}
+
+awaitable<bool> http_caller::connect(monotonic::time_point deadline)
+{
+    interrupt();
+    const auto endpoint = parse_endpoint(m_address);
+    if (!endpoint)
+    {
+        co_return false;
+    }
+    auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+    asio::steady_timer timer(
+        m_context, std::min(deadline, monotonic::now() + connect_time));
+    timer.async_wait(
+        [socket](const error_code& error)
+        {
+            if (!error)
+            {
+                error_code ignored;
+                socket->close(ignored);
+            }
+        });
+    const auto [error] = co_await socket->async_connect(*endpoint, use_result);
+    timer.cancel();
+    if (error || !socket->is_open())
+    {
+        co_return false;
+    }
+    detect_silent_peer(*socket);
+    m_channel = std::make_shared<byte_channel>(std::move(*socket));
+    m_channel->start();
+    co_return true;
+}
+
+awaitable<std::optional<call_answer>>
+http_caller::read(monotonic::time_point deadline)
+{
+    const auto channel = m_channel;
+    response_parser parser(answer_head_bytes);
+    call_answer answer;
+    try
+    {
+        while (true)
+        {
+            channel->consume(parser.feed(channel->input()));
+            answer.body += parser.take_body();
+            if (parser.is_complete())
+            {
+                const auto head = parser.take_head();
+                answer.status = head.status;
+                if (!keeps_connection(head.fields, head.version))
+                {
+                    interrupt();
+                }
+                co_return answer;
+            }
+            if (channel->end() != channel_end::open)
+            {
+                co_return std::nullopt;
+            }
+            const bool has_input = co_await channel->wait_input(deadline);
+            if (!has_input)
+            {
+                co_return std::nullopt;
+            }
+        }
+    }
+    catch (const parse_error&)
+    {
+        co_return std::nullopt;
+    }
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/peer_exchange.cpp
@@ -0,0 +1,400 @@
+#include "peer_exchange.hpp"
+
+#include <absl/time/clock.h>
+
+#include <base/http_status.hpp>
+#include <base/json.hpp>
+#include <base/text.hpp>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr milliseconds send_pause{250};
+constexpr std::size_t largest_datagram = 60000;
+constexpr std::size_t most_named_machines = 4;
+// How long a peer may know more before it is asked: the store is faster.
+constexpr milliseconds patience{350};
+constexpr milliseconds fetch_time{1000};
+constexpr std::string_view records_target = "/records/";
+
+std::string host_part(const std::string& address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+std::string port_part(const std::string& address)
+{
+    return address.substr(address.rfind(':') + 1);
+}
+
+asio::ip::udp::endpoint udp_endpoint(const std::string& address)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+    {
+        throw std::invalid_argument(address + " is no IP:PORT");
+    }
+    return {endpoint->address(), endpoint->port()};
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(gateway_state& state, followed_topics topics)
+    : m_state(state)
+    , m_topics(topics)
+    , m_table({state.self, state.settings.peers_address}, peer_options())
+    , m_socket(state.context, udp_endpoint(state.settings.peers_address))
+    , m_server(state.context, state.settings.peers_address,
+               [this](const std::string& target)
+               { return answer_peer(target); })
+{
+    // All gateways use the same ports: a seed's IP number is enough. Until a
+    // seed is heard its address stands for its name.
+    for (const auto& seed : state.settings.peer_seeds)
+    {
+        const auto address = concat(host_part(seed), ":",
+                                    port_part(state.settings.peers_address));
+        m_table.add_address({host_id(address), address}, gateway_state::now());
+    }
+}
+
+void peer_exchange::start()
+{
+    m_server.start();
+    asio::co_spawn(
+        m_state.context, [this] { return receive_all(); }, asio::detached);
+    asio::co_spawn(
+        m_state.context, [this] { return send_all(); }, asio::detached);
+    asio::co_spawn(
+        m_state.context, [this] { return publish_self(); }, asio::detached);
+}
+
+bool peer_exchange::hears_duty_holder() const
+{
+    const auto now = gateway_state::now();
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        if (m_table.is_in_reach(name, now) && peer.state.duty_token >= 0 &&
+            peer.state.duty_holder == name)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::map<host_id, double> peer_exchange::work_of_all() const
+{
+    std::map<host_id, double> work;
+    work[m_state.self] = m_state.work_ms;
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        work[name] = peer.state.work_ms;
+    }
+    return work;
+}
+
+awaitable<void> peer_exchange::receive_all()
+{
+    std::vector<char> bytes(largest_datagram);
+    asio::ip::udp::endpoint sender;
+    while (true)
+    {
+        const auto [error, size] = co_await m_socket.async_receive_from(
+            asio::mutable_buffer(bytes.data(), bytes.size()), sender,
+            use_result);
+        if (!error)
+        {
+            receive({bytes.data(), size});
+        }
+    }
+}
+
+awaitable<void> peer_exchange::send_all()
+{
+    asio::steady_timer timer(m_state.context);
+    while (true)
+    {
+        const auto now = gateway_state::now();
+        for (const auto& peer : m_table.forget_silent(now))
+        {
+            log(events::peer_lost, {{"peer", peer.value()}});
+            m_state.choice.drop_peer(peer);
+            m_state.clock.forget(peer);
+        }
+        m_state.clock.note(m_state.self, absl::Now(), now);
+        m_state.quota.set_reach(m_table.reach(now), now);
+        const auto bytes = encode(own_state());
+        for (const auto& [name, peer] : m_table.peers())
+        {
+            error_code ignored;
+            m_socket.send_to(asio::const_buffer(bytes.data(), bytes.size()),
+                             udp_endpoint(peer.address), 0, ignored);
+        }
+        fetch_news();
+        timer.expires_after(send_pause +
+                            milliseconds(absl::Uniform(m_state.random, 0, 20)));
+        co_await timer.async_wait(use_result);
+    }
+}
+
+// Tells the store where this machine is, and learns where the others are.
+awaitable<void> peer_exchange::publish_self()
+{
+    http_caller caller(m_state.context, m_state.settings.store_address);
+    const auto self = m_state.settings.peers_address;
+    bool is_published = false;
+    constexpr milliseconds time{1500};
+    constexpr milliseconds pause{700};
+    for (int attempt = 0; attempt < 20; ++attempt)
+    {
+        if (!is_published)
+        {
+            auto append = platform::append_call(
+                platform::machine_topic,
+                {platform::encode_keyed(m_state.self.value(), self)},
+                std::nullopt);
+            const auto answer = co_await caller.call(std::move(append), time);
+            is_published = answer && answer->status == http_status::ok;
+        }
+        auto list = platform::list_call(platform::machine_topic, "");
+        const auto answer = co_await caller.call(std::move(list), time);
+        if (is_published && answer && answer->status == http_status::ok)
+        {
+            try
+            {
+                for (const auto& record :
+                     platform::read_newest(answer->body).records)
+                {
+                    m_table.add_address(
+                        {host_id(record.key), record.value.value_or("")},
+                        gateway_state::now());
+                }
+                co_return;
+            }
+            catch (const json_error&)
+            {
+                // Asked again below.
+            }
+        }
+        asio::steady_timer timer(m_state.context, pause);
+        co_await timer.async_wait(use_result);
+    }
+}
+
+awaitable<void> peer_exchange::fetch_from(std::string address,
+                                          std::string topic)
+{
+    http_caller caller(m_state.context, address);
+    platform::store_call call{"GET", concat(records_target, topic), "", ""};
+    const auto answer = co_await caller.call(std::move(call), fetch_time);
+    m_is_fetching = false;
+    if (!answer || answer->status != http_status::ok)
+    {
+        co_return;
+    }
+    const auto shared = decode_shared_records(answer->body);
+    auto* follower = topic_named(topic);
+    if (!shared || follower == nullptr)
+    {
+        co_return;
+    }
+    std::vector<platform::keyed_record> records;
+    for (const auto& record : shared->records)
+    {
+        records.push_back({record.offset, record.key, record.value});
+    }
+    const auto news = follower->merge(records, shared->next);
+    log(events::records_from_peer,
+        {{"topic", topic}, {"peer", address}, {"news", std::to_string(news)}});
+}
+
+void peer_exchange::receive(std::string_view bytes)
+{
+    auto state = decode_machine_state(bytes);
+    if (!state)
+    {
+        return;
+    }
+    const auto now = gateway_state::now();
+    const auto known = m_table.peers().find(state->self.name);
+    const bool is_start = known == m_table.peers().end() ||
+                          known->second.heard_at == absl::InfinitePast() ||
+                          known->second.state.started != state->started;
+    const auto copy = *state;
+    const auto change = m_table.receive(std::move(*state), now);
+    if (!change.is_news)
+    {
+        return;
+    }
+    if (is_start)
+    {
+        log(events::peer_joined,
+            {{"peer", copy.self.name.value()}, {"address", copy.self.address}});
+    }
+    apply(copy, change);
+}
+
+void peer_exchange::apply(const machine_state& state, const peer_change& change)
+{
+    const auto now = gateway_state::now();
+    for (const auto& [tenant, used] : change.new_use)
+    {
+        m_state.quota.count_peer(tenant, used);
+    }
+    m_state.clock.note(state.self.name,
+                       absl::FromUnixMillis(state.wall_time_ms), now);
+    for (const auto& machine : state.machines)
+    {
+        m_table.add_address(machine, now);
+    }
+    absl::flat_hash_map<upstream_id, server_load> loads;
+    for (const auto& load : state.loads)
+    {
+        loads[load.server] = {load.active, load.unread_tokens};
+    }
+    m_state.choice.set_peer_load(state.self.name, std::move(loads));
+    for (const auto& server : state.leaving_servers)
+    {
+        if (m_state.servers.mark_leaving(server))
+        {
+            log(events::upstream_leaving, {{"server", server.value()},
+                                           {"from", state.self.name.value()}});
+            m_state.pool.drop(server);
+        }
+    }
+}
+
+// Fetches what a peer has known for a while and the store has not told.
+void peer_exchange::fetch_news()
+{
+    const auto now = gateway_state::now();
+    std::string best_address;
+    std::string wanted;
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        if (!m_table.is_in_reach(name, now))
+        {
+            continue;
+        }
+        if (peer.state.servers_offset > m_topics.servers.next())
+        {
+            best_address = peer.address;
+            wanted = platform::server_topic;
+        }
+        const auto own_version =
+            m_state.routes ? m_state.routes->configuration().version : 0;
+        if (peer.state.configuration_version > own_version)
+        {
+            best_address = peer.address;
+            wanted = platform::operator_topic;
+            break;
+        }
+    }
+    if (wanted.empty())
+    {
+        m_behind_since.clear();
+        return;
+    }
+    const auto since =
+        m_behind_since.try_emplace(wanted, monotonic::now()).first->second;
+    if (m_is_fetching || monotonic::now() - since < patience)
+    {
+        return;
+    }
+    m_is_fetching = true;
+    m_behind_since.erase(wanted);
+    asio::co_spawn(
+        m_state.context,
+        [this, best_address, wanted]
+        { return fetch_from(best_address, wanted); },
+        asio::detached);
+}
+
+machine_state peer_exchange::own_state()
+{
+    machine_state state;
+    state.self = {m_state.self, m_state.settings.peers_address};
+    state.started = m_state.started;
+    state.sequence = ++m_sequence;
+    state.hall = m_state.hall;
+    state.wall_time_ms = absl::ToUnixMillis(absl::Now());
+    state.configuration_version =
+        m_state.routes ? m_state.routes->configuration().version : 0;
+    state.servers_offset = m_topics.servers.next();
+    state.is_stopping = m_state.is_stopping;
+    state.reaches_store = m_topics.configuration.is_reached();
+    state.work_ms = m_state.work_ms;
+    for (const auto& [server, load] : m_state.choice.own_loads())
+    {
+        if (load.active > 0)
+        {
+            state.loads.push_back({server, load.active, load.unread_tokens});
+        }
+    }
+    for (const auto& [tenant, used] : m_state.quota.own_use())
+    {
+        state.uses[tenant] = used;
+    }
+    for (const auto& [window, counts] : m_state.usage.counts())
+    {
+        state.counts[window] = counts;
+    }
+    for (const auto& server : m_state.servers.leaving())
+    {
+        state.leaving_servers.push_back(server);
+    }
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        if (peer.heard_at != absl::InfinitePast() &&
+            state.machines.size() < most_named_machines)
+        {
+            state.machines.push_back({name, peer.address});
+        }
+    }
+    state.duty_holder = m_duty.holder;
+    state.duty_token = m_duty.token;
+    return state;
+}
+
+short_answer peer_exchange::answer_peer(const std::string& target)
+{
+    if (!target.starts_with(records_target))
+    {
+        return {http_status::not_found, "", "text/plain"};
+    }
+    const auto name = target.substr(records_target.size());
+    const auto* follower = topic_named(name);
+    if (follower == nullptr)
+    {
+        return {http_status::not_found, "", "text/plain"};
+    }
+    shared_records shared;
+    shared.topic = name;
+    shared.next = follower->next();
+    for (const auto& [key, record] : follower->records())
+    {
+        shared.records.push_back(
+            {record.offset, key, record.value.value_or("")});
+    }
+    return {http_status::ok, encode(shared), "application/octet-stream"};
+}
+
+topic_follower* peer_exchange::topic_named(const std::string& name)
+{
+    if (name == platform::operator_topic)
+    {
+        return &m_topics.configuration;
+    }
+    if (name == platform::server_topic)
+    {
+        return &m_topics.servers;
+    }
+    return nullptr;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/peer_exchange.hpp
@@ -0,0 +1,83 @@
+/// @file
+/// What this gateway and the others tell each other.
+#pragma once
+
+#include "gateway_state.hpp"
+#include "http_call.hpp"
+#include "small_server.hpp"
+#include "topic_follower.hpp"
+
+#include <array>
+#include <peers/peer_table.hpp>
+#include <peers/topic_records.hpp>
+
+namespace daleshelf
+{
+
+/// The topics that a gateway hands to peers which the store turns away.
+struct followed_topics
+{
+    topic_follower& configuration;
+    topic_follower& servers;
+};
+
+/// Who holds the duties, as this machine tells its peers.
+struct duty_state
+{
+    host_id holder;
+    std::int64_t token = -1;
+};
+
+/// Sends this machine's state to every peer a few times a second, by
+/// datagrams, and takes theirs. Records that the store does not give are
+/// fetched from a peer that has them.
+class peer_exchange
+{
+public:
+    peer_exchange(gateway_state& state, followed_topics topics);
+
+    void start();
+
+    [[nodiscard]] const peer_table& table() const
+    {
+        return m_table;
+    }
+
+    /// Sets what is told of the duties.
+    void set_duty(const duty_state& duty)
+    {
+        m_duty = duty;
+    }
+
+    /// @return whether a peer in reach says that it holds the duties
+    [[nodiscard]] bool hears_duty_holder() const;
+
+    /// @return work asked for through all machines since their starts, in
+    /// milliseconds of servers
+    [[nodiscard]] std::map<host_id, double> work_of_all() const;
+
+private:
+    awaitable<void> receive_all();
+    awaitable<void> send_all();
+    awaitable<void> publish_self();
+    awaitable<void> fetch_from(std::string address, std::string topic);
+    void receive(std::string_view bytes);
+    void apply(const machine_state& state, const peer_change& change);
+    void fetch_news();
+    [[nodiscard]] machine_state own_state();
+    [[nodiscard]] short_answer answer_peer(const std::string& target);
+    [[nodiscard]] topic_follower* topic_named(const std::string& name);
+
+    gateway_state& m_state;
+    followed_topics m_topics;
+    peer_table m_table;
+    asio::ip::udp::socket m_socket;
+    small_server m_server;
+    duty_state m_duty;
+    std::int64_t m_sequence = 0;
+    std::map<std::string, monotonic::time_point> m_behind_since;
+    bool m_is_fetching = false;
+    std::vector<std::pair<upstream_id, absl::Time>> m_leaving;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/request_flow.cpp
@@ -0,0 +1,625 @@
+#include "request_flow.hpp"
+
+#include <algorithm>
+#include <base/http_status.hpp>
+#include <platform/request_format.hpp>
+#include <telemetry/log.hpp>
+#include <wire/message_writer.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// A server that has not answered within a pause this long is passed over.
+constexpr milliseconds longest_gap{2500};
+constexpr std::size_t most_buffered = 262144;
+constexpr int most_failed_connects = 3;
+constexpr int priorities_per_tenant = 3;
+constexpr int lowest_priority = 9;
+
+// When a client may come back, by why it was refused.
+constexpr milliseconds retry_when_unconfigured{1000};
+constexpr milliseconds retry_when_full{250};
+constexpr milliseconds longest_retry{5000};
+
+milliseconds to_milliseconds(absl::Duration duration)
+{
+    return milliseconds(absl::ToInt64Milliseconds(duration));
+}
+
+bool is_event_stream(const response_head& head)
+{
+    const auto* type = head.fields.find("Content-Type");
+    return type != nullptr && type->starts_with("text/event-stream");
+}
+
+std::string_view kind_name(request_kind kind)
+{
+    switch (kind)
+    {
+    case request_kind::safe:
+        return "safe";
+    case request_kind::unsafe:
+        return "unsafe";
+    case request_kind::streaming:
+        break;
+    }
+    return "streaming";
+}
+
+} // namespace
+
+request_flow::request_flow(gateway_state& state, client_answer& answer,
+                           client_request request)
+    : m_state(state)
+    , m_answer(answer)
+    , m_request(std::move(request))
+    , m_facts(platform::read_facts(m_request.head.fields))
+    , m_routes(state.routes)
+{
+    ++m_state.requests_in_flight;
+}
+
+request_flow::~request_flow()
+{
+    --m_state.requests_in_flight;
+}
+
+void request_flow::cancel()
+{
+    m_is_cancelled = true;
+    if (m_exchange != nullptr)
+    {
+        m_exchange->cancel();
+    }
+}
+
+awaitable<void> request_flow::run()
+{
+    const bool is_admitted = co_await admit();
+    if (is_admitted)
+    {
+        co_await try_servers();
+    }
+}
+
+// Steps 1 to 4: what is asked, by whom, and whether it is within the quota.
+awaitable<bool> request_flow::admit()
+{
+    // 1. A request without an id cannot be told from others.
+    if (!platform::has_valid_id(m_request.head.fields))
+    {
+        co_await fail(http_status::bad_request, "no_request_id");
+        co_return false;
+    }
+    if (m_routes == nullptr)
+    {
+        co_await refuse(http_status::unavailable, "no_configuration",
+                        retry_when_unconfigured);
+        co_return false;
+    }
+    // 2. The route.
+    const auto* host = m_request.head.fields.find("Host");
+    m_route = m_routes->find_route(host == nullptr ? "" : *host,
+                                   m_request.head.target);
+    if (m_route == nullptr)
+    {
+        co_await fail(http_status::not_found, "no_route");
+        co_return false;
+    }
+    // 3. The tenant.
+    if (!m_route->is_public && !m_routes->configuration().tenants.empty())
+    {
+        m_tenant = m_routes->find_tenant(m_facts.key);
+        if (m_tenant == nullptr)
+        {
+            co_await fail(http_status::unauthorized, "unknown_key");
+            co_return false;
+        }
+    }
+    m_deadline =
+        m_request.received +
+        std::min(m_route->timeout, m_facts.deadline.value_or(m_route->timeout));
+    const auto& target = route_table::pick_target(
+        *m_route, absl::Uniform(m_state.random, 0.0, 1.0));
+    m_service = m_routes->find_service(target);
+    if (m_service == nullptr)
+    {
+        co_await refuse(http_status::unavailable, "unknown_service",
+                        retry_when_unconfigured);
+        co_return false;
+    }
+    // 4. The quota.
+    if (m_tenant != nullptr)
+    {
+        const auto stated = m_facts.prompt_tokens + m_facts.answer_tokens;
+        const auto tokens = stated > 0 ? stated : m_tenant->plain_tokens;
+        m_quota_cost =
+            m_tenant->counts_tokens ? static_cast<double>(tokens) : 1.0;
+        if (!m_state.quota.try_take(m_tenant->name, m_quota_cost,
+                                    gateway_state::now()))
+        {
+            const auto wait = to_milliseconds(
+                m_state.quota.wait_for(m_tenant->name, m_quota_cost));
+            co_await refuse(http_status::too_many_requests, "quota",
+                            std::clamp(wait, retry_when_full, longest_retry));
+            co_return false;
+        }
+        m_quota_taken = true;
+    }
+    m_state.retries.count_request(m_service->name);
+    co_return true;
+}
+
+// Step 5: servers, one after the other.
+awaitable<void> request_flow::try_servers()
+{
+    while (true)
+    {
+        choice_request wanted;
+        wanted.service = m_service->name;
+        wanted.is_engine = m_service->is_engine;
+        wanted.facts = &m_facts;
+        wanted.excluded = m_tried;
+        const auto* server =
+            m_state.choice.choose(wanted, gateway_state::now());
+        if (server == nullptr)
+        {
+            co_await give_up(attempt_end::not_run);
+            co_return;
+        }
+        const auto chosen = *server;
+        m_tried.insert(chosen.id);
+        const auto end = co_await attempt(chosen);
+        log_attempt(chosen, end);
+        if (end == attempt_end::answered || end == attempt_end::abandoned)
+        {
+            log_end(end == attempt_end::answered ? "answered" : "client_left");
+            co_return;
+        }
+        if (!may_try_again(end))
+        {
+            co_await give_up(end);
+            co_return;
+        }
+    }
+}
+
+awaitable<request_flow::attempt_end>
+request_flow::attempt(const server_entry& server)
+{
+    server_request sent;
+    sent.server = server;
+    sent.id = m_facts.id.value();
+    sent.bytes = bytes_for(server);
+    sent.is_repeatable = may_repeat(*m_route);
+    sent.has_no_answer_body = m_request.head.method == "HEAD";
+    sent.deadline = m_deadline;
+    server_exchange exchange(m_state.pool, std::move(sent));
+    m_exchange = &exchange;
+    auto unread =
+        m_state.choice.start(server.id, m_facts, m_service->cache_tokens);
+    auto end = attempt_end::abandoned;
+    auto state = exchange_state::failed;
+    if (!m_is_cancelled)
+    {
+        state = co_await exchange.start();
+    }
+    note_first_event(unread, server.id);
+    if (exchange.known_verdict() != verdict::not_run)
+    {
+        ++m_attempts;
+    }
+    auto outcome = attempt_outcome::answered;
+    if (m_is_cancelled)
+    {
+        end = attempt_end::abandoned;
+        m_may_have_run = true;
+    }
+    else if (state == exchange_state::late)
+    {
+        m_may_have_run = true;
+        outcome = attempt_outcome::silent;
+        end = attempt_end::late;
+    }
+    else if (state == exchange_state::failed)
+    {
+        outcome = attempt_outcome::unreachable;
+        const bool is_unsent = exchange.known_verdict() == verdict::not_run;
+        end = is_unsent ? attempt_end::not_reached : attempt_end::broken;
+        m_may_have_run = m_may_have_run || !is_unsent;
+    }
+    else if (platform::states_not_run(exchange.head()))
+    {
+        outcome = attempt_outcome::refused;
+        end = attempt_end::not_run;
+    }
+    else
+    {
+        m_may_have_run = true;
+        end = co_await relay(exchange);
+        if (end == attempt_end::broken)
+        {
+            outcome = attempt_outcome::unreachable;
+        }
+        else if (exchange.head().status >= http_status::first_server_error)
+        {
+            outcome = attempt_outcome::failed;
+        }
+    }
+    exchange.cancel();
+    m_exchange = nullptr;
+    m_state.choice.end(server.id);
+    if (end != attempt_end::abandoned)
+    {
+        m_state.choice.report(server.id, outcome, gateway_state::now());
+    }
+    co_return end;
+}
+
+awaitable<request_flow::attempt_end>
+request_flow::relay(server_exchange& exchange)
+{
+    const bool is_good = exchange.head().status < http_status::bad_request;
+    if (is_good && is_event_stream(exchange.head()))
+    {
+        co_return co_await relay_events(exchange);
+    }
+    if (m_answer.has_begun())
+    {
+        // A stream goes on here, and this is none.
+        co_return attempt_end::broken;
+    }
+    co_return co_await relay_whole(exchange);
+}
+
+awaitable<request_flow::attempt_end>
+request_flow::relay_whole(server_exchange& exchange)
+{
+    count_begun();
+    std::string body;
+    while (true)
+    {
+        const auto state = co_await exchange.read_piece(m_deadline);
+        if (state == exchange_state::piece)
+        {
+            body += exchange.take_piece();
+            if (body.size() <= most_buffered)
+            {
+                continue;
+            }
+            const bool is_sent = co_await send_piece(exchange.head(), body);
+            body.clear();
+            if (!is_sent)
+            {
+                co_return attempt_end::abandoned;
+            }
+            continue;
+        }
+        if (m_is_cancelled)
+        {
+            co_return attempt_end::abandoned;
+        }
+        if (state != exchange_state::complete)
+        {
+            co_return state == exchange_state::late ? attempt_end::late
+                                                    : attempt_end::broken;
+        }
+        break;
+    }
+    if (m_answer.has_begun())
+    {
+        co_await m_answer.add(body);
+        const bool is_sent = co_await m_answer.finish();
+        co_return is_sent ? attempt_end::answered : attempt_end::abandoned;
+    }
+    const auto status = exchange.head().status;
+    if (status >= http_status::first_server_error && may_repeat(*m_route) &&
+        status != http_status::gateway_timeout)
+    {
+        m_error_answer.emplace(exchange.head(), std::move(body));
+        co_return attempt_end::server_error;
+    }
+    const bool is_sent =
+        co_await m_answer.send_whole(exchange.head(), std::move(body));
+    co_return is_sent ? attempt_end::answered : attempt_end::abandoned;
+}
+
+awaitable<request_flow::attempt_end>
+request_flow::relay_events(server_exchange& exchange)
+{
+    if (!m_weights)
+    {
+        m_weights = platform::weights_version(exchange.head().fields);
+    }
+    event_splitter splitter;
+    while (true)
+    {
+        const auto until = std::min(m_deadline, monotonic::now() + longest_gap);
+        const auto state = co_await exchange.read_piece(until);
+        if (m_is_cancelled)
+        {
+            co_return attempt_end::abandoned;
+        }
+        if (state == exchange_state::piece)
+        {
+            count_begun();
+            splitter.add(exchange.take_piece());
+            bool is_sound = true;
+            const bool is_taken =
+                co_await forward_events(splitter, exchange.head(), is_sound);
+            if (!is_taken)
+            {
+                co_return attempt_end::abandoned;
+            }
+            if (!is_sound)
+            {
+                co_return attempt_end::broken;
+            }
+            continue;
+        }
+        if (state == exchange_state::late)
+        {
+            if (monotonic::now() >= m_deadline)
+            {
+                co_return attempt_end::late;
+            }
+            // Silence alone ends nothing that cannot go on elsewhere.
+            if (m_route->is_resumable && m_attempts < m_route->max_attempts)
+            {
+                co_return attempt_end::broken;
+            }
+            continue;
+        }
+        if (state == exchange_state::failed || splitter.has_partial() ||
+            !exchange.is_framed() || !m_answer.has_begun())
+        {
+            co_return attempt_end::broken;
+        }
+        const bool is_sent = co_await m_answer.finish();
+        co_return is_sent ? attempt_end::answered : attempt_end::abandoned;
+    }
+}
+
+// Passes on the whole events that have come.
+// @param is_sound set to false if they are not what must come next
+// @return whether the client takes them
+awaitable<bool> request_flow::forward_events(event_splitter& splitter,
+                                             const response_head& head,
+                                             bool& is_sound)
+{
+    std::string bytes;
+    while (auto event = splitter.next())
+    {
+        if (event->id)
+        {
+            if (m_last_event && *event->id <= *m_last_event)
+            {
+                continue;
+            }
+            if (m_last_event && *event->id != *m_last_event + 1)
+            {
+                is_sound = false;
+                break;
+            }
+            m_last_event = event->id;
+        }
+        bytes += event->bytes;
+    }
+    if (bytes.empty())
+    {
+        co_return true;
+    }
+    co_return co_await send_piece(head, bytes);
+}
+
+// Begins the answer with a piece, or goes on with it.
+awaitable<bool> request_flow::send_piece(const response_head& head,
+                                         std::string_view bytes)
+{
+    if (m_answer.has_begun())
+    {
+        co_return co_await m_answer.add(bytes);
+    }
+    co_return co_await m_answer.begin(head, bytes);
+}
+
+// Step 6: whether another server may get the request.
+bool request_flow::may_try_again(attempt_end end)
+{
+    if (end == attempt_end::late || time_left().count() <= 0)
+    {
+        return false;
+    }
+    if (end == attempt_end::not_reached)
+    {
+        // Nothing has arrived anywhere: no retry in the budget's sense.
+        return ++m_failed_connects < most_failed_connects;
+    }
+    const bool may_run_again =
+        !m_may_have_run ||
+        (may_repeat(*m_route) && m_attempts < m_route->max_attempts);
+    if (!may_run_again || m_attempts > m_route->max_attempts)
+    {
+        return false;
+    }
+    if (m_answer.has_begun() && !m_last_event)
+    {
+        return false;
+    }
+    return m_state.retries.try_take(m_service->name);
+}
+
+// Step 7: the final answer, at once.
+awaitable<void> request_flow::give_up(attempt_end end)
+{
+    if (m_answer.has_begun())
+    {
+        log_end("broken_off");
+        m_answer.break_off();
+        co_return;
+    }
+    if (!m_may_have_run)
+    {
+        if (m_quota_taken)
+        {
+            m_state.quota.refund(m_tenant->name, m_quota_cost);
+        }
+        co_await refuse(http_status::unavailable,
+                        end == attempt_end::not_reached ? "no_server_reached"
+                                                        : "servers_full",
+                        retry_when_full);
+        co_return;
+    }
+    if (m_error_answer)
+    {
+        log_end("server_error");
+        co_await m_answer.send_whole(m_error_answer->first,
+                                     std::move(m_error_answer->second));
+        co_return;
+    }
+    const bool is_late = end == attempt_end::late;
+    co_await fail(is_late ? http_status::gateway_timeout
+                          : http_status::bad_gateway,
+                  is_late ? "deadline" : "may_have_run");
+}
+
+awaitable<void> request_flow::refuse(int status, std::string_view reason,
+                                     std::optional<milliseconds> retry_after)
+{
+    log(events::request_refused,
+        {{"id", m_facts.id.value()},
+         {"status", std::to_string(status)},
+         {"reason", std::string(reason)},
+         {"route", m_route == nullptr ? "" : m_route->name},
+         {"tenant", m_tenant == nullptr ? "" : m_tenant->name.value()},
+         {"attempts", std::to_string(m_attempts)},
+         {"configuration",
+          std::to_string(m_routes ? m_routes->configuration().version : 0)}});
+    std::string extra;
+    platform::write_refusal_fields(extra, m_facts.id.value(), retry_after);
+    co_await m_answer.send_own(status, extra);
+}
+
+awaitable<void> request_flow::fail(int status, std::string_view reason)
+{
+    log(events::request_failed,
+        {{"id", m_facts.id.value()},
+         {"status", std::to_string(status)},
+         {"reason", std::string(reason)},
+         {"route", m_route == nullptr ? "" : m_route->name},
+         {"attempts", std::to_string(m_attempts)},
+         {"configuration",
+          std::to_string(m_routes ? m_routes->configuration().version : 0)}});
+    std::string extra;
+    platform::write_refusal_fields(extra, m_facts.id.value(), std::nullopt);
+    co_await m_answer.send_own(status, extra);
+}
+
+std::string request_flow::bytes_for(const server_entry& server) const
+{
+    std::string bytes;
+    write_start_line(bytes, m_request.head);
+    const auto& fields = m_request.head.fields;
+    for (const auto& field : fields.fields)
+    {
+        const bool is_length = same_name(field.name, "Content-Length");
+        const bool is_replaced = m_last_event && m_answer.has_begun() &&
+                                 same_name(field.name, "Last-Event-Id");
+        if (is_length || is_replaced || is_hop_by_hop(fields, field.name) ||
+            platform::is_withheld(field.name))
+        {
+            continue;
+        }
+        write_field(bytes, field.name, field.value);
+    }
+    if (!m_request.body.empty() || fields.find("Content-Length") != nullptr ||
+        fields.find("Transfer-Encoding") != nullptr)
+    {
+        write_field(bytes, "Content-Length",
+                    std::to_string(m_request.body.size()));
+    }
+    platform::server_fields own;
+    own.deadline = std::max(time_left(), milliseconds(1));
+    own.expected_server = server.id;
+    if (m_tenant != nullptr)
+    {
+        own.tenant = m_tenant->name;
+    }
+    if (m_service->is_engine)
+    {
+        const auto tenant_priority =
+            m_tenant == nullptr ? 0 : m_tenant->priority;
+        own.priority =
+            std::min(lowest_priority, tenant_priority * priorities_per_tenant +
+                                          m_route->priority);
+    }
+    if (m_answer.has_begun())
+    {
+        own.last_event = m_last_event;
+        own.expected_weights = m_weights;
+    }
+    platform::write_server_fields(bytes, own);
+    write_head_end(bytes);
+    bytes += m_request.body;
+    return bytes;
+}
+
+milliseconds request_flow::time_left() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_deadline -
+                                                    monotonic::now());
+}
+
+void request_flow::count_begun()
+{
+    if (!m_was_counted && m_tenant != nullptr)
+    {
+        m_was_counted = true;
+        m_state.usage.count(m_tenant->name, m_state.time_of_day());
+    }
+}
+
+void request_flow::note_first_event(std::int64_t& unread,
+                                    const upstream_id& server)
+{
+    m_state.choice.prompt_read(server, unread);
+    unread = 0;
+}
+
+void request_flow::log_attempt(const server_entry& server,
+                               attempt_end end) const
+{
+    if (end == attempt_end::answered || end == attempt_end::abandoned)
+    {
+        return;
+    }
+    static constexpr std::array<std::string_view, 7> names{
+        "answered", "not_run", "not_reached", "server_error",
+        "broken",   "late",    "abandoned"};
+    log(events::upstream_failed,
+        {{"id", m_facts.id.value()},
+         {"server", server.id.value()},
+         {"end", std::string(names.at(static_cast<std::size_t>(end)))},
+         {"attempts", std::to_string(m_attempts)},
+         {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                   monotonic::now() - m_request.received)
+                                   .count())}});
+}
+
+void request_flow::log_end(std::string_view outcome) const
+{
+    log(events::request_ended,
+        {{"id", m_facts.id.value()},
+         {"outcome", std::string(outcome)},
+         {"kind", std::string(kind_name(m_route->kind))},
+         {"status", std::to_string(m_answer.status())},
+         {"attempts", std::to_string(m_attempts)},
+         {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                   monotonic::now() - m_request.received)
+                                   .count())}});
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/request_flow.hpp
@@ -0,0 +1,103 @@
+/// @file
+/// The way of one request through the gateway.
+#pragma once
+
+#include "client_answer.hpp"
+#include "gateway_state.hpp"
+#include "server_exchange.hpp"
+
+#include <ingress/event_splitter.hpp>
+#include <ingress/request_facts.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace daleshelf
+{
+
+/// One whole request of a client.
+struct client_request
+{
+    request_head head;
+    std::string body;
+    monotonic::time_point received{};
+};
+
+/// Decides, sends and answers one request: finds its route and tenant, takes
+/// its quota, and tries servers until one has answered, or until nothing more
+/// may be tried. Every request gets exactly one final answer, at once when it
+/// is known. The steps are those of docs/design/platform.md, "One request".
+class request_flow
+{
+public:
+    request_flow(gateway_state& state, client_answer& answer,
+                 client_request request);
+    ~request_flow();
+    request_flow(const request_flow&) = delete;
+    request_flow& operator=(const request_flow&) = delete;
+
+    /// Serves the request to its end.
+    awaitable<void> run();
+
+    /// The client has left: the server is freed at once.
+    void cancel();
+
+private:
+    /// How one attempt has ended.
+    enum class attempt_end
+    {
+        answered,     ///< the client has its whole answer
+        not_run,      ///< certainly not run; may be tried elsewhere
+        not_reached,  ///< no connection; nothing has arrived
+        server_error, ///< run; the server's own failure is kept
+        broken,       ///< may have run, or an answer was cut off
+        late,         ///< the time is over
+        abandoned,    ///< the client has left
+    };
+
+    awaitable<bool> admit();
+    awaitable<void> try_servers();
+    awaitable<attempt_end> attempt(const server_entry& server);
+    awaitable<attempt_end> relay(server_exchange& exchange);
+    awaitable<attempt_end> relay_whole(server_exchange& exchange);
+    awaitable<attempt_end> relay_events(server_exchange& exchange);
+    awaitable<bool> forward_events(event_splitter& splitter,
+                                   const response_head& head, bool& is_sound);
+    awaitable<bool> send_piece(const response_head& head,
+                               std::string_view bytes);
+    bool may_try_again(attempt_end end);
+    awaitable<void> give_up(attempt_end end);
+    awaitable<void> refuse(int status, std::string_view reason,
+                           std::optional<milliseconds> retry_after);
+    awaitable<void> fail(int status, std::string_view reason);
+    [[nodiscard]] std::string bytes_for(const server_entry& server) const;
+    [[nodiscard]] milliseconds time_left() const;
+    void count_begun();
+    void note_first_event(std::int64_t& unread, const upstream_id& server);
+    void log_attempt(const server_entry& server, attempt_end end) const;
+    void log_end(std::string_view outcome) const;
+
+    gateway_state& m_state;
+    client_answer& m_answer;
+    client_request m_request;
+    request_facts m_facts;
+    std::shared_ptr<const route_table> m_routes;
+    const ingress_route* m_route = nullptr;
+    const ingress_tenant* m_tenant = nullptr;
+    const ingress_service* m_service = nullptr;
+    monotonic::time_point m_deadline{};
+    double m_quota_cost = 0;
+    bool m_quota_taken = false;
+    bool m_was_counted = false;
+    bool m_is_cancelled = false;
+    bool m_may_have_run = false;
+    int m_attempts = 0; ///< that have reached a server
+    int m_failed_connects = 0;
+    absl::flat_hash_set<upstream_id> m_tried;
+    std::optional<std::int64_t> m_last_event;
+    std::optional<std::int64_t> m_weights;
+    server_exchange* m_exchange = nullptr;
+    std::optional<std::pair<response_head, std::string>> m_error_answer;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/server_connection.cpp
@@ -0,0 +1,188 @@
+#include "server_connection.hpp"
+
+#include <base/text.hpp>
+#include <netinet/tcp.h>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// A request may meet the server's own close if it comes this late.
+constexpr milliseconds close_margin{900};
+constexpr milliseconds default_idle_limit{4000};
+// Requests that may run only once take younger connections.
+constexpr milliseconds unrepeatable_idle_limit{1500};
+
+void set_number(asio::ip::tcp::socket& socket, int level, int name, int value)
+{
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+milliseconds usable_idle_time(const server_connection& connection,
+                              bool is_repeatable)
+{
+    const auto limit = connection.idle_limit.count() > 0
+                           ? connection.idle_limit - close_margin
+                           : default_idle_limit - close_margin;
+    return is_repeatable ? limit : std::min(limit, unrepeatable_idle_limit);
+}
+
+} // namespace
+
+std::unique_ptr<server_connection>
+connection_pool::take(const upstream_id& server, bool is_repeatable)
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end())
+    {
+        return nullptr;
+    }
+    const auto now = monotonic::now();
+    auto& connections = found->second;
+    while (!connections.empty())
+    {
+        auto& newest = connections.back();
+        const auto age = now - newest->idle_since;
+        const bool is_sound = newest->channel->end() == channel_end::open &&
+                              newest->channel->input().empty();
+        if (is_sound && age > usable_idle_time(*newest, is_repeatable))
+        {
+            // The others are older still.
+            return nullptr;
+        }
+        auto taken = std::move(newest);
+        connections.pop_back();
+        if (is_sound)
+        {
+            taken->is_reused = true;
+            return taken;
+        }
+        taken->channel->close();
+    }
+    return nullptr;
+}
+
+awaitable<std::unique_ptr<server_connection>>
+connection_pool::connect(const server_entry& server,
+                         monotonic::time_point deadline)
+{
+    const auto endpoint = parse_endpoint(server.address);
+    if (!endpoint)
+    {
+        co_return nullptr;
+    }
+    const auto id = server.id;
+    auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+    asio::steady_timer timer(m_context, deadline);
+    timer.async_wait(
+        [socket](const error_code& error)
+        {
+            if (!error)
+            {
+                error_code ignored;
+                socket->close(ignored);
+            }
+        });
+    ++m_made;
+    const auto [error] = co_await socket->async_connect(*endpoint, use_result);
+    timer.cancel();
+    if (error || !socket->is_open())
+    {
+        co_return nullptr;
+    }
+    detect_silent_peer(*socket);
+    auto connection = std::make_unique<server_connection>();
+    connection->server = id;
+    connection->channel = std::make_shared<byte_channel>(std::move(*socket));
+    connection->channel->start();
+    co_return connection;
+}
+
+void connection_pool::keep(std::unique_ptr<server_connection> connection)
+{
+    if (connection->channel->end() != channel_end::open ||
+        !connection->channel->input().empty())
+    {
+        connection->channel->close();
+        return;
+    }
+    connection->idle_since = monotonic::now();
+    m_idle[connection->server].push_back(std::move(connection));
+}
+
+void connection_pool::sweep(monotonic::time_point now)
+{
+    for (auto& [server, connections] : m_idle)
+    {
+        std::erase_if(connections,
+                      [&](const auto& connection)
+                      {
+                          const bool is_old =
+                              now - connection->idle_since >
+                              usable_idle_time(*connection, true);
+                          const bool is_sound =
+                              connection->channel->end() == channel_end::open &&
+                              connection->channel->input().empty();
+                          if (is_sound && !is_old)
+                          {
+                              return false;
+                          }
+                          connection->channel->close();
+                          return true;
+                      });
+    }
+    absl::erase_if(m_idle,
+                   [](const auto& entry) { return entry.second.empty(); });
+}
+
+void connection_pool::drop(const upstream_id& server)
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end())
+    {
+        return;
+    }
+    for (auto& connection : found->second)
+    {
+        connection->channel->close();
+    }
+    m_idle.erase(found);
+}
+
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    constexpr std::int64_t highest_port = 65535;
+    const auto port = parse_integer(text.substr(colon + 1));
+    if (!port || *port < 0 || *port > highest_port)
+    {
+        return std::nullopt;
+    }
+    error_code error;
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    if (error)
+    {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint(address, static_cast<unsigned short>(*port));
+}
+
+void detect_silent_peer(asio::ip::tcp::socket& socket)
+{
+    constexpr int unacknowledged_ms = 1200;
+    constexpr int idle_seconds = 1;
+    constexpr int probes = 2;
+    set_number(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+    set_number(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_number(socket, IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
+    set_number(socket, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    set_number(socket, IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/server_exchange.cpp
@@ -0,0 +1,234 @@
+#include "server_exchange.hpp"
+
+#include <platform/request_format.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr std::uint32_t answer_head_bytes = 65536;
+constexpr milliseconds connect_time{350};
+
+constexpr int status_continue = 100;
+constexpr int status_ok = 200;
+
+} // namespace
+
+server_exchange::server_exchange(connection_pool& pool, server_request request)
+    : m_pool(pool), m_request(std::move(request))
+{
+}
+
+server_exchange::~server_exchange()
+{
+    if (m_connection)
+    {
+        m_connection->channel->close();
+    }
+}
+
+awaitable<exchange_state> server_exchange::start()
+{
+    const bool is_connected = co_await connect();
+    if (!is_connected)
+    {
+        co_return fail();
+    }
+    const bool is_sent = co_await send();
+    if (!is_sent)
+    {
+        co_return fail();
+    }
+    co_return co_await read_head();
+}
+
+awaitable<exchange_state>
+server_exchange::read_piece(monotonic::time_point until)
+{
+    while (true)
+    {
+        if (m_is_cancelled)
+        {
+            co_return fail();
+        }
+        try
+        {
+            parse_input();
+            m_piece += m_parser->take_body();
+            if (!m_piece.empty())
+            {
+                co_return exchange_state::piece;
+            }
+            if (m_parser->is_complete())
+            {
+                release();
+                co_return exchange_state::complete;
+            }
+            const auto& channel = *m_connection->channel;
+            if (channel.end() == channel_end::finished &&
+                channel.input().empty())
+            {
+                m_parser->feed_end();
+                release();
+                co_return exchange_state::complete;
+            }
+            if (channel.end() == channel_end::broken)
+            {
+                co_return fail();
+            }
+        }
+        catch (const parse_error&)
+        {
+            co_return fail();
+        }
+        const bool has_input =
+            co_await m_connection->channel->wait_input(until);
+        if (!has_input)
+        {
+            co_return exchange_state::late;
+        }
+    }
+}
+
+void server_exchange::cancel()
+{
+    m_is_cancelled = true;
+    if (m_connection)
+    {
+        m_connection->channel->close();
+    }
+}
+
+awaitable<bool> server_exchange::connect()
+{
+    m_connection = m_pool.take(m_request.server.id, m_request.is_repeatable);
+    if (!m_connection)
+    {
+        m_connection = co_await m_pool.connect(
+            m_request.server,
+            std::min(m_request.deadline, monotonic::now() + connect_time));
+    }
+    m_was_connected = m_connection != nullptr && !m_is_cancelled;
+    co_return m_was_connected;
+}
+
+awaitable<bool> server_exchange::send()
+{
+    const auto result = co_await m_connection->channel->write(m_request.bytes);
+    if (result.size > 0)
+    {
+        m_verdict = verdict::may_have_run;
+    }
+    // A server may have answered, and closed, before all was sent.
+    co_return result.is_complete || !m_connection->channel->input().empty();
+}
+
+awaitable<exchange_state> server_exchange::read_head()
+{
+    m_parser = std::make_unique<response_parser>(answer_head_bytes);
+    while (true)
+    {
+        if (m_is_cancelled)
+        {
+            co_return fail();
+        }
+        try
+        {
+            if (parse_input())
+            {
+                m_is_framed = !m_parser->ends_with_connection();
+                co_return exchange_state::head;
+            }
+        }
+        catch (const parse_error&)
+        {
+            co_return fail();
+        }
+        if (m_connection->channel->end() != channel_end::open)
+        {
+            co_return fail();
+        }
+        const bool has_input =
+            co_await m_connection->channel->wait_input(m_request.deadline);
+        if (!has_input)
+        {
+            co_return exchange_state::late;
+        }
+    }
+}
+
+// Feeds what has come to the parser.
+// @return whether the head of this request's answer is there
+bool server_exchange::parse_input()
+{
+    auto& channel = *m_connection->channel;
+    while (true)
+    {
+        const bool had_head = m_parser->has_head() && !m_is_foreign;
+        if (!m_parser->is_complete())
+        {
+            channel.consume(m_parser->feed(channel.input()));
+        }
+        if (!m_parser->has_head())
+        {
+            return false;
+        }
+        if (had_head)
+        {
+            return true;
+        }
+        // 1. A new head: whose is it?
+        if (!m_is_foreign)
+        {
+            m_head = m_parser->take_head();
+            const auto answered = platform::answered_id(m_head.fields);
+            m_is_foreign =
+                (answered && *answered != m_request.id) ||
+                (m_head.status >= status_continue && m_head.status < status_ok);
+        }
+        if (!m_is_foreign)
+        {
+            return true;
+        }
+        // 2. Another request's answer: skip it whole.
+        (void)m_parser->take_body();
+        if (!m_parser->is_complete())
+        {
+            return false;
+        }
+        m_parser = std::make_unique<response_parser>(answer_head_bytes);
+        m_is_foreign = false;
+    }
+}
+
+exchange_state server_exchange::fail()
+{
+    if (m_connection)
+    {
+        m_connection->channel->close();
+    }
+    return exchange_state::failed;
+}
+
+// The answer has ended in order: keeps the connection if that is sound.
+void server_exchange::release()
+{
+    const bool may_keep = m_is_framed &&
+                          keeps_connection(m_head.fields, m_head.version) &&
+                          m_connection->channel->end() == channel_end::open &&
+                          m_connection->channel->input().empty();
+    if (!may_keep)
+    {
+        m_connection->channel->close();
+        return;
+    }
+    if (const auto idle = platform::idle_time(m_head.fields))
+    {
+        m_connection->idle_limit = *idle;
+    }
+    m_pool.keep(std::move(m_connection));
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/server_exchange.hpp
@@ -0,0 +1,106 @@
+/// @file
+/// One attempt of a request at one server.
+#pragma once
+
+#include "server_connection.hpp"
+
+#include <base/verdict.hpp>
+#include <memory>
+#include <string>
+#include <wire/message_parser.hpp>
+
+namespace daleshelf
+{
+
+/// What is sent to a server.
+struct server_request
+{
+    server_entry server;
+    std::string id;    ///< as the client gave it
+    std::string bytes; ///< head and body
+    bool is_repeatable = false;
+    bool has_no_answer_body = false; ///< a HEAD request
+    monotonic::time_point deadline{};
+};
+
+/// How an exchange has gone so far.
+enum class exchange_state
+{
+    head,     ///< the answer's head is there
+    piece,    ///< bytes of its body are there
+    complete, ///< its body has ended in order
+    failed,   ///< nothing more comes; `verdict` tells what is known
+    late,     ///< the deadline has passed
+};
+
+/// Sends one request to one server and reads its answer. Answers that belong
+/// to other requests are skipped: they may come late on a kept connection.
+class server_exchange
+{
+public:
+    server_exchange(connection_pool& pool, server_request request);
+    server_exchange(const server_exchange&) = delete;
+    server_exchange& operator=(const server_exchange&) = delete;
+    ~server_exchange();
+
+    /// Sends the request and waits for the head of its answer.
+    awaitable<exchange_state> start();
+
+    /// Waits for the next piece of the body.
+    /// @param until waits no longer than this; `late` is returned then
+    awaitable<exchange_state> read_piece(monotonic::time_point until);
+
+    /// @return the piece that `read_piece` has found
+    [[nodiscard]] std::string take_piece()
+    {
+        return std::exchange(m_piece, {});
+    }
+
+    [[nodiscard]] const response_head& head() const
+    {
+        return m_head;
+    }
+
+    /// @return whether the body is sent with a length or in chunks
+    [[nodiscard]] bool is_framed() const
+    {
+        return m_is_framed;
+    }
+
+    /// @return what is known of the request's execution if it has failed
+    [[nodiscard]] verdict known_verdict() const
+    {
+        return m_verdict;
+    }
+
+    /// @return whether a connection was there at all
+    [[nodiscard]] bool was_connected() const
+    {
+        return m_was_connected;
+    }
+
+    /// Ends the exchange at once; the server drops the request.
+    void cancel();
+
+private:
+    awaitable<bool> connect();
+    awaitable<bool> send();
+    awaitable<exchange_state> read_head();
+    bool parse_input();
+    exchange_state fail();
+    void release();
+
+    connection_pool& m_pool;
+    server_request m_request;
+    std::unique_ptr<server_connection> m_connection;
+    std::unique_ptr<response_parser> m_parser;
+    response_head m_head;
+    std::string m_piece;
+    verdict m_verdict = verdict::not_run;
+    bool m_is_framed = false;
+    bool m_was_connected = false;
+    bool m_is_cancelled = false;
+    bool m_is_foreign = false; ///< the answer being read is another request's
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/small_server.cpp
@@ -0,0 +1,112 @@
+#include "small_server.hpp"
+
+#include "server_connection.hpp"
+
+#include <stdexcept>
+#include <wire/message_parser.hpp>
+#include <wire/message_writer.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr std::uint32_t head_bytes = 8192;
+constexpr std::uint64_t body_bytes = 65536;
+constexpr std::chrono::seconds idle_time{30};
+constexpr milliseconds accept_pause{100};
+
+} // namespace
+
+asio::ip::tcp::acceptor open_acceptor(asio::io_context& context,
+                                      const std::string& address)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+    {
+        throw std::invalid_argument(address + " is no IP:PORT");
+    }
+    return asio::ip::tcp::acceptor(context, *endpoint);
+}
+
+small_server::small_server(asio::io_context& context,
+                           const std::string& address, handler answer)
+    : m_acceptor(open_acceptor(context, address)), m_answer(std::move(answer))
+{
+}
+
+void small_server::start()
+{
+    asio::co_spawn(
+        m_acceptor.get_executor(), [this] { return accept_all(); },
+        asio::detached);
+}
+
+awaitable<void> small_server::accept_all()
+{
+    while (m_acceptor.is_open())
+    {
+        auto [error, socket] = co_await m_acceptor.async_accept(use_result);
+        if (error)
+        {
+            asio::steady_timer pause(m_acceptor.get_executor(), accept_pause);
+            co_await pause.async_wait(use_result);
+            continue;
+        }
+        auto accepted =
+            std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+        asio::co_spawn(
+            m_acceptor.get_executor(),
+            [this, accepted] { return serve(std::move(*accepted)); },
+            asio::detached);
+    }
+}
+
+awaitable<void> small_server::serve(asio::ip::tcp::socket socket)
+{
+    const auto channel = std::make_shared<byte_channel>(std::move(socket));
+    channel->start();
+    bool is_kept = true;
+    while (is_kept && channel->end() == channel_end::open)
+    {
+        request_parser parser(head_bytes, body_bytes);
+        try
+        {
+            while (!parser.is_complete())
+            {
+                channel->consume(parser.feed(channel->input()));
+                if (parser.is_complete())
+                {
+                    break;
+                }
+                const bool has_input =
+                    co_await channel->wait_input(monotonic::now() + idle_time);
+                if (!has_input || channel->end() != channel_end::open)
+                {
+                    channel->close();
+                    co_return;
+                }
+            }
+        }
+        catch (const parse_error&)
+        {
+            break;
+        }
+        const auto head = parser.take_head();
+        is_kept = keeps_connection(head.fields, head.version);
+        const auto answer = m_answer(head.target);
+        std::string bytes;
+        write_status_line(bytes, answer.status, reason_phrase(answer.status));
+        write_field(bytes, "Content-Type", answer.content_type);
+        write_field(bytes, "Content-Length",
+                    std::to_string(answer.body.size()));
+        write_head_end(bytes);
+        bytes += answer.body;
+        const auto sent = co_await channel->write(bytes);
+        is_kept = is_kept && sent.is_complete;
+    }
+    channel->close();
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/small_server.hpp
@@ -0,0 +1,47 @@
+/// @file
+/// Answers short questions: readiness, metrics, records for peers.
+#pragma once
+
+#include "byte_channel.hpp"
+
+#include <functional>
+#include <string>
+
+namespace daleshelf
+{
+
+/// Answer to a short question.
+struct short_answer
+{
+    int status = 0;
+    std::string body;
+    std::string content_type = "text/plain";
+};
+
+/// Opens an acceptor on an address.
+/// @throws boost::system::system_error if the address cannot be used
+[[nodiscard]] asio::ip::tcp::acceptor open_acceptor(asio::io_context& context,
+                                                    const std::string& address);
+
+/// Serves GET requests by a function of their target.
+class small_server
+{
+public:
+    using handler = std::function<short_answer(const std::string& target)>;
+
+    /// @param address IP:PORT
+    small_server(asio::io_context& context, const std::string& address,
+                 handler answer);
+
+    /// Begins to accept connections.
+    void start();
+
+private:
+    awaitable<void> accept_all();
+    awaitable<void> serve(asio::ip::tcp::socket socket);
+
+    asio::ip::tcp::acceptor m_acceptor;
+    handler m_answer;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/topic_follower.cpp
@@ -0,0 +1,265 @@
+#include "topic_follower.hpp"
+
+#include <base/http_status.hpp>
+#include <base/json.hpp>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr milliseconds tail_wait{8000};
+constexpr milliseconds answer_time{1500};
+constexpr milliseconds shortest_tail{500};
+constexpr milliseconds first_pause{100};
+constexpr milliseconds longest_pause{1000};
+constexpr std::chrono::seconds reached_time{3};
+
+} // namespace
+
+topic_follower::topic_follower(gateway_state& state, std::string topic,
+                               topic_events events)
+    : m_state(state)
+    , m_topic(std::move(topic))
+    , m_events(std::move(events))
+    , m_caller(state.context, state.settings.store_address)
+    , m_wake(state.context.get_executor())
+{
+}
+
+awaitable<void> topic_follower::run()
+{
+    while (true)
+    {
+        bool was_answered = false;
+        if (m_has_listed)
+        {
+            was_answered = co_await tail();
+        }
+        else
+        {
+            was_answered = co_await list();
+        }
+        note_answer(was_answered);
+        if (was_answered || std::exchange(m_is_hurried, false))
+        {
+            continue;
+        }
+        const auto pause = std::min(
+            longest_pause, first_pause * (1 << std::min(m_failures, 4)));
+        co_await m_wake.wait_for(
+            pause + milliseconds(absl::Uniform(m_state.random, 0, 50)));
+    }
+}
+
+std::size_t
+topic_follower::merge(const std::vector<platform::keyed_record>& records,
+                      log_offset next)
+{
+    if (next <= m_next && m_has_listed)
+    {
+        return 0;
+    }
+    std::size_t news = 0;
+    std::map<std::string, platform::keyed_record> listed;
+    for (const auto& record : records)
+    {
+        listed[record.key] = record;
+        const auto known = m_records.find(record.key);
+        if (known == m_records.end() || known->second.offset < record.offset)
+        {
+            ++news;
+        }
+        take(record);
+    }
+    // A peer's list is whole: what it lacks has been dropped before `next`.
+    for (auto known = m_records.begin(); known != m_records.end();)
+    {
+        const bool is_gone =
+            !listed.contains(known->first) && known->second.offset < next;
+        known = is_gone ? m_records.erase(known) : std::next(known);
+    }
+    m_next = std::max(m_next, next);
+    m_has_listed = true;
+    m_events.on_list(m_records);
+    return news;
+}
+
+bool topic_follower::is_reached() const
+{
+    const auto now = monotonic::now();
+    if (m_is_tailing)
+    {
+        // A held call is no silence before its time is over.
+        return now - m_asked_at < tail_wait + answer_time;
+    }
+    return now - m_answered_at < reached_time;
+}
+
+void topic_follower::hurry()
+{
+    m_is_hurried = true;
+    m_caller.interrupt();
+    m_wake.notify();
+}
+
+awaitable<bool> topic_follower::list()
+{
+    std::map<std::string, platform::keyed_record> listed;
+    std::optional<log_offset> end;
+    std::string after;
+    while (true)
+    {
+        auto call = platform::list_call(m_topic, after);
+        const auto answer =
+            co_await m_caller.call(std::move(call), answer_time);
+        if (!answer || answer->status != http_status::ok)
+        {
+            co_return false;
+        }
+        try
+        {
+            auto page = platform::read_newest(answer->body);
+            if (!end)
+            {
+                // The pages are no snapshot: what changes between them comes
+                // with the tail from the first page's end on.
+                end = page.end;
+            }
+            for (auto& record : page.records)
+            {
+                const auto key = record.key;
+                listed[key] = std::move(record);
+            }
+            if (!page.has_more)
+            {
+                break;
+            }
+            after = page.last_key;
+        }
+        catch (const json_error&)
+        {
+            co_return false;
+        }
+    }
+    if (*end < m_next)
+    {
+        // A stale read: what is known is newer.
+        co_return false;
+    }
+    for (const auto& [key, record] : listed)
+    {
+        take(record);
+    }
+    for (auto known = m_records.begin(); known != m_records.end();)
+    {
+        const bool is_gone =
+            !listed.contains(known->first) && known->second.offset < *end;
+        known = is_gone ? m_records.erase(known) : std::next(known);
+    }
+    m_next = *end;
+    m_has_listed = true;
+    m_events.on_list(m_records);
+    co_return true;
+}
+
+awaitable<bool> topic_follower::tail()
+{
+    const auto from = m_next;
+    m_is_tailing = true;
+    m_asked_at = monotonic::now();
+    auto call = platform::read_call(m_topic, from, tail_wait);
+    const auto answer =
+        co_await m_caller.call(std::move(call), tail_wait + answer_time);
+    m_is_tailing = false;
+    const bool is_at_once = monotonic::now() - m_asked_at < shortest_tail;
+    if (!answer)
+    {
+        co_return false;
+    }
+    if (answer->status == http_status::gone)
+    {
+        log(events::log_trimmed,
+            {{"topic", m_topic}, {"offset", std::to_string(from.value())}});
+        m_has_listed = false;
+        co_return true;
+    }
+    if (answer->status != http_status::ok)
+    {
+        co_return false;
+    }
+    try
+    {
+        const auto page = platform::read_page(answer->body);
+        if (page.first > from && !page.records.empty())
+        {
+            // Records between were dropped unseen.
+            m_has_listed = false;
+            co_return true;
+        }
+        auto offset = from;
+        for (const auto& content : page.records)
+        {
+            // A peer may have told more meanwhile.
+            if (offset >= m_next)
+            {
+                take(platform::decode_keyed(content, offset));
+                m_next = offset.next();
+            }
+            offset = offset.next();
+        }
+        if (page.records.empty() && is_at_once)
+        {
+            // A stale answer: what is known is newer.
+            co_return false;
+        }
+    }
+    catch (const json_error&)
+    {
+        m_has_listed = false;
+        co_return false;
+    }
+    co_return true;
+}
+
+void topic_follower::take(const platform::keyed_record& record)
+{
+    const auto known = m_records.find(record.key);
+    if (known != m_records.end() && known->second.offset >= record.offset)
+    {
+        return;
+    }
+    if (record.value)
+    {
+        m_records[record.key] = record;
+    }
+    else if (known != m_records.end())
+    {
+        m_records.erase(known);
+    }
+    m_events.on_record(record);
+}
+
+void topic_follower::note_answer(bool was_answered)
+{
+    if (was_answered)
+    {
+        m_answered_at = monotonic::now();
+        m_failures = 0;
+    }
+    else
+    {
+        ++m_failures;
+    }
+    const bool is_reached_now = was_answered;
+    if (is_reached_now != m_was_reached && (was_answered || m_failures > 1))
+    {
+        m_was_reached = is_reached_now;
+        log(is_reached_now ? events::log_reachable : events::log_unreachable,
+            {{"topic", m_topic}, {"offset", std::to_string(m_next.value())}});
+    }
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/topic_follower.hpp
@@ -0,0 +1,85 @@
+/// @file
+/// Follows one topic with keys of the platform's store.
+#pragma once
+
+#include "async_event.hpp"
+#include "gateway_state.hpp"
+#include "http_call.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace daleshelf
+{
+
+/// What a follower tells of its topic.
+struct topic_events
+{
+    /// One record, newer than all before of the same key.
+    std::function<void(const platform::keyed_record&)> on_record;
+    /// The records are complete: the list of keys that there are.
+    std::function<void(const std::map<std::string, platform::keyed_record>&)>
+        on_list;
+};
+
+/// Lists the newest records, then waits for more from the first page's end
+/// on. If records were dropped before they were read, it lists again. Nothing
+/// it hands on is older than what it handed on before. See
+/// docs/design/platform.md.
+class topic_follower
+{
+public:
+    topic_follower(gateway_state& state, std::string topic,
+                   topic_events events);
+
+    /// Follows until the process ends.
+    awaitable<void> run();
+
+    /// Takes newer records from a peer.
+    /// @return how many were news
+    std::size_t merge(const std::vector<platform::keyed_record>& records,
+                      log_offset next);
+
+    /// @return the offset up to which all records are known
+    [[nodiscard]] log_offset next() const
+    {
+        return m_next;
+    }
+
+    /// @return the newest records, by key
+    [[nodiscard]] const std::map<std::string, platform::keyed_record>&
+    records() const
+    {
+        return m_records;
+    }
+
+    /// @return whether the store has answered lately
+    [[nodiscard]] bool is_reached() const;
+
+    /// Asks the store anew, since peers know more.
+    void hurry();
+
+private:
+    awaitable<bool> list();
+    awaitable<bool> tail();
+    void take(const platform::keyed_record& record);
+    void note_answer(bool was_answered);
+
+    gateway_state& m_state;
+    std::string m_topic;
+    topic_events m_events;
+    http_caller m_caller;
+    async_event m_wake;
+    std::map<std::string, platform::keyed_record> m_records;
+    log_offset m_next;
+    bool m_has_listed = false;
+    bool m_was_reached = false;
+    bool m_is_hurried = false;
+    bool m_is_tailing = false;
+    int m_failures = 0;
+    monotonic::time_point m_answered_at{};
+    monotonic::time_point m_asked_at{};
+};
+
+} // namespace daleshelf
