gateway: End an answer that is cut off within a chunk

And a request that came 5 s after SIGTERM was begun and cut.

Ruled out: the store's dropped history (few calls), the list of servers.

Change: the end of the connection ends the parse, whatever is left. A stopping process refuses, with Retry-After, what comes 2.9 s after SIGTERM.

--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -153,6 +153,7 @@
 {
     const auto begun = monotonic::now();
     m_state.is_stopping = true;
+    m_state.stopping_since = begun;
     m_duties.stop();
     log(events::process_stopping,
         {{"in_flight", std::to_string(m_state.requests_in_flight)}});
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -58,6 +58,7 @@
     double work_ms = 0; ///< of servers, asked for since this start
     bool has_servers = false;
     bool is_stopping = false;
+    monotonic::time_point stopping_since{};
     std::int64_t requests_in_flight = 0;
 };
 
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -19,6 +19,9 @@
 constexpr int priorities_per_tenant = 3;
 constexpr int lowest_priority = 9;
 
+// A stopping process begins nothing later than this after it was told.
+constexpr milliseconds last_begin{2900};
+
 // When a client may come back, by why it was refused.
 constexpr milliseconds retry_when_unconfigured{1000};
 constexpr milliseconds retry_when_full{250};
@@ -100,6 +103,11 @@
                         retry_when_unconfigured);
         co_return false;
     }
+    if (is_too_late_to_begin())
+    {
+        co_await refuse(http_status::unavailable, "stopping", retry_when_full);
+        co_return false;
+    }
     // 2. The route.
     const auto* host = m_request.head.fields.find("Host");
     m_route = m_routes->find_route(host == nullptr ? "" : *host,
@@ -567,6 +575,14 @@
     return bytes;
 }
 
+// @return whether this process may end before the request could: the balancer
+// has had the time to choose others by now
+bool request_flow::is_too_late_to_begin() const
+{
+    return m_state.is_stopping &&
+           m_request.received - m_state.stopping_since > last_begin;
+}
+
 milliseconds request_flow::time_left() const
 {
     return std::chrono::duration_cast<milliseconds>(m_deadline -
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -71,6 +71,7 @@
                            std::optional<milliseconds> retry_after);
     awaitable<void> fail(int status, std::string_view reason);
     [[nodiscard]] std::string bytes_for(const server_entry& server) const;
+    [[nodiscard]] bool is_too_late_to_begin() const;
     [[nodiscard]] milliseconds time_left() const;
     void count_begun();
     void note_first_event(std::int64_t& unread, const upstream_id& server);
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -67,9 +67,9 @@
                 co_return exchange_state::complete;
             }
             const auto& channel = *m_connection->channel;
-            if (channel.end() == channel_end::finished &&
-                channel.input().empty())
+            if (channel.end() == channel_end::finished)
             {
+                // What is left of the input is no whole chunk.
                 m_parser->feed_end();
                 release();
                 co_return exchange_state::complete;
@@ -127,7 +127,7 @@
 
 awaitable<exchange_state> server_exchange::read_head()
 {
-    m_parser = std::make_unique<response_parser>(answer_head_bytes);
+    make_parser();
     while (true)
     {
         if (m_is_cancelled)
@@ -159,6 +159,15 @@
     }
 }
 
+void server_exchange::make_parser()
+{
+    m_parser = std::make_unique<response_parser>(answer_head_bytes);
+    if (m_request.has_no_answer_body)
+    {
+        m_parser->expect_no_body();
+    }
+}
+
 // Feeds what has come to the parser.
 // @return whether the head of this request's answer is there
 bool server_exchange::parse_input()
@@ -198,7 +207,7 @@
         {
             return false;
         }
-        m_parser = std::make_unique<response_parser>(answer_head_bytes);
+        make_parser();
         m_is_foreign = false;
     }
 }
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -86,6 +86,7 @@
     awaitable<bool> connect();
     awaitable<bool> send();
     awaitable<exchange_state> read_head();
+    void make_parser();
     bool parse_input();
     exchange_state fail();
     void release();
