scaling: Order servers by demand, spot beside on demand

Change: a smooth rate of work over all machines; on-demand servers as the floor, one spot server a hall and more by demand, lost ones ordered again. Quotas count by a sliding window of all machines' use. Counts of machines that have left stay.

--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -5,109 +5,190 @@
 namespace daleshelf
 {
 
-token_quota::token_quota(initial_level initial) : m_initial(initial) {}
+namespace
+{
+
+constexpr int slots_per_window = 64;
+
+} // namespace
+
+token_quota::token_quota(absl::Duration window, initial_use initial)
+    : m_window(window), m_initial(initial)
+{
+}
 
 void token_quota::set_limits(const std::vector<ingress_tenant>& tenants,
                              absl::Time now)
 {
-    absl::flat_hash_map<workspace_id, bucket> buckets;
+    absl::flat_hash_map<workspace_id, account> accounts;
+    const bool is_first = m_accounts.empty();
     for (const auto& tenant : tenants)
     {
         if (tenant.limit.rate_per_second <= 0)
         {
             continue;
         }
-        bucket made;
-        made.limit = tenant.limit;
-        made.filled_at = now;
-        const auto known = m_buckets.find(tenant.name);
-        if (known != m_buckets.end())
+        account made;
+        const auto known = m_accounts.find(tenant.name);
+        if (known != m_accounts.end())
         {
-            fill(known->second, now);
-            made.level = std::min(known->second.level, tenant.limit.burst);
+            made = std::move(known->second);
         }
-        else if (m_initial == initial_level::full)
+        made.limit = tenant.limit;
+        if (is_first && m_initial == initial_use::unknown && !m_has_adopted)
         {
-            made.level = tenant.limit.burst;
+            spread(made, allowed(made), now);
         }
-        buckets[tenant.name] = made;
+        accounts[tenant.name] = std::move(made);
     }
-    m_buckets = std::move(buckets);
+    m_accounts = std::move(accounts);
 }
 
-void token_quota::set_reach(double share, absl::Time now)
+void token_quota::set_reach(double share)
 {
-    if (share == m_reach)
-    {
-        return;
-    }
-    for (auto& [tenant, filled] : m_buckets)
-    {
-        fill(filled, now);
-    }
     m_reach = share;
 }
 
 bool token_quota::try_take(const workspace_id& tenant, double cost,
                            absl::Time now)
 {
-    const auto found = m_buckets.find(tenant);
-    if (found == m_buckets.end())
+    const auto found = m_accounts.find(tenant);
+    if (found == m_accounts.end())
     {
         return true;
     }
-    auto& filled = found->second;
-    fill(filled, now);
-    // A request larger than the burst passes a full bucket and leaves a debt.
-    const auto needed = std::min(cost, filled.limit.burst * m_reach);
-    if (filled.level < needed)
+    auto& taken = found->second;
+    forget_old(taken, now);
+    if (taken.used + cost > allowed(taken))
     {
         return false;
     }
-    filled.level -= cost;
+    add(taken, cost, now);
     m_own_use[tenant] += cost;
     return true;
 }
 
-void token_quota::refund(const workspace_id& tenant, double cost)
+void token_quota::refund(const workspace_id& tenant, double cost,
+                         absl::Time now)
 {
-    const auto found = m_buckets.find(tenant);
-    if (found != m_buckets.end())
+    const auto found = m_accounts.find(tenant);
+    if (found != m_accounts.end())
     {
-        found->second.level += cost;
+        add(found->second, -cost, now);
         m_own_use[tenant] -= cost;
     }
 }
 
-void token_quota::count_peer(const workspace_id& tenant, double cost)
+void token_quota::count_peer(const workspace_id& tenant, double cost,
+                             absl::Time now)
 {
-    const auto found = m_buckets.find(tenant);
-    if (found != m_buckets.end())
+    const auto found = m_accounts.find(tenant);
+    if (found != m_accounts.end())
     {
-        found->second.level -= cost;
+        add(found->second, cost, now);
     }
 }
 
-absl::Duration token_quota::wait_for(const workspace_id& tenant,
-                                     double cost) const
+void token_quota::adopt(const std::map<workspace_id, double>& use,
+                        absl::Time now)
 {
-    const auto found = m_buckets.find(tenant);
-    if (found == m_buckets.end())
+    if (m_has_adopted || m_initial == initial_use::none)
+    {
+        return;
+    }
+    m_has_adopted = true;
+    for (auto& [tenant, over] : m_accounts)
+    {
+        const auto known = use.find(tenant);
+        over.slots.clear();
+        over.used = 0;
+        spread(over, known == use.end() ? 0.0 : known->second, now);
+    }
+}
+
+absl::Duration token_quota::wait_for(const workspace_id& tenant, double cost,
+                                     absl::Time now)
+{
+    const auto found = m_accounts.find(tenant);
+    if (found == m_accounts.end())
     {
         return absl::ZeroDuration();
     }
-    const auto missing = std::max(0.0, cost - found->second.level);
-    return absl::Seconds(missing /
-                         (found->second.limit.rate_per_second * m_reach));
+    auto& of = found->second;
+    forget_old(of, now);
+    auto excess = of.used + cost - allowed(of);
+    for (const auto& counted : of.slots)
+    {
+        if (excess <= 0)
+        {
+            break;
+        }
+        excess -= counted.used;
+        if (excess <= 0)
+        {
+            return counted.until + m_window - now;
+        }
+    }
+    return excess <= 0 ? absl::ZeroDuration() : m_window;
+}
+
+std::map<workspace_id, double> token_quota::window_use(absl::Time now)
+{
+    std::map<workspace_id, double> use;
+    for (auto& [tenant, of] : m_accounts)
+    {
+        forget_old(of, now);
+        use[tenant] = of.used;
+    }
+    return use;
+}
+
+double token_quota::allowed(const account& of) const
+{
+    const auto seconds = absl::ToDoubleSeconds(m_window);
+    return (of.limit.rate_per_second * seconds + of.limit.burst) * m_reach;
 }
 
-void token_quota::fill(bucket& filled, absl::Time now) const
+void token_quota::forget_old(account& of, absl::Time now) const
 {
-    const auto passed = absl::ToDoubleSeconds(now - filled.filled_at);
-    filled.filled_at = now;
-    const auto most = filled.limit.burst * m_reach;
-    const auto added = filled.limit.rate_per_second * m_reach * passed;
-    filled.level = std::min(most, filled.level + added);
+    while (!of.slots.empty() && of.slots.front().until + m_window < now)
+    {
+        of.used -= of.slots.front().used;
+        of.slots.pop_front();
+    }
+    if (of.slots.empty())
+    {
+        of.used = 0;
+    }
+}
+
+void token_quota::add(account& to, double cost, absl::Time now) const
+{
+    const auto length = m_window / slots_per_window;
+    to.used += cost;
+    if (!to.slots.empty() && now < to.slots.back().until)
+    {
+        // NOTE: a slot ends with its newest use, so none is forgotten early.
+        to.slots.back().used += cost;
+        return;
+    }
+    to.slots.push_back({now + length, cost});
+}
+
+// Counts use as if it had come evenly within the last window.
+void token_quota::spread(account& over, double use, absl::Time now) const
+{
+    if (use <= 0)
+    {
+        return;
+    }
+    const auto length = m_window / slots_per_window;
+    for (int index = slots_per_window; index > 0; --index)
+    {
+        over.slots.push_back(
+            {now - length * (index - 1), use / slots_per_window});
+    }
+    over.used += use;
 }
 
 } // namespace daleshelf
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -8,33 +8,34 @@
 #include <absl/time/time.h>
 
 #include <base/identifiers.hpp>
+#include <deque>
 #include <map>
 
 namespace daleshelf
 {
 
-/// A token bucket a tenant, of which every machine keeps a copy: what peers
-/// have used is taken off as they tell it, so a copy may fall below zero and
-/// then refuses until the debt is paid. A machine that cannot reach all others
-/// fills its copy by the share of machines that it does reach, so that parts
-/// of a cut fleet together stay within the limit. See docs/design/platform.md.
+/// What a tenant may use within any span of the window's length: its rate
+/// times that length, and its burst. Every machine counts what it lets through
+/// itself and what its peers tell. A machine that cannot reach all others
+/// keeps to the share of machines that it does reach, so that parts of a cut
+/// fleet together stay within the limit. See docs/design/platform.md.
 class token_quota
 {
 public:
-    /// How full a bucket is that nothing is known of.
-    enum class initial_level
+    /// What is assumed of the time before this machine's start.
+    enum class initial_use
     {
-        full,  ///< the whole system starts for the first time
-        empty, ///< this machine may have used it up in an earlier life
+        none,    ///< the whole system starts for the first time
+        unknown, ///< all may have been used, unless a peer knows better
     };
 
-    explicit token_quota(initial_level initial);
+    token_quota(absl::Duration window, initial_use initial);
 
     /// Takes the limits of a new configuration.
     void set_limits(const std::vector<ingress_tenant>& tenants, absl::Time now);
 
     /// @param share of all machines that this one reaches, itself included
-    void set_reach(double share, absl::Time now);
+    void set_reach(double share);
 
     /// @param cost in the tenant's unit
     /// @return whether the request is within the quota; it is counted then
@@ -42,14 +43,18 @@
                                 absl::Time now);
 
     /// Gives back what a request took that has not run.
-    void refund(const workspace_id& tenant, double cost);
+    void refund(const workspace_id& tenant, double cost, absl::Time now);
 
     /// Counts what another machine has used.
-    void count_peer(const workspace_id& tenant, double cost);
+    void count_peer(const workspace_id& tenant, double cost, absl::Time now);
 
-    /// @return time until the bucket can pay `cost`
+    /// Takes from a peer, which has been up for longer, what all machines have
+    /// used within the window.
+    void adopt(const std::map<workspace_id, double>& use, absl::Time now);
+
+    /// @return time until `cost` may be within the quota
     [[nodiscard]] absl::Duration wait_for(const workspace_id& tenant,
-                                          double cost) const;
+                                          double cost, absl::Time now);
 
     /// @return what this machine has used in its life, by tenant
     [[nodiscard]] const std::map<workspace_id, double>& own_use() const
@@ -57,19 +62,33 @@
         return m_own_use;
     }
 
+    /// @return what all machines have used within the window, as far as known
+    [[nodiscard]] std::map<workspace_id, double> window_use(absl::Time now);
+
 private:
-    struct bucket
+    struct slot
+    {
+        absl::Time until; ///< of the newest use that it counts
+        double used = 0;
+    };
+
+    struct account
     {
         tenant_limit limit;
-        double level = 0;
-        absl::Time filled_at;
+        std::deque<slot> slots;
+        double used = 0; ///< in all slots
     };
 
-    void fill(bucket& filled, absl::Time now) const;
+    [[nodiscard]] double allowed(const account& of) const;
+    void forget_old(account& of, absl::Time now) const;
+    void add(account& to, double cost, absl::Time now) const;
+    void spread(account& over, double use, absl::Time now) const;
 
-    initial_level m_initial;
+    absl::Duration m_window;
+    initial_use m_initial;
     double m_reach = 1;
-    absl::flat_hash_map<workspace_id, bucket> m_buckets;
+    bool m_has_adopted = false;
+    absl::flat_hash_map<workspace_id, account> m_accounts;
     std::map<workspace_id, double> m_own_use;
 };
 
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -19,11 +19,13 @@
         item.set_active(load.active);
         item.set_unread_tokens(load.unread_tokens);
     }
-    for (const auto& [tenant, used] : state.uses)
+    for (const auto& [tenant, window_use] : state.window_use)
     {
         auto& item = *message.add_uses();
         item.set_tenant(tenant.value());
-        item.set_used(used);
+        item.set_window_use(window_use);
+        const auto own = state.uses.find(tenant);
+        item.set_used(own == state.uses.end() ? 0.0 : own->second);
     }
     for (const auto& [window, counts] : state.counts)
     {
@@ -57,6 +59,7 @@
     for (const auto& item : message.uses())
     {
         state.uses[workspace_id(item.tenant())] = item.used();
+        state.window_use[workspace_id(item.tenant())] = item.window_use();
     }
     for (const auto& item : message.counts())
     {
--- a/libraries/peers/machine_state.hpp
+++ b/libraries/peers/machine_state.hpp
@@ -44,7 +44,9 @@
     bool reaches_store = false;
     double work_ms = 0; ///< of servers, asked for since the machine's start
     std::vector<reported_load> loads;
-    std::map<workspace_id, double> uses;          ///< since the machine's start
+    std::map<workspace_id, double> uses; ///< since the machine's start
+    /// Of all machines within the quota's window, as far as known.
+    std::map<workspace_id, double> window_use;
     std::map<std::int64_t, window_counts> counts; ///< by window
     std::vector<upstream_id> leaving_servers;
     std::vector<machine_address> machines; ///< some that it knows
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::size_t most_windows = 8;
+constexpr std::size_t most_departed = 256;
 
 void add_counts(window_counts& total, const window_counts& added)
 {
@@ -49,6 +50,8 @@
     {
         return change;
     }
+    // A machine that was only cut off tells its counts by itself.
+    m_departed.erase({state.self.name, state.started});
     auto& peer = m_peers[state.self.name];
     const bool is_known = peer.heard_at != absl::InfinitePast();
     const bool is_same_start = is_known && peer.state.started == state.started;
@@ -90,6 +93,23 @@
     return change;
 }
 
+// Requests that a machine has begun count, whatever became of it.
+void peer_table::keep_counts(const host_id& name, const peer_record& peer)
+{
+    auto& kept = m_departed[{name, peer.state.started}];
+    for (const auto* counts : {&peer.state.counts, &peer.earlier_counts})
+    {
+        for (const auto& [window, by_tenant] : *counts)
+        {
+            add_counts(kept[window], by_tenant);
+        }
+    }
+    while (m_departed.size() > most_departed)
+    {
+        m_departed.erase(m_departed.begin());
+    }
+}
+
 // A seed's address stands for its name until the machine there is heard.
 void peer_table::drop_seed(const std::string& address)
 {
@@ -115,6 +135,7 @@
     }
     for (const auto& name : forgotten)
     {
+        keep_counts(name, m_peers.at(name));
         m_peers.erase(name);
     }
     return forgotten;
@@ -136,6 +157,14 @@
 window_counts peer_table::counts_of(std::int64_t window) const
 {
     window_counts total;
+    for (const auto& [name, windows] : m_departed)
+    {
+        const auto found = windows.find(window);
+        if (found != windows.end())
+        {
+            add_counts(total, found->second);
+        }
+    }
     for (const auto& [name, peer] : m_peers)
     {
         for (const auto* counts : {&peer.state.counts, &peer.earlier_counts})
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -75,11 +75,16 @@
     }
 
 private:
+    void keep_counts(const host_id& name, const peer_record& peer);
     void drop_seed(const std::string& address);
 
     machine_address m_self;
     peer_options m_options;
     std::map<host_id, peer_record> m_peers;
+    /// Counts of machines that are forgotten, by name and start.
+    std::map<std::pair<host_id, incarnation>,
+             std::map<std::int64_t, window_counts>>
+        m_departed;
 };
 
 } // namespace daleshelf
--- a/services/gateway/asio.hpp
+++ b/services/gateway/asio.hpp
@@ -24,7 +24,8 @@
 
 // NOTE: GCC 12 destroys an awaitable that was never made when co_await stands
 // in a condition, or in one branch of an expression. Each co_await is a
-// statement of its own, or the whole of a co_return; a test checks this.
+// statement of its own, or the whole of a co_return, and its arguments hold no
+// braced temporaries.
 
 using asio::awaitable;
 using error_code = boost::system::error_code;
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -36,6 +36,7 @@
                  [this](const auto& records) { take_server_list(records); }})
     , m_peers(m_state, {m_configuration, m_servers})
     , m_duties(m_state, m_peers)
+    , m_scaling(m_state, m_peers, m_duties)
     , m_clients(open_acceptor(context, m_state.settings.clients_address))
     , m_readiness(context, m_state.settings.readiness_address,
                   [this](const std::string&) { return answer_readiness(); })
@@ -74,6 +75,7 @@
     }
     m_peers.start();
     m_duties.start();
+    m_scaling.start();
     log(events::process_started,
         {{"host", m_state.self.value()},
          {"hall", m_state.hall.value()},
@@ -261,6 +263,7 @@
                  {"state", entry.is_draining ? "draining" : "ready"},
                  {"address", entry.address},
                  {"hall", entry.hall.value()},
+                 {"spot", entry.is_spot ? "yes" : "no"},
                  {"offset", std::to_string(record.offset.value())}});
         }
     }
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -51,6 +51,8 @@
          "retries against requests, over all machines", optional, retries},
         {"retries.slack", &settings::retry_slack,
          "retries beyond the ratio, over all machines", optional, retries},
+        {"quota.window_ms", &settings::quota_window,
+         "span within which a tenant's use is counted", optional, time},
         {"usage.window_ms", &settings::usage_window,
          "length of a window of the usage report", optional, time},
         {"usage.late_ms", &settings::usage_late,
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -29,6 +29,7 @@
     std::chrono::milliseconds stop_time{8000};
     double retry_ratio = 0.2;
     double retry_slack = 10;
+    std::chrono::milliseconds quota_window{8000};
     std::chrono::milliseconds usage_window{5000};
     std::chrono::milliseconds usage_late{10000};
 };
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -32,8 +32,9 @@
     , started(absl::ToUnixMillis(absl::Now()))
     , choice(servers, hall, seed_of(settings))
     , pool(loop)
-    , quota(settings.is_first_start ? token_quota::initial_level::full
-                                    : token_quota::initial_level::empty)
+    , quota(absl::FromChrono(settings.quota_window),
+            settings.is_first_start ? token_quota::initial_use::none
+                                    : token_quota::initial_use::unknown)
     , retries(retry_options(settings))
     , usage(absl::FromChrono(settings.usage_window))
 {
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -127,7 +127,7 @@
             m_state.clock.forget(peer);
         }
         m_state.clock.note(m_state.self, absl::Now(), now);
-        m_state.quota.set_reach(m_table.reach(now), now);
+        m_state.quota.set_reach(m_table.reach(now));
         const auto bytes = encode(own_state());
         for (const auto& [name, peer] : m_table.peers())
         {
@@ -244,7 +244,12 @@
     const auto now = gateway_state::now();
     for (const auto& [tenant, used] : change.new_use)
     {
-        m_state.quota.count_peer(tenant, used);
+        m_state.quota.count_peer(tenant, used, now);
+    }
+    if (state.started < m_state.started && !state.window_use.empty() &&
+        m_state.routes != nullptr)
+    {
+        m_state.quota.adopt(state.window_use, now);
     }
     m_state.clock.note(state.self.name,
                        absl::FromUnixMillis(state.wall_time_ms), now);
@@ -340,6 +345,7 @@
     {
         state.uses[tenant] = used;
     }
+    state.window_use = m_state.quota.window_use(gateway_state::now());
     for (const auto& [window, counts] : m_state.usage.counts())
     {
         state.counts[window] = counts;
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -32,6 +32,22 @@
     return milliseconds(absl::ToInt64Milliseconds(duration));
 }
 
+// Milliseconds that a server is kept busy by reading and generating.
+// @param unread tokens that this machine has not sent to the server before;
+// other machines may have sent the shared ones
+double estimated_work_ms(const request_facts& facts, std::int64_t unread)
+{
+    constexpr double shared_to_read = 0.3;
+    constexpr double read_tokens_per_ms = 32;
+    constexpr double ms_per_generated_token = 0.15;
+    const auto own = facts.prompt.empty() ? unread : facts.prompt.back().tokens;
+    const auto shared = std::max<std::int64_t>(0, unread - own);
+    const auto to_read =
+        static_cast<double>(own) + static_cast<double>(shared) * shared_to_read;
+    return to_read / read_tokens_per_ms +
+           static_cast<double>(facts.answer_tokens) * ms_per_generated_token;
+}
+
 bool is_event_stream(const response_head& head)
 {
     const auto* type = head.fields.find("Content-Type");
@@ -149,8 +165,8 @@
         if (!m_state.quota.try_take(m_tenant->name, m_quota_cost,
                                     gateway_state::now()))
         {
-            const auto wait = to_milliseconds(
-                m_state.quota.wait_for(m_tenant->name, m_quota_cost));
+            const auto wait = to_milliseconds(m_state.quota.wait_for(
+                m_tenant->name, m_quota_cost, gateway_state::now()));
             co_await refuse(http_status::too_many_requests, "quota",
                             std::clamp(wait, retry_when_full, longest_retry));
             co_return false;
@@ -209,6 +225,10 @@
     m_exchange = &exchange;
     auto unread =
         m_state.choice.start(server.id, m_facts, m_service->cache_tokens);
+    if (m_service->scaling.is_scalable)
+    {
+        m_state.work_ms += estimated_work_ms(m_facts, unread);
+    }
     auto end = attempt_end::abandoned;
     auto state = exchange_state::failed;
     if (!m_is_cancelled)
@@ -473,7 +493,8 @@
     {
         if (m_quota_taken)
         {
-            m_state.quota.refund(m_tenant->name, m_quota_cost);
+            m_state.quota.refund(m_tenant->name, m_quota_cost,
+                                 gateway_state::now());
         }
         co_await refuse(http_status::unavailable,
                         end == attempt_end::not_reached ? "no_server_reached"
--- /dev/null
+++ b/services/gateway/scale_service.cpp
@@ -0,0 +1,186 @@
+#include "scale_service.hpp"
+
+#include <base/http_status.hpp>
+#include <platform/duty_calls.hpp>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+constexpr milliseconds tick{500};
+constexpr milliseconds call_time{1200};
+constexpr absl::Duration demand_memory = absl::Seconds(8);
+// Fewer servers are ordered only after the need has been lower for this long.
+constexpr absl::Duration patience = absl::Seconds(8);
+// Longer than a server takes to start.
+constexpr absl::Duration replace_time = absl::Seconds(7);
+constexpr absl::Duration dry_time = absl::Seconds(4);
+// Before any demand is known.
+constexpr double assumed_busy = 1.6;
+
+} // namespace
+
+scale_service::scale_service(gateway_state& state, peer_exchange& peers,
+                             duty_service& duties)
+    : m_state(state)
+    , m_peers(peers)
+    , m_duties(duties)
+    , m_platform(state.context, state.settings.duties_address)
+    , m_demand(demand_memory)
+{
+}
+
+void scale_service::start()
+{
+    if (m_state.settings.duties_address.empty())
+    {
+        return;
+    }
+    asio::co_spawn(
+        m_state.context, [this] { return run(); }, asio::detached);
+}
+
+awaitable<void> scale_service::run()
+{
+    asio::steady_timer timer(m_state.context);
+    while (true)
+    {
+        timer.expires_after(tick);
+        co_await timer.async_wait(use_result);
+        m_demand.note(m_peers.work_of_all(), gateway_state::now());
+        if (!m_duties.token())
+        {
+            // Whoever holds the duties next may order something else.
+            m_orders.clear();
+            continue;
+        }
+        if (m_state.routes != nullptr && m_state.has_servers)
+        {
+            co_await order_all();
+        }
+    }
+}
+
+awaitable<void> scale_service::order_all()
+{
+    const auto routes = m_state.routes;
+    for (const auto& service : routes->configuration().services)
+    {
+        if (!service.scaling.is_scalable)
+        {
+            continue;
+        }
+        const auto now = gateway_state::now();
+        std::map<hall_id, int> spot_limit;
+        for (const auto& [subject, known] : m_orders)
+        {
+            if (subject.service == service.name && now < known.dry_until)
+            {
+                spot_limit[subject.hall] = std::max(0, known.count);
+            }
+        }
+        const auto plan = plan_servers(service.scaling, busy_servers(),
+                                       spot_limit, scale_options());
+        for (const auto& [hall, target] : plan)
+        {
+            // Spot first: they come while the others still serve.
+            const order_subject spot{service.name, hall, true};
+            co_await order(spot, target.spot);
+            const order_subject on_demand{service.name, hall, false};
+            co_await order(on_demand, target.on_demand);
+        }
+    }
+}
+
+awaitable<void> scale_service::order(const order_subject& subject, int count)
+{
+    auto& known = m_orders[subject];
+    const auto now = gateway_state::now();
+    if (has_lost_servers(subject, known, now))
+    {
+        known.count = -1;
+    }
+    if (!is_due(known, count, now))
+    {
+        co_return;
+    }
+    // The lease is judged right before each call.
+    const auto token = m_duties.token();
+    if (!token)
+    {
+        co_return;
+    }
+    std::string extra;
+    platform::write_duty_fields(extra, m_state.self, *token);
+    auto call = platform::scale_call(
+        {subject.service, subject.hall, count, subject.is_spot});
+    const auto answer =
+        co_await m_platform.call(std::move(call), call_time, std::move(extra));
+    const auto status = answer ? answer->status : 0;
+    if (status == http_status::conflict)
+    {
+        known.dry_until = gateway_state::now() + dry_time;
+    }
+    else if (status >= http_status::ok && status < http_status::bad_request)
+    {
+        known.count = count;
+        known.ordered_at = gateway_state::now();
+        known.lower_since = absl::InfiniteFuture();
+    }
+    log(events::servers_ordered,
+        {{"service", subject.service.value()},
+         {"hall", subject.hall.value()},
+         {"kind", subject.is_spot ? "spot" : "on_demand"},
+         {"count", std::to_string(count)},
+         {"busy", std::to_string(busy_servers())},
+         {"status", std::to_string(status)},
+         {"token", std::to_string(*token)}});
+}
+
+bool scale_service::is_due(order_state& known, int count, absl::Time now) const
+{
+    if (now < known.dry_until || count == known.count)
+    {
+        known.lower_since = absl::InfiniteFuture();
+        return false;
+    }
+    if (count > known.count)
+    {
+        return true;
+    }
+    known.lower_since = std::min(known.lower_since, now);
+    return now - known.lower_since >= patience;
+}
+
+// Servers that were taken away, or are lost for good, do not come back by
+// themselves.
+// @return whether fewer are there than were ordered, though they have had the
+// time to start
+bool scale_service::has_lost_servers(const order_subject& subject,
+                                     const order_state& known,
+                                     absl::Time now) const
+{
+    if (known.count <= 0 || now - known.ordered_at < replace_time)
+    {
+        return false;
+    }
+    int present = 0;
+    for (const auto* server : m_state.servers.usable(subject.service))
+    {
+        if (server->hall == subject.hall && server->is_spot == subject.is_spot)
+        {
+            ++present;
+        }
+    }
+    return present < known.count;
+}
+
+double scale_service::busy_servers() const
+{
+    return std::max(assumed_busy, m_demand.busy());
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/scale_service.hpp
@@ -0,0 +1,65 @@
+/// @file
+/// Orders servers as the duty of one gateway at a time.
+#pragma once
+
+#include "duty_service.hpp"
+#include "gateway_state.hpp"
+#include "http_call.hpp"
+#include "peer_exchange.hpp"
+
+#include <map>
+#include <scaling/demand_meter.hpp>
+#include <scaling/scale_planner.hpp>
+
+namespace daleshelf
+{
+
+/// Plans the servers of each service that can be scaled, and orders what
+/// differs from what it has ordered before.
+class scale_service
+{
+public:
+    scale_service(gateway_state& state, peer_exchange& peers,
+                  duty_service& duties);
+
+    void start();
+
+private:
+    /// What an order is about.
+    struct order_subject
+    {
+        service_name service;
+        hall_id hall;
+        bool is_spot = false;
+
+        friend auto operator<=>(const order_subject&,
+                                const order_subject&) = default;
+    };
+
+    struct order_state
+    {
+        int count = -1; ///< as ordered; -1: not by this machine
+        absl::Time ordered_at = absl::InfinitePast();
+        absl::Time lower_since = absl::InfiniteFuture();
+        absl::Time dry_until = absl::InfinitePast();
+    };
+
+    awaitable<void> run();
+    awaitable<void> order_all();
+    awaitable<void> order(const order_subject& subject, int count);
+    [[nodiscard]] bool is_due(order_state& known, int count,
+                              absl::Time now) const;
+    [[nodiscard]] bool has_lost_servers(const order_subject& subject,
+                                        const order_state& known,
+                                        absl::Time now) const;
+    [[nodiscard]] double busy_servers() const;
+
+    gateway_state& m_state;
+    peer_exchange& m_peers;
+    duty_service& m_duties;
+    http_caller m_platform;
+    demand_meter m_demand;
+    std::map<order_subject, order_state> m_orders;
+};
+
+} // namespace daleshelf
