ingress: Divide what is left of a quota between two exchanges

Change: what is left is divided by the machines in reach for each interval between two exchanges; one request may be larger than its share.

--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -35,6 +35,8 @@
             made = std::move(known->second);
         }
         made.limit = tenant.limit;
+        made.interval_share =
+            std::max(0.0, allowed(made) - made.used) / m_reached;
         if (is_first && m_initial == initial_use::unknown && !m_has_adopted)
         {
             spread(made, allowed(made), now);
@@ -44,9 +46,17 @@
     m_accounts = std::move(accounts);
 }
 
-void token_quota::set_reach(double share)
+void token_quota::begin_interval(std::size_t reached, std::size_t known,
+                                 absl::Time now)
 {
-    m_reach = share;
+    m_reach = static_cast<double>(reached) / static_cast<double>(known);
+    m_reached = static_cast<double>(reached);
+    for (auto& [tenant, of] : m_accounts)
+    {
+        forget_old(of, now);
+        of.interval_share = std::max(0.0, allowed(of) - of.used) / m_reached;
+        of.interval_use = 0;
+    }
 }
 
 bool token_quota::try_take(const workspace_id& tenant, double cost,
@@ -63,6 +73,13 @@
     {
         return false;
     }
+    // One request an interval may be larger than the share.
+    if (taken.interval_use > 0 &&
+        taken.interval_use + cost > taken.interval_share)
+    {
+        return false;
+    }
+    taken.interval_use += cost;
     add(taken, cost, now);
     m_own_use[tenant] += cost;
     return true;
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -34,8 +34,13 @@
     /// Takes the limits of a new configuration.
     void set_limits(const std::vector<ingress_tenant>& tenants, absl::Time now);
 
-    /// @param share of all machines that this one reaches, itself included
-    void set_reach(double share);
+    /// Begins the time between two exchanges with peers. What is left of a
+    /// quota is divided for it, since nobody hears of the others' use before
+    /// its end.
+    /// @param reached machines that this one reaches, itself included
+    /// @param known all machines that it knows of
+    void begin_interval(std::size_t reached, std::size_t known,
+                        absl::Time now);
 
     /// @param cost in the tenant's unit
     /// @return whether the request is within the quota; it is counted then
@@ -77,6 +82,8 @@
         tenant_limit limit;
         std::deque<slot> slots;
         double used = 0; ///< in all slots
+        double interval_share = 0; ///< that may be used in this interval
+        double interval_use = 0;
     };
 
     [[nodiscard]] double allowed(const account& of) const;
@@ -87,6 +94,7 @@
     absl::Duration m_window;
     initial_use m_initial;
     double m_reach = 1;
+    double m_reached = 1;
     bool m_has_adopted = false;
     absl::flat_hash_map<workspace_id, account> m_accounts;
     std::map<workspace_id, double> m_own_use;
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -141,7 +141,7 @@
     return forgotten;
 }
 
-double peer_table::reach(absl::Time now) const
+std::size_t peer_table::reached(absl::Time now) const
 {
     std::size_t in_reach = 1;
     for (const auto& [name, peer] : m_peers)
@@ -151,7 +151,7 @@
             ++in_reach;
         }
     }
-    return static_cast<double>(in_reach) / static_cast<double>(size());
+    return in_reach;
 }
 
 window_counts peer_table::counts_of(std::int64_t window) const
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -55,8 +55,8 @@
     /// @return those that are forgotten
     std::vector<host_id> forget_silent(absl::Time now);
 
-    /// @return share of the known machines that are in reach, with this one
-    [[nodiscard]] double reach(absl::Time now) const;
+    /// @return machines that are in reach, with this one
+    [[nodiscard]] std::size_t reached(absl::Time now) const;
 
     /// @return requests begun at peers within a window, by tenant
     [[nodiscard]] window_counts counts_of(std::int64_t window) const;
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -127,7 +127,7 @@
             m_state.clock.forget(peer);
         }
         m_state.clock.note(m_state.self, absl::Now(), now);
-        m_state.quota.set_reach(m_table.reach(now));
+        m_state.quota.begin_interval(m_table.reached(now), m_table.size(), now);
         const auto bytes = encode(own_state());
         for (const auto& [name, peer] : m_table.peers())
         {
