peers: Merge the counts of all starts of machines

Cause: usage windows lacked what killed machines had counted: only a peer that lived kept it, and the next holder of the duties, if it had been killed too, did not hear of it. Quotas were passed by what killed machines had let through in their last quarter of a second.

Change: a grow-only table by machine and start, merged by the greatest, told on by whoever lives; a machine that adopts its peers' use assumes 12 % more. The lease lasts 3 s, so that a killed holder is replaced within 4 s.

--- a/libraries/duties/duty_ledger.hpp
+++ b/libraries/duties/duty_ledger.hpp
@@ -20,10 +20,10 @@
 /// Times of the lease.
 struct duty_options
 {
-    absl::Duration lease = absl::Seconds(4.5);
-    absl::Duration renewal = absl::Seconds(1.5);
+    absl::Duration lease = absl::Seconds(3);
+    absl::Duration renewal = absl::Seconds(1);
     /// Others wait this much longer than the lease lasts.
-    absl::Duration margin = absl::Seconds(1.5);
+    absl::Duration margin = absl::Seconds(1);
 };
 
 /// A record to append, on the condition that the log ends at `at`.
--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr int slots_per_window = 64;
+// What machines that were killed may have used without telling anyone.
+constexpr double untold_share = 0.12;
 
 } // namespace
 
@@ -119,7 +121,8 @@
         const auto known = use.find(tenant);
         over.slots.clear();
         over.used = 0;
-        spread(over, known == use.end() ? 0.0 : known->second, now);
+        const auto told = known == use.end() ? 0.0 : known->second;
+        spread(over, told + allowed(over) * untold_share, now);
     }
 }
 
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -39,8 +39,7 @@
     /// its end.
     /// @param reached machines that this one reaches, itself included
     /// @param known all machines that it knows of
-    void begin_interval(std::size_t reached, std::size_t known,
-                        absl::Time now);
+    void begin_interval(std::size_t reached, std::size_t known, absl::Time now);
 
     /// @param cost in the tenant's unit
     /// @return whether the request is within the quota; it is counted then
@@ -81,7 +80,7 @@
     {
         tenant_limit limit;
         std::deque<slot> slots;
-        double used = 0; ///< in all slots
+        double used = 0;           ///< in all slots
         double interval_share = 0; ///< that may be used in this interval
         double interval_use = 0;
     };
--- /dev/null
+++ b/libraries/peers/count_table.cpp
@@ -0,0 +1,50 @@
+#include "count_table.hpp"
+
+#include <algorithm>
+
+namespace daleshelf
+{
+
+void count_table::merge(const counting_start& start,
+                        const counts_by_window& counts)
+{
+    for (const auto& [window, by_tenant] : counts)
+    {
+        auto& known = m_entries[start][window];
+        for (const auto& [tenant, count] : by_tenant)
+        {
+            auto& greatest = known[tenant];
+            greatest = std::max(greatest, count);
+        }
+    }
+}
+
+void count_table::forget_before(std::int64_t oldest)
+{
+    for (auto entry = m_entries.begin(); entry != m_entries.end();)
+    {
+        auto& windows = entry->second;
+        windows.erase(windows.begin(), windows.lower_bound(oldest));
+        entry = windows.empty() ? m_entries.erase(entry) : std::next(entry);
+    }
+}
+
+window_counts count_table::sum(std::int64_t window) const
+{
+    window_counts total;
+    for (const auto& [start, windows] : m_entries)
+    {
+        const auto found = windows.find(window);
+        if (found == windows.end())
+        {
+            continue;
+        }
+        for (const auto& [tenant, count] : found->second)
+        {
+            total[tenant] += count;
+        }
+    }
+    return total;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/peers/count_table.hpp
@@ -0,0 +1,54 @@
+/// @file
+/// Counts of all machines' starts, merged by the greatest.
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <cstdint>
+#include <map>
+
+namespace daleshelf
+{
+
+/// Requests begun within one usage window, by tenant.
+using window_counts = std::map<workspace_id, std::int64_t>;
+
+/// One start of one machine: its counts only grow.
+struct counting_start
+{
+    host_id machine;
+    incarnation started;
+
+    friend auto operator<=>(const counting_start&,
+                            const counting_start&) = default;
+};
+
+/// Counts of one start, by window.
+using counts_by_window = std::map<std::int64_t, window_counts>;
+
+/// A grow-only counter a start of each machine. Merging takes the greater of
+/// two counts, so it may be done in any order and any number of times; what a
+/// machine counted before it was killed is known while one machine lives that
+/// has heard of it.
+class count_table
+{
+public:
+    /// Takes what a start has counted, as told by itself or by another.
+    void merge(const counting_start& start, const counts_by_window& counts);
+
+    /// Drops windows before `oldest`.
+    void forget_before(std::int64_t oldest);
+
+    /// @return requests begun within a window at all machines, by tenant
+    [[nodiscard]] window_counts sum(std::int64_t window) const;
+
+    [[nodiscard]] const std::map<counting_start, counts_by_window>&
+    entries() const
+    {
+        return m_entries;
+    }
+
+private:
+    std::map<counting_start, counts_by_window> m_entries;
+};
+
+} // namespace daleshelf
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -10,6 +10,23 @@
 
 constexpr std::uint32_t format_version = 1;
 
+void add_counts(wire::MachineState& message, const counting_start& start,
+                const counts_by_window& counts)
+{
+    for (const auto& [window, by_tenant] : counts)
+    {
+        for (const auto& [tenant, count] : by_tenant)
+        {
+            auto& item = *message.add_counts();
+            item.set_window(window);
+            item.set_tenant(tenant.value());
+            item.set_count(count);
+            item.set_machine(start.machine.value());
+            item.set_incarnation(start.started.value());
+        }
+    }
+}
+
 void add_lists(wire::MachineState& message, const machine_state& state)
 {
     for (const auto& load : state.loads)
@@ -27,15 +44,10 @@
         const auto own = state.uses.find(tenant);
         item.set_used(own == state.uses.end() ? 0.0 : own->second);
     }
-    for (const auto& [window, counts] : state.counts)
+    add_counts(message, {}, state.counts);
+    for (const auto& [start, counts] : state.ended_counts)
     {
-        for (const auto& [tenant, count] : counts)
-        {
-            auto& item = *message.add_counts();
-            item.set_window(window);
-            item.set_tenant(tenant.value());
-            item.set_count(count);
-        }
+        add_counts(message, start, counts);
     }
     for (const auto& server : state.leaving_servers)
     {
@@ -63,7 +75,12 @@
     }
     for (const auto& item : message.counts())
     {
-        state.counts[item.window()][workspace_id(item.tenant())] = item.count();
+        auto& counts =
+            item.machine().empty()
+                ? state.counts
+                : state.ended_counts[{host_id(item.machine()),
+                                      incarnation(item.incarnation())}];
+        counts[item.window()][workspace_id(item.tenant())] = item.count();
     }
     for (const auto& server : message.leaving_servers())
     {
--- a/libraries/peers/machine_state.hpp
+++ b/libraries/peers/machine_state.hpp
@@ -2,6 +2,8 @@
 /// What one gateway tells the others of itself.
 #pragma once
 
+#include "count_table.hpp"
+
 #include <base/identifiers.hpp>
 #include <cstdint>
 #include <map>
@@ -20,9 +22,6 @@
     std::int64_t unread_tokens = 0;
 };
 
-/// Requests begun within one usage window, by tenant.
-using window_counts = std::map<workspace_id, std::int64_t>;
-
 /// Where a machine's peers reach it.
 struct machine_address
 {
@@ -47,7 +46,9 @@
     std::map<workspace_id, double> uses; ///< since the machine's start
     /// Of all machines within the quota's window, as far as known.
     std::map<workspace_id, double> window_use;
-    std::map<std::int64_t, window_counts> counts; ///< by window
+    counts_by_window counts; ///< of this start
+    /// Of starts that cannot tell by themselves any more.
+    std::map<counting_start, counts_by_window> ended_counts;
     std::vector<upstream_id> leaving_servers;
     std::vector<machine_address> machines; ///< some that it knows
     host_id duty_holder;
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -1,26 +1,11 @@
 #include "peer_table.hpp"
 
 #include <algorithm>
+#include <base/text.hpp>
 
 namespace daleshelf
 {
 
-namespace
-{
-
-constexpr std::size_t most_windows = 8;
-constexpr std::size_t most_departed = 256;
-
-void add_counts(window_counts& total, const window_counts& added)
-{
-    for (const auto& [tenant, count] : added)
-    {
-        total[tenant] += count;
-    }
-}
-
-} // namespace
-
 peer_table::peer_table(machine_address self, const peer_options& options)
     : m_self(std::move(self)), m_options(options)
 {
@@ -50,8 +35,11 @@
     {
         return change;
     }
-    // A machine that was only cut off tells its counts by itself.
-    m_departed.erase({state.self.name, state.started});
+    m_counts.merge({state.self.name, state.started}, state.counts);
+    for (const auto& [start, counts] : state.ended_counts)
+    {
+        m_counts.merge(start, counts);
+    }
     auto& peer = m_peers[state.self.name];
     const bool is_known = peer.heard_at != absl::InfinitePast();
     const bool is_same_start = is_known && peer.state.started == state.started;
@@ -75,17 +63,6 @@
             change.new_use[tenant] = added;
         }
     }
-    if (is_known && !is_same_start)
-    {
-        for (const auto& [window, counts] : peer.state.counts)
-        {
-            add_counts(peer.earlier_counts[window], counts);
-        }
-    }
-    while (peer.earlier_counts.size() > most_windows)
-    {
-        peer.earlier_counts.erase(peer.earlier_counts.begin());
-    }
     peer.address = state.self.address;
     peer.state = std::move(state);
     peer.heard_at = now;
@@ -93,23 +70,6 @@
     return change;
 }
 
-// Requests that a machine has begun count, whatever became of it.
-void peer_table::keep_counts(const host_id& name, const peer_record& peer)
-{
-    auto& kept = m_departed[{name, peer.state.started}];
-    for (const auto* counts : {&peer.state.counts, &peer.earlier_counts})
-    {
-        for (const auto& [window, by_tenant] : *counts)
-        {
-            add_counts(kept[window], by_tenant);
-        }
-    }
-    while (m_departed.size() > most_departed)
-    {
-        m_departed.erase(m_departed.begin());
-    }
-}
-
 // A seed's address stands for its name until the machine there is heard.
 void peer_table::drop_seed(const std::string& address)
 {
@@ -135,7 +95,6 @@
     }
     for (const auto& name : forgotten)
     {
-        keep_counts(name, m_peers.at(name));
         m_peers.erase(name);
     }
     return forgotten;
@@ -154,29 +113,56 @@
     return in_reach;
 }
 
-window_counts peer_table::counts_of(std::int64_t window) const
+void peer_table::note_own_counts(const counts_by_window& counts,
+                                 incarnation started)
 {
-    window_counts total;
-    for (const auto& [name, windows] : m_departed)
+    m_counts.merge({m_self.name, started}, counts);
+    if (!counts.empty())
+    {
+        constexpr std::int64_t kept_windows = 6;
+        m_counts.forget_before(counts.rbegin()->first - kept_windows);
+    }
+}
+
+std::string peer_table::describe_counts(std::int64_t window) const
+{
+    std::string text;
+    for (const auto& [start, windows] : m_counts.entries())
     {
         const auto found = windows.find(window);
-        if (found != windows.end())
+        if (found == windows.end())
         {
-            add_counts(total, found->second);
+            continue;
         }
+        std::int64_t total = 0;
+        for (const auto& [tenant, count] : found->second)
+        {
+            total += count;
+        }
+        append_text(text, text.empty() ? "" : " ", start.machine.value(), "@",
+                    start.started.value(), "=", total);
     }
-    for (const auto& [name, peer] : m_peers)
-    {
-        for (const auto* counts : {&peer.state.counts, &peer.earlier_counts})
+    return text;
+}
+
+std::map<counting_start, counts_by_window>
+peer_table::ended_counts(incarnation own_start, absl::Time now) const
+{
+    std::map<counting_start, counts_by_window> ended;
+    for (const auto& [start, counts] : m_counts.entries())
+    {
+        const bool is_own =
+            start.machine == m_self.name && start.started == own_start;
+        const auto peer = m_peers.find(start.machine);
+        const bool is_telling = peer != m_peers.end() &&
+                                peer->second.state.started == start.started &&
+                                is_in_reach(start.machine, now);
+        if (!is_own && !is_telling)
         {
-            const auto found = counts->find(window);
-            if (found != counts->end())
-            {
-                add_counts(total, found->second);
-            }
+            ended[start] = counts;
         }
     }
-    return total;
+    return ended;
 }
 
 bool peer_table::is_in_reach(const host_id& peer, absl::Time now) const
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -20,8 +20,6 @@
     absl::Time heard_at = absl::InfinitePast();
     absl::Time listed_at = absl::InfinitePast(); ///< named by someone
     std::string address;
-    /// Counts of earlier starts: those requests have begun all the same.
-    std::map<std::int64_t, window_counts> earlier_counts;
 };
 
 /// Times after which a silent peer counts as out of reach, and as gone.
@@ -58,8 +56,22 @@
     /// @return machines that are in reach, with this one
     [[nodiscard]] std::size_t reached(absl::Time now) const;
 
-    /// @return requests begun at peers within a window, by tenant
-    [[nodiscard]] window_counts counts_of(std::int64_t window) const;
+    /// Notes what this machine has counted since its start.
+    void note_own_counts(const counts_by_window& counts, incarnation started);
+
+    /// @return requests begun at all machines within a window, by tenant
+    [[nodiscard]] window_counts counts_of(std::int64_t window) const
+    {
+        return m_counts.sum(window);
+    }
+
+    /// @return how many requests each start has begun within a window, as a
+    /// text for logs
+    [[nodiscard]] std::string describe_counts(std::int64_t window) const;
+
+    /// @return counts of starts that no longer tell them by themselves
+    [[nodiscard]] std::map<counting_start, counts_by_window>
+    ended_counts(incarnation own_start, absl::Time now) const;
 
     /// @return known machines, with this one
     [[nodiscard]] std::size_t size() const
@@ -75,16 +87,12 @@
     }
 
 private:
-    void keep_counts(const host_id& name, const peer_record& peer);
     void drop_seed(const std::string& address);
 
     machine_address m_self;
     peer_options m_options;
     std::map<host_id, peer_record> m_peers;
-    /// Counts of machines that are forgotten, by name and start.
-    std::map<std::pair<host_id, incarnation>,
-             std::map<std::int64_t, window_counts>>
-        m_departed;
+    count_table m_counts;
 };
 
 } // namespace daleshelf
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -12,7 +12,7 @@
 
 constexpr milliseconds tick{200};
 constexpr milliseconds store_time{1200};
-constexpr milliseconds call_time{1200};
+constexpr milliseconds call_time{800};
 constexpr milliseconds retry_pause{300};
 // The counts of peers arrive within this time of a window's end.
 constexpr absl::Duration settle_delay = absl::Milliseconds(1100);
@@ -143,7 +143,8 @@
     {
         log(events::usage_settled,
             {{"window", std::to_string(*append.window)},
-             {"offset", std::to_string(append.at.value())}});
+             {"offset", std::to_string(append.at.value())},
+             {"starts", m_peers.table().describe_counts(*append.window)}});
         m_settled.notify();
     }
 }
@@ -202,15 +203,7 @@
         {
             continue;
         }
-        auto counts = m_peers.table().counts_of(window);
-        const auto own = m_state.usage.counts().find(window);
-        if (own != m_state.usage.counts().end())
-        {
-            for (const auto& [tenant, count] : own->second)
-            {
-                counts[tenant] += count;
-            }
-        }
+        const auto counts = m_peers.table().counts_of(window);
         if (!counts.empty())
         {
             return m_ledger.settle(window, counts, now);
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -346,10 +346,10 @@
         state.uses[tenant] = used;
     }
     state.window_use = m_state.quota.window_use(gateway_state::now());
-    for (const auto& [window, counts] : m_state.usage.counts())
-    {
-        state.counts[window] = counts;
-    }
+    state.counts = m_state.usage.counts();
+    m_table.note_own_counts(state.counts, m_state.started);
+    state.ended_counts =
+        m_table.ended_counts(m_state.started, gateway_state::now());
     for (const auto& server : m_state.servers.leaving())
     {
         state.leaving_servers.push_back(server);
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr milliseconds tick{500};
-constexpr milliseconds call_time{1200};
+constexpr milliseconds call_time{800};
 constexpr absl::Duration demand_memory = absl::Seconds(8);
 // Fewer servers are ordered only after the need has been lower for this long.
 constexpr absl::Duration patience = absl::Seconds(8);
