ingress: Remember quotas when machines are killed

Change: the holder's renewals in the log carry the use by eighths of the window; a peer that has been up for longer tells the same for three seconds and comes before the log; machines that start together count each other's first use.

--- a/libraries/duties/duty_ledger.cpp
+++ b/libraries/duties/duty_ledger.cpp
@@ -168,6 +168,10 @@
         const auto holder = host_id(require_string(object, "holder"));
         const auto started = incarnation(require_integer(object, "started"));
         m_seen_at = now;
+        if (auto note = find_string(object, "note"))
+        {
+            m_note = std::move(*note);
+        }
         if (kind == grant_kind)
         {
             m_holder = holder;
@@ -202,6 +206,10 @@
     record["kind"] = std::string(kind);
     record["holder"] = m_self.value();
     record["started"] = m_started.value();
+    if (!m_own_note.empty())
+    {
+        record["note"] = m_own_note;
+    }
     return boost::json::serialize(record);
 }
 
--- a/libraries/duties/duty_ledger.hpp
+++ b/libraries/duties/duty_ledger.hpp
@@ -74,6 +74,18 @@
     /// The append was not done, or may have been.
     void on_uncertain();
 
+    /// Sets what the next renewals carry for machines that start later.
+    void set_note(std::string note)
+    {
+        m_own_note = std::move(note);
+    }
+
+    /// @return the newest note of a holder
+    [[nodiscard]] const std::string& note() const
+    {
+        return m_note;
+    }
+
     /// Stops renewing, so that another machine may take over sooner.
     void stop()
     {
@@ -117,6 +129,8 @@
     absl::Time m_valid_until = absl::InfinitePast(); ///< this machine's lease
     absl::Time m_renewed_at = absl::InfinitePast();
     absl::Time m_read_at = absl::InfinitePast();
+    std::string m_own_note;
+    std::string m_note;
     std::map<std::int64_t, tenant_counts> m_settled;
 };
 
--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr int slots_per_window = 64;
+constexpr int history_parts = 8;
 // What machines that were killed may have used without telling anyone.
 constexpr double untold_share = 0.12;
 
@@ -39,9 +40,9 @@
         made.limit = tenant.limit;
         made.interval_share =
             std::max(0.0, allowed(made) - made.used) / m_reached;
-        if (is_first && m_initial == initial_use::unknown && !m_has_adopted)
+        if (is_first)
         {
-            spread(made, allowed(made), now);
+            assume_initial_use(tenant.name, made, now);
         }
         accounts[tenant.name] = std::move(made);
     }
@@ -108,21 +109,18 @@
     }
 }
 
-void token_quota::adopt(const std::map<workspace_id, double>& use,
+void token_quota::adopt(const use_history& history, history_source source,
                         absl::Time now)
 {
-    if (m_has_adopted || m_initial == initial_use::none)
+    if (m_initial == initial_use::none || (m_source && *m_source >= source))
     {
         return;
     }
-    m_has_adopted = true;
-    for (auto& [tenant, over] : m_accounts)
+    m_source = source;
+    m_adopted = history;
+    for (auto& [tenant, of] : m_accounts)
     {
-        const auto known = use.find(tenant);
-        over.slots.clear();
-        over.used = 0;
-        const auto told = known == use.end() ? 0.0 : known->second;
-        spread(over, told + allowed(over) * untold_share, now);
+        assume_initial_use(tenant, of, now);
     }
 }
 
@@ -152,15 +150,26 @@
     return excess <= 0 ? absl::ZeroDuration() : m_window;
 }
 
-std::map<workspace_id, double> token_quota::window_use(absl::Time now)
+use_history token_quota::history(absl::Time now)
 {
-    std::map<workspace_id, double> use;
+    use_history history;
+    const auto length = m_window / history_parts;
     for (auto& [tenant, of] : m_accounts)
     {
         forget_old(of, now);
-        use[tenant] = of.used;
+        std::vector<double> parts(history_parts, 0.0);
+        for (const auto& counted : of.slots)
+        {
+            const auto age =
+                std::max(absl::ZeroDuration(), now - counted.until);
+            const auto part =
+                std::min<std::int64_t>(age / length, history_parts - 1);
+            parts[static_cast<std::size_t>(history_parts - 1 - part)] +=
+                counted.used;
+        }
+        history[tenant] = std::move(parts);
     }
-    return use;
+    return history;
 }
 
 double token_quota::allowed(const account& of) const
@@ -195,20 +204,43 @@
     to.slots.push_back({now + length, cost});
 }
 
-// Counts use as if it had come evenly within the last window.
-void token_quota::spread(account& over, double use, absl::Time now) const
+// Counts parts of a window that ends now as used.
+void token_quota::assume(account& of, const std::vector<double>& use,
+                         absl::Time now) const
 {
-    if (use <= 0)
+    of.slots.clear();
+    of.used = 0;
+    const auto length = m_window / static_cast<double>(use.size());
+    for (std::size_t index = 0; index < use.size(); ++index)
+    {
+        const auto age = length * static_cast<double>(use.size() - 1 - index);
+        of.slots.push_back({now - age, use[index]});
+        of.used += use[index];
+    }
+}
+
+// What came before this machine's start is as it was told; otherwise all of
+// the quota may have been used, evenly.
+void token_quota::assume_initial_use(const workspace_id& tenant, account& of,
+                                     absl::Time now) const
+{
+    if (m_initial == initial_use::none)
     {
         return;
     }
-    const auto length = m_window / slots_per_window;
-    for (int index = slots_per_window; index > 0; --index)
+    const auto all = allowed(of);
+    std::vector<double> use(history_parts, all / history_parts);
+    if (m_adopted)
     {
-        over.slots.push_back(
-            {now - length * (index - 1), use / slots_per_window});
+        const auto told = m_adopted->find(tenant);
+        use = told == m_adopted->end() || told->second.empty()
+                  ? std::vector<double>(history_parts, 0.0)
+                  : told->second;
+        use.back() += all * untold_share;
+        const auto own = m_own_use.find(tenant);
+        use.back() += own == m_own_use.end() ? 0.0 : own->second;
     }
-    over.used += use;
+    assume(of, use, now);
 }
 
 } // namespace daleshelf
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -10,10 +10,16 @@
 #include <base/identifiers.hpp>
 #include <deque>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace daleshelf
 {
 
+/// Use of one quota's window by tenant, in equal parts of the window, the
+/// oldest first.
+using use_history = std::map<workspace_id, std::vector<double>>;
+
 /// What a tenant may use within any span of the window's length: its rate
 /// times that length, and its burst. Every machine counts what it lets through
 /// itself and what its peers tell. A machine that cannot reach all others
@@ -52,9 +58,17 @@
     /// Counts what another machine has used.
     void count_peer(const workspace_id& tenant, double cost, absl::Time now);
 
-    /// Takes from a peer, which has been up for longer, what all machines have
-    /// used within the window.
-    void adopt(const std::map<workspace_id, double>& use, absl::Time now);
+    /// Who tells what was used before this machine's start; a better source
+    /// replaces a worse one.
+    enum class history_source
+    {
+        log,  ///< the last holder of the duties
+        peer, ///< a machine that has been up for longer
+    };
+
+    /// Takes what all machines had used within the window.
+    void adopt(const use_history& history, history_source source,
+               absl::Time now);
 
     /// @return time until `cost` may be within the quota
     [[nodiscard]] absl::Duration wait_for(const workspace_id& tenant,
@@ -67,7 +81,7 @@
     }
 
     /// @return what all machines have used within the window, as far as known
-    [[nodiscard]] std::map<workspace_id, double> window_use(absl::Time now);
+    [[nodiscard]] use_history history(absl::Time now);
 
 private:
     struct slot
@@ -88,13 +102,17 @@
     [[nodiscard]] double allowed(const account& of) const;
     void forget_old(account& of, absl::Time now) const;
     void add(account& to, double cost, absl::Time now) const;
-    void spread(account& over, double use, absl::Time now) const;
+    void assume(account& of, const std::vector<double>& use,
+                absl::Time now) const;
+    void assume_initial_use(const workspace_id& tenant, account& of,
+                            absl::Time now) const;
 
     absl::Duration m_window;
     initial_use m_initial;
     double m_reach = 1;
     double m_reached = 1;
-    bool m_has_adopted = false;
+    std::optional<use_history> m_adopted;
+    std::optional<history_source> m_source;
     absl::flat_hash_map<workspace_id, account> m_accounts;
     std::map<workspace_id, double> m_own_use;
 };
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -36,13 +36,17 @@
         item.set_active(load.active);
         item.set_unread_tokens(load.unread_tokens);
     }
-    for (const auto& [tenant, window_use] : state.window_use)
+    for (const auto& [tenant, used] : state.uses)
     {
         auto& item = *message.add_uses();
         item.set_tenant(tenant.value());
-        item.set_window_use(window_use);
-        const auto own = state.uses.find(tenant);
-        item.set_used(own == state.uses.end() ? 0.0 : own->second);
+        item.set_used(used);
+        const auto window = state.window_use.find(tenant);
+        if (window != state.window_use.end())
+        {
+            item.mutable_window_use()->Add(window->second.begin(),
+                                           window->second.end());
+        }
     }
     add_counts(message, {}, state.counts);
     for (const auto& [start, counts] : state.ended_counts)
@@ -71,7 +75,11 @@
     for (const auto& item : message.uses())
     {
         state.uses[workspace_id(item.tenant())] = item.used();
-        state.window_use[workspace_id(item.tenant())] = item.window_use();
+        if (item.window_use_size() > 0)
+        {
+            state.window_use[workspace_id(item.tenant())] = {
+                item.window_use().begin(), item.window_use().end()};
+        }
     }
     for (const auto& item : message.counts())
     {
--- a/libraries/peers/machine_state.hpp
+++ b/libraries/peers/machine_state.hpp
@@ -45,7 +45,8 @@
     std::vector<reported_load> loads;
     std::map<workspace_id, double> uses; ///< since the machine's start
     /// Of all machines within the quota's window, as far as known.
-    std::map<workspace_id, double> window_use;
+    /// In equal parts of it, the oldest first; told while a machine is new.
+    std::map<workspace_id, std::vector<double>> window_use;
     counts_by_window counts; ///< of this start
     /// Of starts that cannot tell by themselves any more.
     std::map<counting_start, counts_by_window> ended_counts;
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -6,8 +6,17 @@
 namespace daleshelf
 {
 
-peer_table::peer_table(machine_address self, const peer_options& options)
-    : m_self(std::move(self)), m_options(options)
+namespace
+{
+
+// Machines that start together have not heard of each other's first requests.
+constexpr std::int64_t recent_ms = 3000;
+
+} // namespace
+
+peer_table::peer_table(machine_address self, incarnation started,
+                       const peer_options& options)
+    : m_self(std::move(self)), m_started(started), m_options(options)
 {
 }
 
@@ -58,7 +67,9 @@
         const auto before =
             known == peer.state.uses.end() ? 0.0 : known->second;
         const auto added = is_same_start ? used - before : used;
-        if ((is_same_start || is_known) && added != 0)
+        const bool is_recent =
+            is_known || state.started.value() + recent_ms >= m_started.value();
+        if (is_recent && added != 0)
         {
             change.new_use[tenant] = added;
         }
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -41,7 +41,9 @@
 class peer_table
 {
 public:
-    peer_table(machine_address self, const peer_options& options);
+    /// @param started this machine's start, in milliseconds since 1970
+    peer_table(machine_address self, incarnation started,
+               const peer_options& options);
 
     /// Notes that a machine may be at an address.
     void add_address(const machine_address& machine, absl::Time now);
@@ -90,6 +92,7 @@
     void drop_seed(const std::string& address);
 
     machine_address m_self;
+    incarnation m_started;
     peer_options m_options;
     std::map<host_id, peer_record> m_peers;
     count_table m_counts;
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -12,6 +12,7 @@
         events::process_stopping,
         events::process_stopped,
         events::drain_timed_out,
+        events::unexpected_error,
         events::configuration_applied,
         events::log_unreachable,
         events::log_reachable,
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -54,6 +54,10 @@
 inline constexpr log_event drain_timed_out{
     104, log_severity::warning, "drain_timed_out",
     "Requests were still in flight when the drain time ran out."};
+inline constexpr log_event unexpected_error{
+    105, log_severity::error, "unexpected_error",
+    "An error that nothing was ready for has ended one task; this is a fault "
+    "of the program."};
 inline constexpr log_event configuration_applied{
     201, log_severity::info, "configuration_applied",
     "A change has been settled; the fields give its offset and outcome."};
--- a/services/gateway/duty_service.hpp
+++ b/services/gateway/duty_service.hpp
@@ -40,6 +40,7 @@
     awaitable<void> report(std::int64_t window);
     [[nodiscard]] std::optional<ledger_append> next_settlement();
     [[nodiscard]] std::int64_t oldest_window() const;
+    void adopt_history();
     void note_lease();
 
     gateway_state& m_state;
@@ -50,6 +51,7 @@
     async_event m_settled;
     std::set<std::int64_t> m_reported;
     bool m_was_holder = false;
+    bool m_has_adopted = false;
 };
 
 } // namespace daleshelf
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -53,7 +53,20 @@
 void gateway::run()
 {
     start();
-    m_context.run();
+    bool has_ended = false;
+    while (!has_ended)
+    {
+        try
+        {
+            m_context.run();
+            has_ended = true;
+        }
+        catch (const std::exception& error)
+        {
+            // One request or exchange has ended; the others go on.
+            log(events::unexpected_error, {{"error", error.what()}});
+        }
+    }
 }
 
 void gateway::start()
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -19,6 +19,8 @@
 // How long a peer may know more before it is asked: the store is faster.
 constexpr milliseconds patience{350};
 constexpr milliseconds fetch_time{1000};
+// A machine that has just started is told the use of quotas for this long.
+constexpr absl::Duration history_time = absl::Seconds(3);
 constexpr std::string_view records_target = "/records/";
 
 std::string host_part(const std::string& address)
@@ -46,7 +48,8 @@
 peer_exchange::peer_exchange(gateway_state& state, followed_topics topics)
     : m_state(state)
     , m_topics(topics)
-    , m_table({state.self, state.settings.peers_address}, peer_options())
+    , m_table({state.self, state.settings.peers_address}, state.started,
+              peer_options())
     , m_socket(state.context, udp_endpoint(state.settings.peers_address))
     , m_server(state.context, state.settings.peers_address,
                [this](const std::string& target)
@@ -233,6 +236,7 @@
     }
     if (is_start)
     {
+        m_tells_history_until = now + history_time;
         log(events::peer_joined,
             {{"peer", copy.self.name.value()}, {"address", copy.self.address}});
     }
@@ -246,10 +250,10 @@
     {
         m_state.quota.count_peer(tenant, used, now);
     }
-    if (state.started < m_state.started && !state.window_use.empty() &&
-        m_state.routes != nullptr)
+    if (state.started < m_state.started && !state.window_use.empty())
     {
-        m_state.quota.adopt(state.window_use, now);
+        m_state.quota.adopt(state.window_use, token_quota::history_source::peer,
+                            now);
     }
     m_state.clock.note(state.self.name,
                        absl::FromUnixMillis(state.wall_time_ms), now);
@@ -345,7 +349,10 @@
     {
         state.uses[tenant] = used;
     }
-    state.window_use = m_state.quota.window_use(gateway_state::now());
+    if (gateway_state::now() < m_tells_history_until)
+    {
+        state.window_use = m_state.quota.history(gateway_state::now());
+    }
     state.counts = m_state.usage.counts();
     m_table.note_own_counts(state.counts, m_state.started);
     state.ended_counts =
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -77,6 +77,7 @@
     std::int64_t m_sequence = 0;
     std::map<std::string, monotonic::time_point> m_behind_since;
     bool m_is_fetching = false;
+    absl::Time m_tells_history_until = absl::InfinitePast();
     std::vector<std::pair<upstream_id, absl::Time>> m_leaving;
 };
 
