peers: Keep what a machine sends and hears the same in a large fleet

Cause: on 77 machines each sent 76 datagrams four times a second (8.3 GB between zones); counts of machines out of reach were told on by all, until a datagram was larger than may be sent. Change: the pause grows beyond 8 peers; eight ended starts a datagram, in turn.

--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -11,6 +11,7 @@
 
 // Machines that start together have not heard of each other's first requests.
 constexpr std::int64_t recent_ms = 3000;
+constexpr std::size_t most_ended_told = 8;
 
 } // namespace
 
@@ -98,7 +99,7 @@
     {
         const auto last = std::max(peer.heard_at, peer.listed_at);
         const bool has_left =
-            peer.state.is_stopping && now - last > m_options.reach_time;
+            peer.state.is_stopping && now - last > reach_time();
         if (has_left || now - last > m_options.forget_time)
         {
             forgotten.push_back(name);
@@ -111,12 +112,24 @@
     return forgotten;
 }
 
+absl::Duration peer_table::send_pause() const
+{
+    const auto peers = static_cast<double>(m_peers.size());
+    return m_options.send_pause * std::max(1.0, peers / m_options.many_peers);
+}
+
+absl::Duration peer_table::reach_time() const
+{
+    constexpr double datagrams_missed = 3.5;
+    return std::max(m_options.reach_time, send_pause() * datagrams_missed);
+}
+
 std::size_t peer_table::reached(absl::Time now) const
 {
     std::size_t in_reach = 1;
     for (const auto& [name, peer] : m_peers)
     {
-        if (now - peer.heard_at <= m_options.reach_time)
+        if (now - peer.heard_at <= reach_time())
         {
             ++in_reach;
         }
@@ -157,30 +170,38 @@
 }
 
 std::map<counting_start, counts_by_window>
-peer_table::ended_counts(incarnation own_start, absl::Time now) const
+peer_table::ended_counts(incarnation own_start) const
 {
-    std::map<counting_start, counts_by_window> ended;
+    std::vector<counting_start> ended;
     for (const auto& [start, counts] : m_counts.entries())
     {
         const bool is_own =
             start.machine == m_self.name && start.started == own_start;
         const auto peer = m_peers.find(start.machine);
         const bool is_telling = peer != m_peers.end() &&
-                                peer->second.state.started == start.started &&
-                                is_in_reach(start.machine, now);
+                                peer->second.state.started == start.started;
         if (!is_own && !is_telling)
         {
-            ended[start] = counts;
+            ended.push_back(start);
         }
     }
-    return ended;
+    // A datagram holds some of them; the others follow with the next ones.
+    std::map<counting_start, counts_by_window> told;
+    const auto size = std::min(ended.size(), most_ended_told);
+    for (std::size_t index = 0; index < size; ++index)
+    {
+        const auto& start = ended[(m_next_ended + index) % ended.size()];
+        told[start] = m_counts.entries().at(start);
+    }
+    m_next_ended += size;
+    return told;
 }
 
 bool peer_table::is_in_reach(const host_id& peer, absl::Time now) const
 {
     const auto found = m_peers.find(peer);
     return found != m_peers.end() &&
-           now - found->second.heard_at <= m_options.reach_time;
+           now - found->second.heard_at <= reach_time();
 }
 
 } // namespace daleshelf
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -25,6 +25,11 @@
 /// Times after which a silent peer counts as out of reach, and as gone.
 struct peer_options
 {
+    /// Pause between two datagrams to each peer while there are few.
+    absl::Duration send_pause = absl::Milliseconds(250);
+    /// Beyond this many peers the pause grows with their number, so that what
+    /// a machine sends and hears stays the same.
+    double many_peers = 8;
     absl::Duration reach_time = absl::Seconds(1.5);
     absl::Duration forget_time = absl::Seconds(15);
 };
@@ -55,6 +60,9 @@
     /// @return those that are forgotten
     std::vector<host_id> forget_silent(absl::Time now);
 
+    /// @return pause between two datagrams to each peer
+    [[nodiscard]] absl::Duration send_pause() const;
+
     /// @return machines that are in reach, with this one
     [[nodiscard]] std::size_t reached(absl::Time now) const;
 
@@ -71,9 +79,10 @@
     /// text for logs
     [[nodiscard]] std::string describe_counts(std::int64_t window) const;
 
-    /// @return counts of starts that no longer tell them by themselves
+    /// @return counts of some starts that no longer tell them by themselves,
+    /// others at each call; a machine that is only out of reach still will
     [[nodiscard]] std::map<counting_start, counts_by_window>
-    ended_counts(incarnation own_start, absl::Time now) const;
+    ended_counts(incarnation own_start) const;
 
     /// @return known machines, with this one
     [[nodiscard]] std::size_t size() const
@@ -89,6 +98,7 @@
     }
 
 private:
+    [[nodiscard]] absl::Duration reach_time() const;
     void drop_seed(const std::string& address);
 
     machine_address m_self;
@@ -96,6 +106,7 @@
     peer_options m_options;
     std::map<host_id, peer_record> m_peers;
     count_table m_counts;
+    mutable std::size_t m_next_ended = 0;
 };
 
 } // namespace daleshelf
--- a/libraries/scaling/scale_planner.cpp
+++ b/libraries/scaling/scale_planner.cpp
@@ -19,6 +19,7 @@
     }
     std::sort(priced.begin(), priced.end());
     std::vector<hall_id> halls;
+    halls.reserve(priced.size());
     for (auto& [price, hall] : priced)
     {
         halls.push_back(std::move(hall));
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -14,8 +14,9 @@
 constexpr milliseconds store_time{1200};
 constexpr milliseconds call_time{800};
 constexpr milliseconds retry_pause{300};
-// The counts of peers arrive within this time of a window's end.
-constexpr absl::Duration settle_delay = absl::Milliseconds(1100);
+// The counts of peers arrive within this time of a window's end, and the pause
+// between two datagrams.
+constexpr absl::Duration settle_delay = absl::Milliseconds(850);
 constexpr std::size_t most_reported = 64;
 // A history of quotas that is older than this says too little.
 constexpr absl::Duration newest_age = absl::Seconds(3);
@@ -250,8 +251,9 @@
         return std::nullopt;
     }
     const auto time = m_state.time_of_day();
+    const auto pause = m_peers.table().send_pause();
     for (auto window = oldest_window();
-         m_state.usage.end_of(window) + settle_delay <= time; ++window)
+         m_state.usage.end_of(window) + settle_delay + pause <= time; ++window)
     {
         if (m_ledger.settled().contains(window))
         {
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr milliseconds send_pause{250};
 constexpr std::size_t largest_datagram = 60000;
 constexpr std::size_t most_named_machines = 4;
 // How long a peer may know more before it is asked: the store is faster.
@@ -139,7 +138,7 @@
                              udp_endpoint(peer.address), 0, ignored);
         }
         fetch_news();
-        timer.expires_after(send_pause +
+        timer.expires_after(absl::ToChronoMilliseconds(m_table.send_pause()) +
                             milliseconds(absl::Uniform(m_state.random, 0, 20)));
         co_await timer.async_wait(use_result);
     }
@@ -236,7 +235,8 @@
     }
     if (is_start)
     {
-        m_tells_history_until = now + history_time;
+        m_tells_history_until =
+            now + std::max(history_time, m_table.send_pause() * 2);
         log(events::peer_joined,
             {{"peer", copy.self.name.value()}, {"address", copy.self.address}});
     }
@@ -355,8 +355,7 @@
     }
     state.counts = m_state.usage.counts();
     m_table.note_own_counts(state.counts, m_state.started);
-    state.ended_counts =
-        m_table.ended_counts(m_state.started, gateway_state::now());
+    state.ended_counts = m_table.ended_counts(m_state.started);
     for (const auto& server : m_state.servers.leaving())
     {
         state.leaving_servers.push_back(server);
--- a/tests/gateway/request_path_test.cpp
+++ b/tests/gateway/request_path_test.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-using testing::Test;
-
 bool has(const std::string& text, const std::string& part)
 {
     return text.find(part) != std::string::npos;
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -5,6 +5,7 @@
 #include <peers/peer_table.hpp>
 #include <peers/time_estimate.hpp>
 #include <peers/topic_records.hpp>
+#include <set>
 
 namespace daleshelf
 {
@@ -150,13 +151,59 @@
     again.counts = {{7, {{studio, 2}}}};
     (void)table.receive(again, at(2));
     EXPECT_EQ(table.counts_of(7).at(studio), 6);
-    const auto ended = table.ended_counts(incarnation(100000), at(2));
+    const auto ended = table.ended_counts(incarnation(100000));
     ASSERT_EQ(ended.size(), 1);
     EXPECT_EQ(ended.begin()->first.started, incarnation(5));
     table.forget_silent(at(60));
     EXPECT_EQ(table.counts_of(7).at(studio), 6);
 }
 
+// With many machines a datagram that told all of them was never sent.
+TEST(peer_table, tells_a_bounded_number_of_ended_starts_and_all_in_turn)
+{
+    auto table = make_table();
+    auto state = make_state("2", 5, 1);
+    constexpr int ended = 100;
+    for (int index = 0; index < ended; ++index)
+    {
+        state.ended_counts[{host_id("old"), incarnation(index)}] = {
+            {7, {{studio, 1}}}};
+    }
+    (void)table.receive(state, at(1));
+    std::set<counting_start> told;
+    for (int turn = 0; turn < ended; ++turn)
+    {
+        const auto some = table.ended_counts(incarnation(100000));
+        EXPECT_LE(some.size(), 8);
+        for (const auto& [start, counts] : some)
+        {
+            told.insert(start);
+        }
+    }
+    EXPECT_EQ(told.size(), ended);
+}
+
+TEST(peer_table, a_machine_out_of_reach_tells_its_counts_by_itself)
+{
+    auto table = make_table();
+    auto state = make_state("2", 5, 1);
+    state.counts = {{7, {{studio, 4}}}};
+    (void)table.receive(state, at(1));
+    EXPECT_TRUE(table.ended_counts(incarnation(100000)).empty());
+}
+
+TEST(peer_table, the_pause_grows_with_the_number_of_peers)
+{
+    auto table = make_table();
+    EXPECT_EQ(table.send_pause(), absl::Milliseconds(250));
+    for (int index = 2; index <= 81; ++index)
+    {
+        const auto name = std::to_string(index);
+        table.add_address({host_id(name), "10.0.1." + name + ":7"}, at(0));
+    }
+    EXPECT_EQ(table.send_pause(), absl::Seconds(2.5));
+}
+
 RC_GTEST_PROP(count_table, merging_in_any_order_and_twice_is_the_same, ())
 {
     struct report
@@ -166,6 +213,7 @@
     };
     const auto size = *rc::gen::inRange(1, 12);
     std::vector<report> reports;
+    reports.reserve(static_cast<std::size_t>(size));
     for (int index = 0; index < size; ++index)
     {
         reports.push_back({{host_id(std::to_string(*rc::gen::inRange(0, 3))),
--- a/tests/wire/message_parser_test.cpp
+++ b/tests/wire/message_parser_test.cpp
@@ -59,7 +59,7 @@
     EXPECT_EQ(fault_of_request("GET / HTTP/1.1\r\nno colon\r\n\r\n"),
               parse_fault::malformed);
     EXPECT_EQ(fault_of_request("GET / HTTP/1.1\r\nA: " +
-                               std::string(2 * head_bytes, 'x')),
+                               std::string(std::size_t{2} * head_bytes, 'x')),
               parse_fault::head_too_large);
     EXPECT_EQ(
         fault_of_request("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n"),
