daleshelf: Explain a request from the gateways' logs

Cause: on-call engineers have only logs. `daleshelf explain ID FILE...` orders a request's lines, adds what its machine had learned of the servers it was sent to, and names the decision that sealed its end; -o json too.

With it, changes of the server list that come together are read together, and until demand is known a fifth of the servers present counts as busy.

--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -59,6 +59,8 @@
     bool has_servers = false;
     bool is_stopping = false;
     monotonic::time_point stopping_since{};
+    /// Changes that come within this time of one another are read together.
+    milliseconds change_pause{100};
     std::int64_t requests_in_flight = 0;
 };
 
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+constexpr milliseconds tick{250};
+// The store's calls grow with machines and changes; the pause holds them down.
+constexpr milliseconds least_change_pause{50};
+constexpr milliseconds most_change_pause{800};
 constexpr std::size_t largest_datagram = 60000;
 constexpr std::size_t most_named_machines = 4;
 // How long a peer may know more before it is asked: the store is faster.
@@ -130,20 +134,39 @@
         }
         m_state.clock.note(m_state.self, absl::Now(), now);
         m_state.quota.begin_interval(m_table.reached(now), m_table.size(), now);
-        const auto bytes = encode(own_state());
-        for (const auto& [name, peer] : m_table.peers())
-        {
-            error_code ignored;
-            m_socket.send_to(asio::const_buffer(bytes.data(), bytes.size()),
-                             udp_endpoint(peer.address), 0, ignored);
-        }
+        m_state.change_pause =
+            std::clamp(absl::ToChronoMilliseconds(m_table.send_pause() / 3),
+                       least_change_pause, most_change_pause);
+        send_to_some(encode(own_state()));
         fetch_news();
-        timer.expires_after(absl::ToChronoMilliseconds(m_table.send_pause()) +
+        timer.expires_after(tick +
                             milliseconds(absl::Uniform(m_state.random, 0, 20)));
         co_await timer.async_wait(use_result);
     }
 }
 
+// Sends to each peer in its turn: a datagram to all at once would fill the
+// links of small machines.
+void peer_exchange::send_to_some(const std::string& bytes)
+{
+    const auto& peers = m_table.peers();
+    const auto most = static_cast<std::size_t>(peer_options().many_peers);
+    const auto count = std::min(peers.size(), most);
+    auto peer = peers.upper_bound(m_last_told);
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        if (peer == peers.end())
+        {
+            peer = peers.begin();
+        }
+        error_code ignored;
+        m_socket.send_to(asio::const_buffer(bytes.data(), bytes.size()),
+                         udp_endpoint(peer->second.address), 0, ignored);
+        m_last_told = peer->first;
+        ++peer;
+    }
+}
+
 // Tells the store where this machine is, and learns where the others are.
 awaitable<void> peer_exchange::publish_self()
 {
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -63,6 +63,7 @@
     awaitable<void> fetch_from(std::string address, std::string topic);
     void receive(std::string_view bytes);
     void apply(const machine_state& state, const peer_change& change);
+    void send_to_some(const std::string& bytes);
     void fetch_news();
     [[nodiscard]] machine_state own_state();
     [[nodiscard]] short_answer answer_peer(const std::string& target);
@@ -75,6 +76,7 @@
     small_server m_server;
     duty_state m_duty;
     std::int64_t m_sequence = 0;
+    host_id m_last_told;
     std::map<std::string, monotonic::time_point> m_behind_since;
     bool m_is_fetching = false;
     absl::Time m_tells_history_until = absl::InfinitePast();
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -18,8 +18,12 @@
 // Longer than a server takes to start.
 constexpr absl::Duration replace_time = absl::Seconds(7);
 constexpr absl::Duration dry_time = absl::Seconds(4);
-// Before any demand is known.
-constexpr double assumed_busy = 1.6;
+// Before any demand is known, this share of the servers that are there counts
+// as busy: the operator has sized them for more than the usual.
+constexpr double assumed_busy_share = 0.2;
+constexpr double least_busy = 1;
+// Demand is known once there has been some for this long.
+constexpr absl::Duration learning_time = absl::Seconds(8);
 
 } // namespace
 
@@ -82,8 +86,9 @@
                 spot_limit[subject.hall] = std::max(0, known.count);
             }
         }
-        const auto plan = plan_servers(service.scaling, busy_servers(),
-                                       spot_limit, scale_options());
+        const auto plan =
+            plan_servers(service.scaling, busy_servers(service.name),
+                         spot_limit, scale_options());
         for (const auto& [hall, target] : plan)
         {
             // Spot first: they come while the others still serve.
@@ -135,7 +140,7 @@
          {"hall", subject.hall.value()},
          {"kind", subject.is_spot ? "spot" : "on_demand"},
          {"count", std::to_string(count)},
-         {"busy", std::to_string(busy_servers())},
+         {"busy", std::to_string(m_demand.busy())},
          {"status", std::to_string(status)},
          {"token", std::to_string(*token)}});
 }
@@ -178,9 +183,24 @@
     return present < known.count;
 }
 
-double scale_service::busy_servers() const
+double scale_service::busy_servers(const service_name& service)
 {
-    return std::max(assumed_busy, m_demand.busy());
+    const auto now = gateway_state::now();
+    const auto measured = m_demand.busy();
+    if (measured > 0)
+    {
+        m_demand_since = std::min(m_demand_since, now);
+    }
+    if (m_demand_since + learning_time < now)
+    {
+        return std::max(least_busy, measured);
+    }
+    // The first look at the servers, before orders change their number.
+    const auto present =
+        static_cast<double>(m_state.servers.usable(service).size());
+    const auto first =
+        m_first_servers.try_emplace(service, present).first->second;
+    return std::max({least_busy, measured, first * assumed_busy_share});
 }
 
 } // namespace daleshelf
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -52,13 +52,15 @@
     [[nodiscard]] bool has_lost_servers(const order_subject& subject,
                                         const order_state& known,
                                         absl::Time now) const;
-    [[nodiscard]] double busy_servers() const;
+    [[nodiscard]] double busy_servers(const service_name& service);
 
     gateway_state& m_state;
     peer_exchange& m_peers;
     duty_service& m_duties;
     http_caller m_platform;
     demand_meter m_demand;
+    absl::Time m_demand_since = absl::InfiniteFuture();
+    std::map<service_name, double> m_first_servers;
     std::map<order_subject, order_state> m_orders;
 };
 
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -43,10 +43,15 @@
             was_answered = co_await list();
         }
         note_answer(was_answered);
-        if (was_answered || std::exchange(m_is_hurried, false))
+        if (std::exchange(m_is_hurried, false))
         {
             continue;
         }
+        if (was_answered)
+        {
+            co_await m_wake.wait_for(m_state.change_pause);
+            continue;
+        }
         const auto pause = std::min(
             longest_pause, first_pause * (1 << std::min(m_failures, 4)));
         co_await m_wake.wait_for(
--- /dev/null
+++ b/tests/explain/explain_test.cpp
@@ -0,0 +1,51 @@
+#include <gtest/gtest.h>
+
+#include <sstream>
+#include <utilities/daleshelf/explain.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+std::vector<logged_event> read(const std::string& text)
+{
+    std::istringstream in(text);
+    std::vector<logged_event> log;
+    read_log(in, "file", log);
+    return log;
+}
+
+constexpr const char* example =
+    R"(noise
+ 1.0 edge-1 {"time":"01","name":"servers_changed","server":"a","state":"ready"}
+ 2.0 edge-2 {"time":"09","name":"servers_changed","server":"a","state":"gone"}
+ 2.5 edge-1 {"time":"03","name":"request_failed","id":"r","reason":"may_have_run"}
+ 2.4 edge-1 {"time":"02","name":"upstream_failed","id":"r","server":"a","end":"broken"}
+ 2.6 edge-1 {"time":"04","name":"request_refused","id":"q","reason":"quota"}
+{"time":"05","name":"request_ended","id":"s","outcome":"answered"}
+ 3.0 edge-1 {"torn)";
+
+TEST(explain, orders_a_request_and_names_what_sealed_it)
+{
+    const auto story = explain_request("r", read(example));
+    ASSERT_EQ(story.events.size(), 3);
+    EXPECT_EQ(story.events[0].name, "servers_changed");
+    EXPECT_EQ(story.events[0].source, "edge-1") << "not another machine's view";
+    EXPECT_EQ(story.events[1].name, "upstream_failed");
+    EXPECT_TRUE(story.cause.starts_with("failed: a server broke off"));
+    EXPECT_TRUE(story.cause.ends_with("(server a: broken)"));
+}
+
+TEST(explain, tells_requests_apart)
+{
+    EXPECT_EQ(explain_request("q", read(example)).cause,
+              "refused: its tenant was beyond its quota");
+    const auto answered = explain_request("s", read(example));
+    EXPECT_EQ(answered.cause, "answered");
+    EXPECT_EQ(answered.events.front().source, "file");
+    EXPECT_TRUE(explain_request("x", read(example)).events.empty());
+}
+
+} // namespace
+} // namespace daleshelf
--- /dev/null
+++ b/utilities/daleshelf/explain.cpp
@@ -0,0 +1,176 @@
+#include "explain.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+std::string text_of(const boost::json::object& fields, std::string_view key)
+{
+    const auto* value = fields.if_contains(key);
+    if (value == nullptr)
+    {
+        return "";
+    }
+    return value->is_string() ? std::string(value->get_string())
+                              : boost::json::serialize(*value);
+}
+
+std::string last_word(std::string_view text)
+{
+    const auto end = text.find_last_not_of(" \t");
+    if (end == std::string_view::npos)
+    {
+        return "";
+    }
+    text = text.substr(0, end + 1);
+    return std::string(text.substr(text.find_last_of(" \t") + 1));
+}
+
+/// Sentences by the reason that a line gives.
+const std::map<std::string, std::string>& reasons()
+{
+    static const std::map<std::string, std::string> sentences{
+        {"no_configuration",
+         "refused: this machine did not know any configuration yet"},
+        {"no_route", "no route: no configuration in force has this path"},
+        {"unknown_key", "unknown key: no tenant in force holds it"},
+        {"unknown_service", "refused: the route's service is not declared"},
+        {"no_request_id", "rejected: it did not carry exactly one id"},
+        {"quota", "refused: its tenant was beyond its quota"},
+        {"stopping", "refused: this machine was about to stop"},
+        {"servers_full",
+         "refused: no server would take it; those asked stated so, or none "
+         "may get new work"},
+        {"no_server_reached", "refused: no server could be reached"},
+        {"may_have_run",
+         "failed: a server broke off after it may have run, and it may not "
+         "run twice"},
+        {"deadline", "failed: no answer came before its time was over"},
+        {"broken_off",
+         "broken off: its server ended the stream, and it could not go on "
+         "elsewhere"},
+        {"server_error", "failed: every server that may be tried failed it"},
+        {"client_left", "its client left before the answer was whole"},
+        {"answered", "answered"},
+    };
+    return sentences;
+}
+
+std::string cause_of(const std::vector<logged_event>& events)
+{
+    std::string cause;
+    std::string last_attempt;
+    for (const auto& event : events)
+    {
+        if (event.name == "upstream_failed")
+        {
+            last_attempt = "server " + text_of(event.fields, "server") + ": " +
+                           text_of(event.fields, "end");
+            continue;
+        }
+        auto reason = text_of(event.fields, "reason");
+        if (reason.empty())
+        {
+            reason = text_of(event.fields, "outcome");
+        }
+        const auto sentence = reasons().find(reason);
+        if (sentence != reasons().end())
+        {
+            cause = sentence->second;
+        }
+    }
+    if (!cause.empty() && !last_attempt.empty())
+    {
+        cause += " (" + last_attempt + ")";
+    }
+    return cause;
+}
+
+bool is_before(const logged_event& left, const logged_event& right)
+{
+    return left.time < right.time;
+}
+
+} // namespace
+
+void read_log(std::istream& in, const std::string& source,
+              std::vector<logged_event>& into)
+{
+    std::string line;
+    while (std::getline(in, line))
+    {
+        const auto begin = line.find('{');
+        if (begin == std::string::npos)
+        {
+            continue;
+        }
+        boost::system::error_code error;
+        auto value = boost::json::parse(line.substr(begin), error);
+        if (error || !value.is_object())
+        {
+            continue;
+        }
+        logged_event event;
+        event.fields = std::move(value.get_object());
+        event.name = text_of(event.fields, "name");
+        event.time = text_of(event.fields, "time");
+        const auto word = last_word(std::string_view(line).substr(0, begin));
+        event.source = word.empty() ? source : word;
+        into.push_back(std::move(event));
+    }
+}
+
+request_story explain_request(const std::string& id,
+                              std::vector<logged_event> log)
+{
+    // 1. What was logged of the request, and where it was sent.
+    request_story story;
+    std::set<std::pair<std::string, std::string>> servers;
+    std::string source;
+    std::string end;
+    for (const auto& event : log)
+    {
+        if (text_of(event.fields, "id") != id)
+        {
+            continue;
+        }
+        story.events.push_back(event);
+        source = event.source;
+        end = std::max(end, event.time);
+        const auto server = text_of(event.fields, "server");
+        if (!server.empty())
+        {
+            servers.emplace(event.source, server);
+        }
+    }
+    std::stable_sort(story.events.begin(), story.events.end(), is_before);
+    story.cause = cause_of(story.events);
+    // 2. What its machine learned before of those servers. Clocks of other
+    // machines are not compared.
+    std::map<std::string, logged_event> newest;
+    for (const auto& event : log)
+    {
+        const auto server = text_of(event.fields, "server");
+        const bool is_of_story = servers.contains({event.source, server}) &&
+                                 text_of(event.fields, "id").empty();
+        if (is_of_story && event.time <= end)
+        {
+            auto& known = newest[server];
+            known = known.time <= event.time ? event : known;
+        }
+    }
+    for (auto& [server, event] : newest)
+    {
+        story.events.push_back(std::move(event));
+    }
+    std::stable_sort(story.events.begin(), story.events.end(), is_before);
+    return story;
+}
+
+} // namespace daleshelf
--- a/utilities/daleshelf/verbs.cpp
+++ b/utilities/daleshelf/verbs.cpp
@@ -1,5 +1,6 @@
 #include "verbs.hpp"
 
+#include "explain.hpp"
 #include "operator_client.hpp"
 #include "table.hpp"
 
@@ -353,6 +354,75 @@
                                             : print_error(answer);
 }
 
+boost::json::object to_json(const logged_event& event)
+{
+    auto object = event.fields;
+    object["source"] = event.source;
+    return object;
+}
+
+void print_story(const request_story& story)
+{
+    table shown({"TIME", "SOURCE", "EVENT", "FIELDS"});
+    for (const auto& event : story.events)
+    {
+        std::string fields;
+        for (const auto& [key, value] : event.fields)
+        {
+            const bool is_shown = key != "time" && key != "name" &&
+                                  key != "program" && key != "severity" &&
+                                  key != "event" && key != "id";
+            if (is_shown)
+            {
+                fields +=
+                    std::string(key) + "=" + text_of(event.fields, key) + " ";
+            }
+        }
+        shown.add({event.time, event.source, event.name, fields});
+    }
+    std::cout << shown.to_string() << "\ncause: " << story.cause << "\n";
+}
+
+exit_code explain(const verb_call& call)
+{
+    std::vector<logged_event> log;
+    for (std::size_t index = 1; index < call.arguments.size(); ++index)
+    {
+        const auto& path = call.arguments.at(index);
+        std::ifstream file(path);
+        if (!file)
+        {
+            std::cerr << "daleshelf: " << path << " cannot be read\n";
+            return exit_code::usage;
+        }
+        read_log(file, path, log);
+    }
+    if (call.arguments.size() == 1)
+    {
+        read_log(std::cin, "-", log);
+    }
+    const auto& id = call.arguments.front();
+    const auto story = explain_request(id, std::move(log));
+    if (story.events.empty())
+    {
+        std::cerr << "daleshelf: no line names the request " << id << "\n";
+        return exit_code::not_found;
+    }
+    if (call.form == output_form::people)
+    {
+        print_story(story);
+        return exit_code::success;
+    }
+    boost::json::array events;
+    for (const auto& event : story.events)
+    {
+        events.push_back(to_json(event));
+    }
+    print_json(boost::json::object{
+        {"id", id}, {"cause", story.cause}, {"events", std::move(events)}});
+    return exit_code::success;
+}
+
 } // namespace
 
 const std::vector<verb>& all_verbs()
@@ -369,6 +439,10 @@
         {"status", "", "show the state of the daemon", 0, 0, &status},
         {"drain", "", "start a planned stop of the daemon", 0, 0, &drain},
         {"hosts", "", "list the other entry hosts", 0, 0, &hosts},
+        {"explain", "ID [FILE...]",
+         "tell a request's story and the cause of its end from logs of "
+         "gateways; without files, from standard input",
+         1, 64, &explain},
         {"change", "get|wait ID",
          "show what became of a change, or wait until it is in force on all "
          "reachable hosts",
