--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -314,8 +314,37 @@
             "text/plain"};
 }
 
+void gateway::set_gauges()
+{
+    auto& meter = m_state.meter;
+    const auto now = gateway_state::now();
+    meter.set("configuration_version", "Version in force; 0: none is known.",
+              m_state.routes
+                  ? static_cast<double>(m_state.routes->configuration().version)
+                  : 0);
+    meter.set("configuration_store_answer_age_seconds",
+              "Time since the store answered for the configuration.",
+              m_configuration.answer_age_seconds());
+    meter.set("servers_store_answer_age_seconds",
+              "Time since the store answered for the list of servers.",
+              m_servers.answer_age_seconds());
+    meter.set("servers_listed", "Servers in the list.",
+              static_cast<double>(m_state.servers.all().size()));
+    meter.set("machines_known", "Gateways known, with this one.",
+              static_cast<double>(m_peers.table().size()));
+    meter.set("machines_reached", "Gateways heard lately, with this one.",
+              static_cast<double>(m_peers.table().reached(now)));
+    meter.set("requests_in_flight", "Requests that are being served.",
+              static_cast<double>(m_state.requests_in_flight));
+    meter.set("server_connections_made", "Connections opened to servers.",
+              static_cast<double>(m_state.pool.connections_made()));
+    meter.set("holds_duties", "1 while this host holds the duties.",
+              m_duties.token() ? 1 : 0);
+}
+
 short_answer gateway::answer_metrics()
 {
+    set_gauges();
     return {http_status::ok, m_state.metrics.render(),
             "text/plain; version=0.0.4"};
 }
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -40,6 +40,7 @@
     void take_server_list(
         const std::map<std::string, platform::keyed_record>& records);
     [[nodiscard]] short_answer answer_readiness() const;
+    void set_gauges();
     [[nodiscard]] short_answer answer_metrics();
 
     asio::io_context& m_context;
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -2,6 +2,7 @@
 /// What the gateway's parts share. All of them run on one event loop.
 #pragma once
 
+#include "gateway_metrics.hpp"
 #include "gateway_settings.hpp"
 #include "server_connection.hpp"
 
@@ -46,6 +47,7 @@
     hall_id hall;
     incarnation started;
     metric_registry metrics;
+    gateway_metrics meter{metrics};
     time_estimate clock;
     std::shared_ptr<const route_table> routes; ///< null until one is known
     server_directory servers;
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -196,6 +196,7 @@
         }
         const auto chosen = *server;
         m_tried.insert(chosen.id);
+        m_server_hall = chosen.hall.value();
         const auto end = co_await attempt(chosen);
         log_attempt(chosen, end);
         if (end == attempt_end::answered || end == attempt_end::abandoned)
@@ -518,6 +519,7 @@
 awaitable<void> request_flow::refuse(int status, std::string_view reason,
                                      std::optional<milliseconds> retry_after)
 {
+    count_end(reason);
     log(events::request_refused,
         {{"id", m_facts.id.value()},
          {"status", std::to_string(status)},
@@ -534,6 +536,7 @@
 
 awaitable<void> request_flow::fail(int status, std::string_view reason)
 {
+    count_end(reason);
     log(events::request_failed,
         {{"id", m_facts.id.value()},
          {"status", std::to_string(status)},
@@ -636,6 +639,7 @@
     static constexpr std::array<std::string_view, 7> names{
         "answered", "not_run", "not_reached", "server_error",
         "broken",   "late",    "abandoned"};
+    m_state.meter.count_failed_attempt(names.at(static_cast<std::size_t>(end)));
     log(events::upstream_failed,
         {{"id", m_facts.id.value()},
          {"server", server.id.value()},
@@ -646,8 +650,21 @@
                                    .count())}});
 }
 
-void request_flow::log_end(std::string_view outcome) const
+void request_flow::count_end(std::string_view outcome)
 {
+    using seconds = std::chrono::duration<double>;
+    request_summary summary;
+    summary.route = m_route;
+    summary.outcome = outcome;
+    summary.hall = m_server_hall;
+    summary.attempts = m_attempts;
+    summary.seconds = seconds(monotonic::now() - m_request.received).count();
+    m_state.meter.count(summary);
+}
+
+void request_flow::log_end(std::string_view outcome)
+{
+    count_end(outcome);
     log(events::request_ended,
         {{"id", m_facts.id.value()},
          {"outcome", std::string(outcome)},
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -76,7 +76,8 @@
     void count_begun();
     void note_first_event(std::int64_t& unread, const upstream_id& server);
     void log_attempt(const server_entry& server, attempt_end end) const;
-    void log_end(std::string_view outcome) const;
+    void log_end(std::string_view outcome);
+    void count_end(std::string_view outcome);
 
     gateway_state& m_state;
     client_answer& m_answer;
@@ -90,6 +91,7 @@
     double m_quota_cost = 0;
     bool m_quota_taken = false;
     bool m_was_counted = false;
+    std::string m_server_hall;
     bool m_is_cancelled = false;
     bool m_may_have_run = false;
     int m_attempts = 0; ///< that have reached a server
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -43,10 +43,6 @@
             was_answered = co_await list();
         }
         note_answer(was_answered);
-        if (std::exchange(m_is_hurried, false))
-        {
-            continue;
-        }
         if (was_answered)
         {
             co_await m_wake.wait_for(m_state.change_pause);
@@ -103,11 +99,10 @@
     return now - m_answered_at < reached_time;
 }
 
-void topic_follower::hurry()
+double topic_follower::answer_age_seconds() const
 {
-    m_is_hurried = true;
-    m_caller.interrupt();
-    m_wake.notify();
+    using seconds = std::chrono::duration<double>;
+    return seconds(monotonic::now() - m_answered_at).count();
 }
 
 awaitable<bool> topic_follower::list()
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -57,8 +57,8 @@
     /// @return whether the store has answered lately
     [[nodiscard]] bool is_reached() const;
 
-    /// Asks the store anew, since peers know more.
-    void hurry();
+    /// @return time since the store answered, in seconds
+    [[nodiscard]] double answer_age_seconds() const;
 
 private:
     awaitable<bool> list();
@@ -75,7 +75,6 @@
     log_offset m_next;
     bool m_has_listed = false;
     bool m_was_reached = false;
-    bool m_is_hurried = false;
     bool m_is_tailing = false;
     int m_failures = 0;
     monotonic::time_point m_answered_at{};
--- a/tests/gateway/request_path_test.cpp
+++ b/tests/gateway/request_path_test.cpp
@@ -360,6 +360,22 @@
     EXPECT_EQ(one.connections() + two.connections(), 1);
 }
 
+TEST_F(request_path, counts_requests_by_route_and_outcome)
+{
+    configure();
+    const scripted_server server(answering("body"));
+    add_server("a", server);
+    ask("/safe/x");
+    ask("/other/x");
+    std::string text;
+    on_loop([&] { text = m_state.metrics.render(); });
+    EXPECT_TRUE(has(text, "daleshelf_gateway_requests_total{route=\"/safe/\","
+                          "outcome=\"answered\",server_hall=\"here\"} 1"))
+        << text;
+    EXPECT_TRUE(has(text, "outcome=\"no_route\"")) << text;
+    EXPECT_TRUE(has(text, "daleshelf_gateway_request_seconds")) << text;
+}
+
 TEST_F(request_path, a_stopping_gateway_closes_connections_and_refuses_late)
 {
     configure();
