gateway: Count a stream as begun with its head

Cause: usage windows of busy seconds lacked what the next one had too much: the first event comes up to a second after the head.

--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -363,6 +363,7 @@
     {
         m_weights = platform::weights_version(exchange.head().fields);
     }
+    count_begun();
     event_splitter splitter;
     while (true)
     {
@@ -374,7 +375,6 @@
         }
         if (state == exchange_state::piece)
         {
-            count_begun();
             splitter.add(exchange.take_piece());
             bool is_sound = true;
             const bool is_taken =
