--- a/utilities/daleshelf/explain.cpp
+++ b/utilities/daleshelf/explain.cpp
@@ -127,7 +127,7 @@
 }
 
 request_story explain_request(const std::string& id,
-                              std::vector<logged_event> log)
+                              const std::vector<logged_event>& log)
 {
     // 1. What was logged of the request, and where it was sent.
     request_story story;
--- a/utilities/daleshelf/explain.hpp
+++ b/utilities/daleshelf/explain.hpp
@@ -39,7 +39,7 @@
 /// @param log events of any number of machines, whose clocks may differ
 /// @return the request's events, with what its machine learned of the servers
 /// it was sent to, and the decision that sealed its end
-[[nodiscard]] request_story explain_request(const std::string& id,
-                                            std::vector<logged_event> log);
+[[nodiscard]] request_story
+explain_request(const std::string& id, const std::vector<logged_event>& log);
 
 } // namespace daleshelf
--- a/utilities/daleshelf/verbs.cpp
+++ b/utilities/daleshelf/verbs.cpp
@@ -402,7 +402,7 @@
         read_log(std::cin, "-", log);
     }
     const auto& id = call.arguments.front();
-    const auto story = explain_request(id, std::move(log));
+    const auto story = explain_request(id, log);
     if (story.events.empty())
     {
         std::cerr << "daleshelf: no line names the request " << id << "\n";
