gateway: Make one piece serve where two did the same

Read back over the whole change; behaviour stays as it is, but for one field: lines of request_failed now name the tenant too, as those of request_refused do.

- The lease is judged, the fields written and the call made in one place, for usage reports and for orders, with one time that both must keep to.
- A whole list of a topic is taken by one function, whether the store or a peer has told it; servers that a list lacks go by the directory's own keep_only.
- One type for counts by tenant and window, with its JSON, instead of three.
- One check of a connection that is fit for the next message, instead of five.
- Statuses stand with the others in http_status, HTTP/1.1 once in message_head.
- A peer's state is no longer copied whole for each datagram.
- Dead: a setting that nothing read (drain.server_ms), fields, forward declarations, a flag that the tenant already tells.

--- a/libraries/duties/duty_ledger.cpp
+++ b/libraries/duties/duty_ledger.cpp
@@ -18,22 +18,6 @@
 constexpr absl::Duration read_pause = absl::Milliseconds(400);
 constexpr absl::Duration quiet_read_pause = absl::Seconds(4);
 
-tenant_counts read_counts(const boost::json::object& record)
-{
-    tenant_counts counts;
-    const auto* by_tenant = find_object(record, "counts");
-    if (by_tenant == nullptr)
-    {
-        return counts;
-    }
-    for (const auto& item : *by_tenant)
-    {
-        counts[workspace_id(std::string(item.key()))] =
-            require_integer(*by_tenant, item.key());
-    }
-    return counts;
-}
-
 } // namespace
 
 duty_ledger::duty_ledger(host_id self, incarnation started,
@@ -86,17 +70,9 @@
     {
         return std::nullopt;
     }
-    boost::json::object by_tenant;
-    for (const auto& [tenant, count] : counts)
-    {
-        by_tenant[tenant.value()] = count;
-    }
-    boost::json::object record;
-    record["kind"] = std::string(usage_kind);
-    record["holder"] = m_self.value();
-    record["started"] = m_started.value();
+    auto record = new_record(usage_kind);
     record["window"] = window;
-    record["counts"] = std::move(by_tenant);
+    record["counts"] = to_json(counts);
     return ledger_append{m_next, boost::json::serialize(record), window};
 }
 
@@ -181,8 +157,11 @@
         }
         if (kind == usage_kind)
         {
+            const auto* counts = find_object(object, "counts");
             m_settled.emplace(require_integer(object, "window"),
-                              read_counts(object));
+                              counts == nullptr
+                                  ? tenant_counts()
+                                  : tenant_counts_from_json(*counts));
             while (m_settled.size() > most_settled)
             {
                 m_settled.erase(m_settled.begin());
@@ -200,12 +179,18 @@
     return m_holder == m_self && m_holder_started == m_started;
 }
 
-std::string duty_ledger::lease_record(std::string_view kind) const
+boost::json::object duty_ledger::new_record(std::string_view kind) const
 {
     boost::json::object record;
     record["kind"] = std::string(kind);
     record["holder"] = m_self.value();
     record["started"] = m_started.value();
+    return record;
+}
+
+std::string duty_ledger::lease_record(std::string_view kind) const
+{
+    auto record = new_record(kind);
     if (!m_own_note.empty())
     {
         record["note"] = m_own_note;
--- a/libraries/duties/duty_ledger.hpp
+++ b/libraries/duties/duty_ledger.hpp
@@ -8,7 +8,6 @@
 #include <absl/time/time.h>
 
 #include <base/identifiers.hpp>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -98,7 +97,7 @@
     token(absl::Time now, absl::Duration needed = absl::ZeroDuration()) const;
 
     /// @return counts that were settled, by window
-    [[nodiscard]] const std::map<std::int64_t, tenant_counts>& settled() const
+    [[nodiscard]] const counts_by_window& settled() const
     {
         return m_settled;
     }
@@ -109,10 +108,9 @@
     }
 
 private:
-    struct grant_state;
-
     void apply(log_offset offset, const std::string& record, absl::Time now);
     [[nodiscard]] bool is_own() const;
+    [[nodiscard]] boost::json::object new_record(std::string_view kind) const;
     [[nodiscard]] std::string lease_record(std::string_view kind) const;
 
     host_id m_self;
@@ -131,7 +129,7 @@
     absl::Time m_read_at = absl::InfinitePast();
     std::string m_own_note;
     std::string m_note;
-    std::map<std::int64_t, tenant_counts> m_settled;
+    counts_by_window m_settled;
 };
 
 } // namespace daleshelf
--- a/libraries/duties/forward.hpp
+++ b/libraries/duties/forward.hpp
@@ -6,7 +6,6 @@
 {
 
 class duty_ledger;
-class scale_planner;
 class usage_counter;
 
 } // namespace daleshelf
--- a/libraries/duties/usage_counter.hpp
+++ b/libraries/duties/usage_counter.hpp
@@ -4,15 +4,11 @@
 
 #include <absl/time/time.h>
 
-#include <base/identifiers.hpp>
-#include <map>
+#include <base/usage_counts.hpp>
 
 namespace daleshelf
 {
 
-/// Requests begun, by tenant.
-using tenant_counts = std::map<workspace_id, std::int64_t>;
-
 /// Counts by windows of the time of day; a window's number is its start
 /// divided by its length.
 class usage_counter
@@ -30,14 +26,14 @@
     [[nodiscard]] absl::Time end_of(std::int64_t window) const;
 
     /// @return the newest windows with their counts
-    [[nodiscard]] const std::map<std::int64_t, tenant_counts>& counts() const
+    [[nodiscard]] const counts_by_window& counts() const
     {
         return m_counts;
     }
 
 private:
     absl::Duration m_window;
-    std::map<std::int64_t, tenant_counts> m_counts;
+    counts_by_window m_counts;
 };
 
 } // namespace daleshelf
--- a/libraries/ingress/forward.hpp
+++ b/libraries/ingress/forward.hpp
@@ -6,7 +6,6 @@
 {
 
 class event_splitter;
-class partition_guard;
 class prompt_memory;
 class retry_allowance;
 class route_table;
--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -1,7 +1,5 @@
 #include "server_directory.hpp"
 
-#include <absl/container/flat_hash_set.h>
-
 #include <algorithm>
 
 namespace daleshelf
@@ -15,7 +13,6 @@
     // A server that has said that it leaves does not come back: an older
     // record of it may still arrive.
     place->second.is_draining = entry.is_draining || was_draining;
-    ++m_revision;
     return is_new || was_draining != place->second.is_draining;
 }
 
@@ -26,18 +23,12 @@
         return false;
     }
     m_leaving.erase(id);
-    ++m_revision;
     return true;
 }
 
-void server_directory::replace_all(const std::vector<server_entry>& entries)
+std::vector<upstream_id>
+server_directory::keep_only(const absl::flat_hash_set<upstream_id>& listed)
 {
-    absl::flat_hash_set<upstream_id> listed;
-    for (const auto& entry : entries)
-    {
-        listed.insert(entry.id);
-        set(entry);
-    }
     std::vector<upstream_id> gone;
     for (const auto& [id, entry] : m_servers)
     {
@@ -50,6 +41,7 @@
     {
         remove(id);
     }
+    return gone;
 }
 
 bool server_directory::mark_leaving(const upstream_id& id)
--- a/libraries/ingress/server_directory.hpp
+++ b/libraries/ingress/server_directory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 #include <base/identifiers.hpp>
@@ -41,8 +42,10 @@
     /// @return whether it was listed
     bool remove(const upstream_id& id);
 
-    /// Takes a whole list; servers that it lacks are removed.
-    void replace_all(const std::vector<server_entry>& entries);
+    /// Removes every server that a whole list lacks.
+    /// @return those that were removed
+    std::vector<upstream_id>
+    keep_only(const absl::flat_hash_set<upstream_id>& listed);
 
     /// Notes that the server itself, or a peer, has said that it leaves.
     /// @return whether that is news
@@ -64,16 +67,9 @@
     /// @return every listed server
     [[nodiscard]] std::vector<const server_entry*> all() const;
 
-    /// Counts changes, for peers that compare.
-    [[nodiscard]] std::int64_t revision() const
-    {
-        return m_revision;
-    }
-
 private:
     absl::flat_hash_map<upstream_id, server_entry> m_servers;
     absl::flat_hash_map<upstream_id, bool> m_leaving;
-    std::int64_t m_revision = 0;
 };
 
 } // namespace daleshelf
--- a/libraries/peers/count_table.cpp
+++ b/libraries/peers/count_table.cpp
@@ -29,9 +29,9 @@
     }
 }
 
-window_counts count_table::sum(std::int64_t window) const
+tenant_counts count_table::sum(std::int64_t window) const
 {
-    window_counts total;
+    tenant_counts total;
     for (const auto& [start, windows] : m_entries)
     {
         const auto found = windows.find(window);
--- a/libraries/peers/count_table.hpp
+++ b/libraries/peers/count_table.hpp
@@ -2,16 +2,11 @@
 /// Counts of all machines' starts, merged by the greatest.
 #pragma once
 
-#include <base/identifiers.hpp>
-#include <cstdint>
-#include <map>
+#include <base/usage_counts.hpp>
 
 namespace daleshelf
 {
 
-/// Requests begun within one usage window, by tenant.
-using window_counts = std::map<workspace_id, std::int64_t>;
-
 /// One start of one machine: its counts only grow.
 struct counting_start
 {
@@ -22,9 +17,6 @@
                             const counting_start&) = default;
 };
 
-/// Counts of one start, by window.
-using counts_by_window = std::map<std::int64_t, window_counts>;
-
 /// A grow-only counter a start of each machine. Merging takes the greater of
 /// two counts, so it may be done in any order and any number of times; what a
 /// machine counted before it was killed is known while one machine lives that
@@ -39,7 +31,7 @@
     void forget_before(std::int64_t oldest);
 
     /// @return requests begun within a window at all machines, by tenant
-    [[nodiscard]] window_counts sum(std::int64_t window) const;
+    [[nodiscard]] tenant_counts sum(std::int64_t window) const;
 
     [[nodiscard]] const std::map<counting_start, counts_by_window>&
     entries() const
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -61,6 +61,7 @@
         return change;
     }
     change.is_news = true;
+    change.is_start = !is_same_start;
     for (const auto& [tenant, used] : state.uses)
     {
         // What a machine used before it was first heard may be long ago.
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -37,7 +37,8 @@
 /// What has changed through one datagram.
 struct peer_change
 {
-    bool is_news = false; ///< newer than what was known of the machine
+    bool is_news = false;  ///< newer than what was known of the machine
+    bool is_start = false; ///< first heard, or first since it started again
     /// Use by tenant that was not known of before.
     std::map<workspace_id, double> new_use;
 };
@@ -70,7 +71,7 @@
     void note_own_counts(const counts_by_window& counts, incarnation started);
 
     /// @return requests begun at all machines within a window, by tenant
-    [[nodiscard]] window_counts counts_of(std::int64_t window) const
+    [[nodiscard]] tenant_counts counts_of(std::int64_t window) const
     {
         return m_counts.sum(window);
     }
--- a/libraries/scaling/demand_meter.hpp
+++ b/libraries/scaling/demand_meter.hpp
@@ -26,12 +26,6 @@
     /// @return servers that are kept busy
     [[nodiscard]] double busy() const;
 
-    /// @return whether there is a rate to speak of
-    [[nodiscard]] bool has_samples() const
-    {
-        return !m_rates.empty();
-    }
-
 private:
     struct sample
     {
--- a/libraries/scaling/forward.hpp
+++ b/libraries/scaling/forward.hpp
@@ -6,7 +6,7 @@
 {
 
 class demand_meter;
-class scale_planner;
+struct scale_options;
 struct scale_target;
 
 } // namespace daleshelf
--- a/libraries/wire/message_head.cpp
+++ b/libraries/wire/message_head.cpp
@@ -70,7 +70,6 @@
 
 bool keeps_connection(const message_fields& fields, int version)
 {
-    constexpr int http_1_1 = 11;
     if (fields.has_token("Connection", "close"))
     {
         return false;
--- a/libraries/wire/message_head.hpp
+++ b/libraries/wire/message_head.hpp
@@ -10,6 +10,9 @@
 namespace daleshelf
 {
 
+/// HTTP/1.1 as the parsers write versions; HTTP/1.0 is less.
+inline constexpr int http_1_1 = 11;
+
 /// One header field, as it came.
 struct message_field
 {
@@ -38,7 +41,7 @@
 {
     std::string method;
     std::string target;
-    int version = 11; ///< 10 or 11
+    int version = http_1_1;
     message_fields fields;
 };
 
@@ -47,7 +50,7 @@
 {
     int status = 0;
     std::string reason;
-    int version = 11;
+    int version = http_1_1;
     message_fields fields;
 };
 
--- a/libraries/wire/message_parser.cpp
+++ b/libraries/wire/message_parser.cpp
@@ -132,7 +132,6 @@
     {
         return true;
     }
-    constexpr int http_1_1 = 11;
     return codings == 1 &&
            (head.version < http_1_1 ||
             !same_name(*fields.find("Transfer-Encoding"), "chunked"));
--- a/services/gateway/byte_channel.hpp
+++ b/services/gateway/byte_channel.hpp
@@ -47,12 +47,6 @@
     /// @return whether either has come before the deadline
     awaitable<bool> wait_input(monotonic::time_point deadline);
 
-    /// Wakes whoever waits for input.
-    void wake()
-    {
-        m_arrived.notify();
-    }
-
     /// Writes all bytes.
     /// @return bytes that were taken, and whether all were
     struct write_result
@@ -77,6 +71,13 @@
         return m_end;
     }
 
+    /// @return whether the connection is open and has brought nothing unread,
+    /// as it must be before the next message
+    [[nodiscard]] bool is_quiet() const
+    {
+        return m_end == channel_end::open && input().empty();
+    }
+
     /// Called once when the connection has ended, while it is being read.
     void set_end_handler(std::function<void()> handler)
     {
--- a/services/gateway/client_session.cpp
+++ b/services/gateway/client_session.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-constexpr int status_request_timeout = 408;
-constexpr int status_head_too_large = 431;
 constexpr std::chrono::seconds longest_write{20};
 constexpr milliseconds time_to_read_refusal{300};
 
@@ -20,7 +18,7 @@
     switch (fault)
     {
     case parse_fault::head_too_large:
-        return status_head_too_large;
+        return http_status::header_fields_too_large;
     case parse_fault::body_too_large:
         return http_status::payload_too_large;
     case parse_fault::malformed:
@@ -149,7 +147,7 @@
         {
             if (m_is_reading)
             {
-                co_await reject(status_request_timeout);
+                co_await reject(http_status::request_timeout);
             }
             co_return false;
         }
@@ -166,7 +164,6 @@
 awaitable<bool> client_session::serve(client_request request)
 {
     client_form form;
-    constexpr int http_1_1 = 11;
     form.takes_chunks = request.head.version >= http_1_1;
     form.may_keep =
         keeps_connection(request.head.fields, request.head.version) &&
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -91,6 +91,21 @@
     return m_ledger.token(gateway_state::now(), absl::FromChrono(call_time));
 }
 
+awaitable<std::optional<duty_answer>>
+duty_service::call(http_caller& caller, platform::store_call call)
+{
+    const auto holding = token();
+    if (!holding)
+    {
+        co_return std::nullopt;
+    }
+    std::string extra;
+    platform::write_duty_fields(extra, m_state.self, *holding);
+    const auto answer =
+        co_await caller.call(std::move(call), call_time, std::move(extra));
+    co_return duty_answer{answer ? answer->status : 0, *holding};
+}
+
 awaitable<void> duty_service::keep_ledger()
 {
     asio::steady_timer timer(m_state.context);
@@ -208,25 +223,23 @@
 {
     while (true)
     {
-        // The lease is judged right before each call.
-        const auto holding = token();
-        if (!holding)
+        auto report =
+            platform::usage_call(window, m_ledger.settled().at(window));
+        const auto answer = co_await call(m_platform, std::move(report));
+        if (!answer)
         {
             co_return;
         }
-        std::string extra;
-        platform::write_duty_fields(extra, m_state.self, *holding);
-        auto call = platform::usage_call(window, m_ledger.settled().at(window));
-        const auto answer = co_await m_platform.call(std::move(call), call_time,
-                                                     std::move(extra));
-        if (answer && answer->status < http_status::first_client_error)
+        const bool is_taken = answer->status > 0 &&
+                              answer->status < http_status::first_client_error;
+        if (is_taken)
         {
             break;
         }
         log(events::duty_call_failed,
             {{"window", std::to_string(window)},
-             {"status", std::to_string(answer ? answer->status : 0)},
-             {"token", std::to_string(*holding)}});
+             {"status", std::to_string(answer->status)},
+             {"token", std::to_string(answer->token)}});
         asio::steady_timer timer(m_state.context, retry_pause);
         co_await timer.async_wait(use_result);
         if (!m_ledger.settled().contains(window))
--- a/services/gateway/duty_service.hpp
+++ b/services/gateway/duty_service.hpp
@@ -13,6 +13,13 @@
 namespace daleshelf
 {
 
+/// How a call of the duties went.
+struct duty_answer
+{
+    int status = 0;         ///< 0: no answer
+    std::int64_t token = 0; ///< that it carried
+};
+
 /// Keeps the lease, settles each usage window in the log before it is
 /// reported, and reports it as it was settled. See docs/design/platform.md.
 class duty_service
@@ -28,6 +35,13 @@
         m_ledger.stop();
     }
 
+    /// Makes a call that only the holder may make. The lease is judged right
+    /// before it.
+    /// @param caller nobody else uses it meanwhile
+    /// @return nothing if this machine does not hold the duties
+    awaitable<std::optional<duty_answer>> call(http_caller& caller,
+                                               platform::store_call call);
+
     /// @return the fencing token, while this machine holds the duties for at
     /// least as long as a call takes
     [[nodiscard]] std::optional<std::int64_t> token() const;
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -207,7 +207,6 @@
         // change takes hold at once.
         const auto fresh = read_settings<gateway_settings>(
             m_settings_path, gateway_setting_table());
-        m_state.settings.drain_time = fresh.drain_time;
         m_state.settings.stop_time = fresh.stop_time;
         log(events::settings_reloaded, {{"outcome", "in_force"}});
     }
@@ -292,17 +291,13 @@
 void gateway::take_server_list(
     const std::map<std::string, platform::keyed_record>& records)
 {
-    std::vector<upstream_id> gone;
-    for (const auto* entry : m_state.servers.all())
+    absl::flat_hash_set<upstream_id> listed;
+    for (const auto& [key, record] : records)
     {
-        if (!records.contains(entry->id.value()))
-        {
-            gone.push_back(entry->id);
-        }
+        listed.emplace(key);
     }
-    for (const auto& id : gone)
+    for (const auto& id : m_state.servers.keep_only(listed))
     {
-        m_state.servers.remove(id);
         m_state.pool.drop(id);
     }
     m_state.has_servers = true;
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -56,7 +56,6 @@
     std::unique_ptr<small_server> m_metrics;
     asio::signal_set m_signals;
     std::set<std::shared_ptr<client_session>> m_sessions;
-    bool m_was_bound = false;
 };
 
 } // namespace daleshelf
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -42,8 +42,6 @@
          "events below it are left out",
          optional,
          {0, 0, {"debug", "info", "warning", "error"}}},
-        {"drain.server_ms", &settings::drain_time,
-         "how long a leaving server goes on serving", optional, time},
         {"drain.stop_ms", &settings::stop_time,
          "time between the order to stop and the end of this process", optional,
          time},
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -25,7 +25,6 @@
     std::string store_address;
     std::string duties_address;
     std::string log_level = "info";
-    std::chrono::milliseconds drain_time{2000};
     std::chrono::milliseconds stop_time{8000};
     double retry_ratio = 0.2;
     double retry_slack = 10;
--- a/services/gateway/http_call.cpp
+++ b/services/gateway/http_call.cpp
@@ -31,9 +31,7 @@
                   std::string extra)
 {
     const auto deadline = monotonic::now() + time;
-    const bool is_usable = m_channel != nullptr &&
-                           m_channel->end() == channel_end::open &&
-                           m_channel->input().empty();
+    const bool is_usable = m_channel != nullptr && m_channel->is_quiet();
     if (!is_usable)
     {
         const bool is_connected = co_await connect(deadline);
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -247,24 +247,21 @@
         return;
     }
     const auto now = gateway_state::now();
-    const auto known = m_table.peers().find(state->self.name);
-    const bool is_start = known == m_table.peers().end() ||
-                          known->second.heard_at == absl::InfinitePast() ||
-                          known->second.state.started != state->started;
-    const auto copy = *state;
+    const auto name = state->self.name;
     const auto change = m_table.receive(std::move(*state), now);
     if (!change.is_news)
     {
         return;
     }
-    if (is_start)
+    const auto& newest = m_table.peers().at(name).state;
+    if (change.is_start)
     {
         m_tells_history_until =
             now + std::max(history_time, m_table.send_pause() * 2);
         log(events::peer_joined,
-            {{"peer", copy.self.name.value()}, {"address", copy.self.address}});
+            {{"peer", name.value()}, {"address", newest.self.address}});
     }
-    apply(copy, change);
+    apply(newest, change);
 }
 
 void peer_exchange::apply(const machine_state& state, const peer_change& change)
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -25,11 +25,6 @@
 constexpr milliseconds retry_when_full{250};
 constexpr milliseconds longest_retry{5000};
 
-milliseconds to_milliseconds(absl::Duration duration)
-{
-    return milliseconds(absl::ToInt64Milliseconds(duration));
-}
-
 std::string_view kind_name(request_kind kind)
 {
     switch (kind)
@@ -141,13 +136,12 @@
         if (!m_state.quota.try_take(m_tenant->name, m_quota_cost,
                                     gateway_state::now()))
         {
-            const auto wait = to_milliseconds(m_state.quota.wait_for(
+            const auto wait = absl::ToChronoMilliseconds(m_state.quota.wait_for(
                 m_tenant->name, m_quota_cost, gateway_state::now()));
             co_await refuse(http_status::too_many_requests, "quota",
                             std::clamp(wait, retry_when_full, longest_retry));
             co_return false;
         }
-        m_quota_taken = true;
     }
     m_state.retries.count_request(m_service->name);
     co_return true;
@@ -205,7 +199,7 @@
     sent.deadline = m_deadline;
     server_exchange exchange(m_state.pool, std::move(sent));
     m_exchange = &exchange;
-    auto unread =
+    const auto unread =
         m_state.choice.start(server.id, m_facts, m_service->cache_tokens);
     if (m_service->scaling.is_scalable)
     {
@@ -217,7 +211,7 @@
     {
         state = co_await exchange.start();
     }
-    note_first_event(unread, server.id);
+    m_state.choice.prompt_read(server.id, unread);
     if (exchange.known_verdict() != verdict::not_run)
     {
         ++m_attempts;
@@ -306,7 +300,7 @@
     }
     if (!m_may_have_run)
     {
-        if (m_quota_taken)
+        if (m_tenant != nullptr)
         {
             m_state.quota.refund(m_tenant->name, m_quota_cost,
                                  gateway_state::now());
@@ -330,37 +324,36 @@
                   is_late ? "deadline" : "may_have_run");
 }
 
+// The request has not run and never will.
 awaitable<void> request_flow::refuse(int status, std::string_view reason,
                                      std::optional<milliseconds> retry_after)
 {
-    count_end(reason);
-    log(events::request_refused,
-        {{"id", m_facts.id.value()},
-         {"status", std::to_string(status)},
-         {"reason", std::string(reason)},
-         {"route", m_route == nullptr ? "" : m_route->name},
-         {"tenant", m_tenant == nullptr ? "" : m_tenant->name.value()},
-         {"attempts", std::to_string(m_attempts)},
-         {"configuration",
-          std::to_string(m_routes ? m_routes->configuration().version : 0)}});
-    std::string extra;
-    platform::write_refusal_fields(extra, m_facts.id.value(), retry_after);
-    co_await m_answer.send_own(status, extra);
+    co_await answer_own(events::request_refused, status, reason, retry_after);
 }
 
+// Nothing is promised of whether the request has run, or coming back is no use.
 awaitable<void> request_flow::fail(int status, std::string_view reason)
+{
+    co_await answer_own(events::request_failed, status, reason, std::nullopt);
+}
+
+awaitable<void>
+request_flow::answer_own(const log_event& event, int status,
+                         std::string_view reason,
+                         std::optional<milliseconds> retry_after)
 {
     count_end(reason);
-    log(events::request_failed,
+    log(event,
         {{"id", m_facts.id.value()},
          {"status", std::to_string(status)},
          {"reason", std::string(reason)},
          {"route", m_route == nullptr ? "" : m_route->name},
+         {"tenant", m_tenant == nullptr ? "" : m_tenant->name.value()},
          {"attempts", std::to_string(m_attempts)},
          {"configuration",
           std::to_string(m_routes ? m_routes->configuration().version : 0)}});
     std::string extra;
-    platform::write_refusal_fields(extra, m_facts.id.value(), std::nullopt);
+    platform::write_refusal_fields(extra, m_facts.id.value(), retry_after);
     co_await m_answer.send_own(status, extra);
 }
 
@@ -427,6 +420,12 @@
                                                     monotonic::now());
 }
 
+milliseconds request_flow::elapsed() const
+{
+    return std::chrono::duration_cast<milliseconds>(monotonic::now() -
+                                                    m_request.received);
+}
+
 void request_flow::count_begun()
 {
     if (!m_was_counted && m_tenant != nullptr)
@@ -436,13 +435,6 @@
     }
 }
 
-void request_flow::note_first_event(std::int64_t& unread,
-                                    const upstream_id& server)
-{
-    m_state.choice.prompt_read(server, unread);
-    unread = 0;
-}
-
 void request_flow::log_attempt(const server_entry& server,
                                attempt_end end) const
 {
@@ -459,9 +451,7 @@
          {"server", server.id.value()},
          {"end", std::string(names.at(static_cast<std::size_t>(end)))},
          {"attempts", std::to_string(m_attempts)},
-         {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
-                                   monotonic::now() - m_request.received)
-                                   .count())}});
+         {"ms", std::to_string(elapsed().count())}});
 }
 
 void request_flow::count_end(std::string_view outcome)
@@ -479,15 +469,12 @@
 void request_flow::log_end(std::string_view outcome)
 {
     count_end(outcome);
-    log(events::request_ended,
-        {{"id", m_facts.id.value()},
-         {"outcome", std::string(outcome)},
-         {"kind", std::string(kind_name(m_route->kind))},
-         {"status", std::to_string(m_answer.status())},
-         {"attempts", std::to_string(m_attempts)},
-         {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
-                                   monotonic::now() - m_request.received)
-                                   .count())}});
+    log(events::request_ended, {{"id", m_facts.id.value()},
+                                {"outcome", std::string(outcome)},
+                                {"kind", std::string(kind_name(m_route->kind))},
+                                {"status", std::to_string(m_answer.status())},
+                                {"attempts", std::to_string(m_attempts)},
+                                {"ms", std::to_string(elapsed().count())}});
 }
 
 } // namespace daleshelf
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <telemetry/log_event.hpp>
 
 namespace daleshelf
 {
@@ -70,11 +71,14 @@
     awaitable<void> refuse(int status, std::string_view reason,
                            std::optional<milliseconds> retry_after);
     awaitable<void> fail(int status, std::string_view reason);
+    awaitable<void> answer_own(const log_event& event, int status,
+                               std::string_view reason,
+                               std::optional<milliseconds> retry_after);
     [[nodiscard]] std::string bytes_for(const server_entry& server) const;
     [[nodiscard]] bool is_too_late_to_begin() const;
     [[nodiscard]] milliseconds time_left() const;
+    [[nodiscard]] milliseconds elapsed() const;
     void count_begun();
-    void note_first_event(std::int64_t& unread, const upstream_id& server);
     void log_attempt(const server_entry& server, attempt_end end) const;
     void log_end(std::string_view outcome);
     void count_end(std::string_view outcome);
@@ -89,7 +93,6 @@
     const ingress_service* m_service = nullptr;
     monotonic::time_point m_deadline{};
     double m_quota_cost = 0;
-    bool m_quota_taken = false;
     bool m_was_counted = false;
     std::string m_server_hall;
     bool m_is_cancelled = false;
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr milliseconds tick{500};
-constexpr milliseconds call_time{800};
 constexpr absl::Duration demand_memory = absl::Seconds(8);
 // Fewer servers are ordered only after the need has been lower for this long.
 constexpr absl::Duration patience = absl::Seconds(8);
@@ -113,19 +112,14 @@
     {
         co_return;
     }
-    // The lease is judged right before each call.
-    const auto token = m_duties.token();
-    if (!token)
+    auto call = platform::scale_call(
+        {subject.service, subject.hall, count, subject.is_spot});
+    const auto answer = co_await m_duties.call(m_platform, std::move(call));
+    if (!answer)
     {
         co_return;
     }
-    std::string extra;
-    platform::write_duty_fields(extra, m_state.self, *token);
-    auto call = platform::scale_call(
-        {subject.service, subject.hall, count, subject.is_spot});
-    const auto answer =
-        co_await m_platform.call(std::move(call), call_time, std::move(extra));
-    const auto status = answer ? answer->status : 0;
+    const auto status = answer->status;
     if (status == http_status::conflict)
     {
         known.dry_until = gateway_state::now() + dry_time;
@@ -143,7 +137,7 @@
          {"count", std::to_string(count)},
          {"busy", std::to_string(m_demand.busy())},
          {"status", std::to_string(status)},
-         {"token", std::to_string(*token)}});
+         {"token", std::to_string(answer->token)}});
 }
 
 bool scale_service::is_due(order_state& known, int count, absl::Time now) const
--- a/services/gateway/server_connection.cpp
+++ b/services/gateway/server_connection.cpp
@@ -45,8 +45,7 @@
     {
         auto& newest = connections.back();
         const auto age = now - newest->idle_since;
-        const bool is_sound = newest->channel->end() == channel_end::open &&
-                              newest->channel->input().empty();
+        const bool is_sound = newest->channel->is_quiet();
         if (is_sound && age > usable_idle_time(*newest, is_repeatable))
         {
             // The others are older still.
@@ -56,7 +55,6 @@
         connections.pop_back();
         if (is_sound)
         {
-            taken->is_reused = true;
             return taken;
         }
         taken->channel->close();
@@ -89,8 +87,7 @@
 
 void connection_pool::keep(std::unique_ptr<server_connection> connection)
 {
-    if (connection->channel->end() != channel_end::open ||
-        !connection->channel->input().empty())
+    if (!connection->channel->is_quiet())
     {
         connection->channel->close();
         return;
@@ -109,10 +106,7 @@
                           const bool is_old =
                               now - connection->idle_since >
                               usable_idle_time(*connection, true);
-                          const bool is_sound =
-                              connection->channel->end() == channel_end::open &&
-                              connection->channel->input().empty();
-                          if (is_sound && !is_old)
+                          if (connection->channel->is_quiet() && !is_old)
                           {
                               return false;
                           }
--- a/services/gateway/server_connection.hpp
+++ b/services/gateway/server_connection.hpp
@@ -19,7 +19,6 @@
 {
     std::shared_ptr<byte_channel> channel;
     upstream_id server;
-    bool is_reused = false;
     monotonic::time_point idle_since{};
     milliseconds idle_limit{0}; ///< as the server states it
 };
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -1,5 +1,6 @@
 #include "server_exchange.hpp"
 
+#include <base/http_status.hpp>
 #include <platform/request_format.hpp>
 
 namespace daleshelf
@@ -11,9 +12,6 @@
 constexpr std::uint32_t answer_head_bytes = 65536;
 constexpr milliseconds connect_time{350};
 
-constexpr int status_continue = 100;
-constexpr int status_ok = 200;
-
 } // namespace
 
 server_exchange::server_exchange(connection_pool& pool, server_request request)
@@ -110,8 +108,7 @@
             m_request.server,
             std::min(m_request.deadline, monotonic::now() + connect_time));
     }
-    m_was_connected = m_connection != nullptr && !m_is_cancelled;
-    co_return m_was_connected;
+    co_return m_connection != nullptr && !m_is_cancelled;
 }
 
 awaitable<bool> server_exchange::send()
@@ -193,9 +190,9 @@
         {
             m_head = m_parser->take_head();
             const auto answered = platform::answered_id(m_head.fields);
-            m_is_foreign =
-                (answered && *answered != m_request.id) ||
-                (m_head.status >= status_continue && m_head.status < status_ok);
+            m_is_foreign = (answered && *answered != m_request.id) ||
+                           (m_head.status >= http_status::first_informational &&
+                            m_head.status < http_status::ok);
         }
         if (!m_is_foreign)
         {
@@ -226,8 +223,7 @@
 {
     const bool may_keep = m_is_framed &&
                           keeps_connection(m_head.fields, m_head.version) &&
-                          m_connection->channel->end() == channel_end::open &&
-                          m_connection->channel->input().empty();
+                          m_connection->channel->is_quiet();
     if (!may_keep)
     {
         m_connection->channel->close();
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -73,12 +73,6 @@
         return m_verdict;
     }
 
-    /// @return whether a connection was there at all
-    [[nodiscard]] bool was_connected() const
-    {
-        return m_was_connected;
-    }
-
     /// Ends the exchange at once; the server drops the request.
     void cancel();
 
@@ -99,7 +93,6 @@
     std::string m_piece;
     verdict m_verdict = verdict::not_run;
     bool m_is_framed = false;
-    bool m_was_connected = false;
     bool m_is_cancelled = false;
     bool m_is_foreign = false; ///< the answer being read is another request's
 };
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -73,18 +73,8 @@
         {
             ++news;
         }
-        take(record);
-    }
-    // A peer's list is whole: what it lacks has been dropped before `next`.
-    for (auto known = m_records.begin(); known != m_records.end();)
-    {
-        const bool is_gone =
-            !listed.contains(known->first) && known->second.offset < next;
-        known = is_gone ? m_records.erase(known) : std::next(known);
     }
-    m_next = std::max(m_next, next);
-    m_has_listed = true;
-    m_events.on_list(m_records);
+    apply_list(listed, next);
     return news;
 }
 
@@ -149,19 +139,7 @@
         // A stale read: what is known is newer.
         co_return false;
     }
-    for (const auto& [key, record] : listed)
-    {
-        take(record);
-    }
-    for (auto known = m_records.begin(); known != m_records.end();)
-    {
-        const bool is_gone =
-            !listed.contains(known->first) && known->second.offset < *end;
-        known = is_gone ? m_records.erase(known) : std::next(known);
-    }
-    m_next = *end;
-    m_has_listed = true;
-    m_events.on_list(m_records);
+    apply_list(listed, *end);
     co_return true;
 }
 
@@ -224,6 +202,26 @@
     co_return true;
 }
 
+// Takes a whole list: what it lacks had been dropped before `next`.
+void topic_follower::apply_list(
+    const std::map<std::string, platform::keyed_record>& listed,
+    log_offset next)
+{
+    for (const auto& [key, record] : listed)
+    {
+        take(record);
+    }
+    for (auto known = m_records.begin(); known != m_records.end();)
+    {
+        const bool is_gone =
+            !listed.contains(known->first) && known->second.offset < next;
+        known = is_gone ? m_records.erase(known) : std::next(known);
+    }
+    m_next = std::max(m_next, next);
+    m_has_listed = true;
+    m_events.on_list(m_records);
+}
+
 void topic_follower::take(const platform::keyed_record& record)
 {
     const auto known = m_records.find(record.key);
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -63,6 +63,8 @@
 private:
     awaitable<bool> list();
     awaitable<bool> tail();
+    void apply_list(const std::map<std::string, platform::keyed_record>& listed,
+                    log_offset next);
     void take(const platform::keyed_record& record);
     void note_answer(bool was_answered);
 
--- a/tests/ingress/server_choice_test.cpp
+++ b/tests/ingress/server_choice_test.cpp
@@ -188,7 +188,8 @@
     server_directory directory;
     directory.set(make_server("a", calls));
     directory.set(make_server("b", calls));
-    directory.replace_all({make_server("b", calls)});
+    EXPECT_EQ(directory.keep_only({upstream_id("b")}),
+              std::vector{upstream_id("a")});
     EXPECT_EQ(directory.find(upstream_id("a")), nullptr);
     EXPECT_TRUE(directory.is_usable(upstream_id("b")));
 }
