scaling: Order nothing before the list of servers has filled

Ruled out: limits of the store (all calls answered), refused orders. Change: the size of the first fleet counts once the list has not grown for 2.5 s; before that, and before demand is known, nothing is ordered.

--- a/libraries/scaling/forward.hpp
+++ b/libraries/scaling/forward.hpp
@@ -6,6 +6,7 @@
 {
 
 class demand_meter;
+class initial_fleet;
 struct scale_options;
 struct scale_target;
 
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -24,6 +24,8 @@
 constexpr double total_factor_while_cold = 3.2;
 // Demand is known once there has been some for this long.
 constexpr absl::Duration learning_time = absl::Seconds(8);
+// Longer than servers take to be listed one after the other.
+constexpr absl::Duration list_settle_time = absl::Milliseconds(2500);
 
 } // namespace
 
@@ -54,7 +56,7 @@
     {
         timer.expires_after(tick);
         co_await timer.async_wait(use_result);
-        m_demand.note(m_peers.work_of_all(), gateway_state::now());
+        note_demand();
         if (!m_duties.token())
         {
             // Whoever holds the duties next may order something else.
@@ -73,7 +75,7 @@
     const auto routes = m_state.routes;
     for (const auto& service : routes->configuration().services)
     {
-        if (!service.scaling.is_scalable)
+        if (!service.scaling.is_scalable || !may_order(service.name))
         {
             continue;
         }
@@ -189,24 +191,50 @@
     return options;
 }
 
-double scale_service::busy_servers(const service_name& service)
+void scale_service::note_demand()
 {
     const auto now = gateway_state::now();
-    const auto measured = m_demand.busy();
-    if (measured > 0)
+    m_demand.note(m_peers.work_of_all(), now);
+    if (m_demand.busy() > 0)
     {
         m_demand_since = std::min(m_demand_since, now);
     }
-    if (m_demand_since + learning_time < now)
+    if (m_state.routes == nullptr || !m_state.has_servers)
     {
-        return std::max(least_busy, measured);
+        return;
+    }
+    for (const auto& service : m_state.routes->configuration().services)
+    {
+        const auto present = m_state.servers.usable(service.name).size();
+        m_fleets.try_emplace(service.name, list_settle_time)
+            .first->second.note(static_cast<int>(present), now);
+    }
+}
+
+bool scale_service::is_demand_known() const
+{
+    return m_demand_since + learning_time < gateway_state::now();
+}
+
+// An order made while the list of servers is still filling would take away
+// servers that are not listed yet.
+bool scale_service::may_order(const service_name& service) const
+{
+    const auto fleet = m_fleets.find(service);
+    const bool has_settled = fleet != m_fleets.end() &&
+                             fleet->second.has_settled(gateway_state::now());
+    return has_settled || is_demand_known();
+}
+
+double scale_service::busy_servers(const service_name& service) const
+{
+    const auto measured = std::max(least_busy, m_demand.busy());
+    const auto fleet = m_fleets.find(service);
+    if (is_demand_known() || fleet == m_fleets.end())
+    {
+        return measured;
     }
-    // The first look at the servers, before orders change their number.
-    const auto present =
-        static_cast<double>(m_state.servers.usable(service).size());
-    const auto first =
-        m_first_servers.try_emplace(service, present).first->second;
-    return std::max({least_busy, measured, first * assumed_busy_share});
+    return std::max(measured, fleet->second.servers() * assumed_busy_share);
 }
 
 } // namespace daleshelf
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <scaling/demand_meter.hpp>
+#include <scaling/initial_fleet.hpp>
 #include <scaling/scale_planner.hpp>
 
 namespace daleshelf
@@ -53,7 +54,10 @@
                                         const order_state& known,
                                         absl::Time now) const;
     [[nodiscard]] scale_options options_now() const;
-    [[nodiscard]] double busy_servers(const service_name& service);
+    [[nodiscard]] double busy_servers(const service_name& service) const;
+    [[nodiscard]] bool may_order(const service_name& service) const;
+    [[nodiscard]] bool is_demand_known() const;
+    void note_demand();
 
     gateway_state& m_state;
     peer_exchange& m_peers;
@@ -61,7 +65,7 @@
     http_caller m_platform;
     demand_meter m_demand;
     absl::Time m_demand_since = absl::InfiniteFuture();
-    std::map<service_name, double> m_first_servers;
+    std::map<service_name, initial_fleet> m_fleets;
     std::map<order_subject, order_state> m_orders;
 };
 
--- a/tests/scaling/scaling_test.cpp
+++ b/tests/scaling/scaling_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <scaling/demand_meter.hpp>
+#include <scaling/initial_fleet.hpp>
 #include <scaling/scale_planner.hpp>
 #include <scaling/work_estimate.hpp>
 
@@ -107,5 +108,38 @@
     EXPECT_NEAR(meter.busy(), 2.0, 0.2);
 }
 
+TEST(initial_fleet, a_list_that_is_still_filling_has_not_settled)
+{
+    initial_fleet fleet(absl::Seconds(2.5));
+    auto now = absl::UnixEpoch();
+    for (int present = 1; present <= 60; ++present)
+    {
+        fleet.note(present, now);
+        EXPECT_FALSE(fleet.has_settled(now));
+        now += absl::Milliseconds(40);
+    }
+    now += absl::Seconds(2.5);
+    EXPECT_TRUE(fleet.has_settled(now));
+    EXPECT_EQ(fleet.servers(), 60);
+}
+
+TEST(initial_fleet, orders_do_not_change_what_has_settled)
+{
+    initial_fleet fleet(absl::Seconds(2.5));
+    auto now = absl::UnixEpoch();
+    fleet.note(9, now);
+    now += absl::Seconds(3);
+    fleet.note(3, now);
+    fleet.note(14, now);
+    EXPECT_EQ(fleet.servers(), 9);
+}
+
+TEST(initial_fleet, an_empty_list_never_settles)
+{
+    initial_fleet fleet(absl::Seconds(2.5));
+    fleet.note(0, absl::UnixEpoch());
+    EXPECT_FALSE(fleet.has_settled(absl::UnixEpoch() + absl::Hours(1)));
+}
+
 } // namespace
 } // namespace daleshelf
