peers: Tell the use of every tenant to a machine that has just started

Ruled out: the log's note (the store was down, none was adopted), the share of an interval (refusals before the kill were as meant). Change: the state of a machine carries the window's use of every tenant; a tenant that a history lacks counts as used; what peers tell before the first limits are known is kept. quota_history_adopted (408) says what was taken from whom; request_ended names tenant and cost. Three tests, seen failing.

--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -13,6 +13,13 @@
 // What machines that were killed may have used without telling anyone.
 constexpr double untold_share = 0.12;
 
+double sum_for(const std::map<workspace_id, double>& sums,
+               const workspace_id& tenant)
+{
+    const auto found = sums.find(tenant);
+    return found == sums.end() ? 0.0 : found->second;
+}
+
 } // namespace
 
 token_quota::token_quota(absl::Duration window, initial_use initial)
@@ -102,6 +109,11 @@
 void token_quota::count_peer(const workspace_id& tenant, double cost,
                              absl::Time now)
 {
+    if (m_accounts.empty())
+    {
+        m_early_use[tenant] += cost;
+        return;
+    }
     const auto found = m_accounts.find(tenant);
     if (found != m_accounts.end())
     {
@@ -109,12 +121,12 @@
     }
 }
 
-void token_quota::adopt(const use_history& history, history_source source,
+bool token_quota::adopt(const use_history& history, history_source source,
                         absl::Time now)
 {
     if (m_initial == initial_use::none || (m_source && *m_source >= source))
     {
-        return;
+        return false;
     }
     m_source = source;
     m_adopted = history;
@@ -122,6 +134,7 @@
     {
         assume_initial_use(tenant, of, now);
     }
+    return true;
 }
 
 absl::Duration token_quota::wait_for(const workspace_id& tenant, double cost,
@@ -219,8 +232,8 @@
     }
 }
 
-// What came before this machine's start is as it was told; otherwise all of
-// the quota may have been used within the newer half of the window.
+// What came before this machine's start is as it was told; all that nobody has
+// told of may have been used within the newer half of the window.
 void token_quota::assume_initial_use(const workspace_id& tenant, account& of,
                                      absl::Time now) const
 {
@@ -229,21 +242,31 @@
         return;
     }
     const auto all = allowed(of);
+    if (const auto* told = adopted_use(tenant))
+    {
+        auto use = *told;
+        use.back() += all * untold_share + sum_for(m_own_use, tenant) +
+                      sum_for(m_early_use, tenant);
+        assume(of, use, now);
+        return;
+    }
     // Unknown use may have come just now: none of it is forgotten soon.
     std::vector<double> use(history_parts, 0.0);
     std::fill(use.begin() + history_parts / 2, use.end(),
               all * 2 / history_parts);
-    if (m_adopted)
+    assume(of, use, now);
+}
+
+const std::vector<double>*
+token_quota::adopted_use(const workspace_id& tenant) const
+{
+    if (!m_adopted)
     {
-        const auto told = m_adopted->find(tenant);
-        use = told == m_adopted->end() || told->second.empty()
-                  ? std::vector<double>(history_parts, 0.0)
-                  : told->second;
-        use.back() += all * untold_share;
-        const auto own = m_own_use.find(tenant);
-        use.back() += own == m_own_use.end() ? 0.0 : own->second;
+        return nullptr;
     }
-    assume(of, use, now);
+    const auto told = m_adopted->find(tenant);
+    const bool is_told = told != m_adopted->end() && !told->second.empty();
+    return is_told ? &told->second : nullptr;
 }
 
 } // namespace daleshelf
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -67,7 +67,8 @@
     };
 
     /// Takes what all machines had used within the window.
-    void adopt(const use_history& history, history_source source,
+    /// @return whether it is taken: no better source was heard before
+    bool adopt(const use_history& history, history_source source,
                absl::Time now);
 
     /// @return time until `cost` may be within the quota
@@ -107,6 +108,9 @@
     void assume_initial_use(const workspace_id& tenant, account& of,
                             absl::Time now) const;
 
+    [[nodiscard]] const std::vector<double>*
+    adopted_use(const workspace_id& tenant) const;
+
     absl::Duration m_window;
     initial_use m_initial;
     double m_reach = 1;
@@ -115,6 +119,8 @@
     std::optional<history_source> m_source;
     absl::flat_hash_map<workspace_id, account> m_accounts;
     std::map<workspace_id, double> m_own_use;
+    /// Of peers, before the first limits were known.
+    std::map<workspace_id, double> m_early_use;
 };
 
 } // namespace daleshelf
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -27,16 +27,15 @@
     }
 }
 
-void add_lists(wire::MachineState& message, const machine_state& state)
+// A tenant whose requests came to other machines has a history here too.
+void add_uses(wire::MachineState& message, const machine_state& state)
 {
-    for (const auto& load : state.loads)
+    auto uses = state.uses;
+    for (const auto& [tenant, parts] : state.window_use)
     {
-        auto& item = *message.add_loads();
-        item.set_server(load.server.value());
-        item.set_active(load.active);
-        item.set_unread_tokens(load.unread_tokens);
+        uses.try_emplace(tenant, 0.0);
     }
-    for (const auto& [tenant, used] : state.uses)
+    for (const auto& [tenant, used] : uses)
     {
         auto& item = *message.add_uses();
         item.set_tenant(tenant.value());
@@ -48,6 +47,18 @@
                                            window->second.end());
         }
     }
+}
+
+void add_lists(wire::MachineState& message, const machine_state& state)
+{
+    for (const auto& load : state.loads)
+    {
+        auto& item = *message.add_loads();
+        item.set_server(load.server.value());
+        item.set_active(load.active);
+        item.set_unread_tokens(load.unread_tokens);
+    }
+    add_uses(message, state);
     add_counts(message, {}, state.counts);
     for (const auto& [start, counts] : state.ended_counts)
     {
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -32,6 +32,7 @@
         events::request_handed_off,
         events::request_ended,
         events::request_unreadable,
+        events::quota_history_adopted,
         events::upstream_failed,
         events::upstream_leaving,
         events::order_given,
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -116,6 +116,9 @@
 inline constexpr log_event request_unreadable{
     407, log_severity::warning, "request_unreadable",
     "Bytes that are no request, or one beyond the limits, were rejected."};
+inline constexpr log_event quota_history_adopted{
+    408, log_severity::info, "quota_history_adopted",
+    "Use of quotas before this start has been taken from a peer or the log."};
 inline constexpr log_event upstream_failed{501, log_severity::warning,
                                            "upstream_failed",
                                            "An attempt at an upstream failed."};
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -300,10 +300,15 @@
         {
             const auto history =
                 decode_history(m_ledger.note(), m_state.time_of_day());
-            if (history)
-            {
+            const auto is_taken =
+                history &&
                 m_state.quota.adopt(*history, token_quota::history_source::log,
                                     gateway_state::now());
+            if (is_taken)
+            {
+                log(events::quota_history_adopted,
+                    {{"from", m_ledger.holder().value()},
+                     {"tenants", std::to_string(history->size())}});
             }
         }
         catch (const std::exception& error)
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -273,8 +273,7 @@
     }
     if (state.started < m_state.started && !state.window_use.empty())
     {
-        m_state.quota.adopt(state.window_use, token_quota::history_source::peer,
-                            now);
+        adopt_history(state);
     }
     m_state.clock.note(state.self.name,
                        absl::FromUnixMillis(state.wall_time_ms), now);
@@ -299,6 +298,22 @@
     }
 }
 
+// Takes from a machine that has been up for longer what quotas were used.
+void peer_exchange::adopt_history(const machine_state& state)
+{
+    const auto is_taken = m_state.quota.adopt(
+        state.window_use, token_quota::history_source::peer,
+        gateway_state::now());
+    if (is_taken)
+    {
+        const auto up_ms = m_state.started.value() - state.started.value();
+        log(events::quota_history_adopted,
+            {{"from", state.self.name.value()},
+             {"up_longer_ms", std::to_string(up_ms)},
+             {"tenants", std::to_string(state.window_use.size())}});
+    }
+}
+
 // Fetches what a peer has known for a while and the store has not told.
 void peer_exchange::fetch_news()
 {
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -63,6 +63,7 @@
     awaitable<void> fetch_from(std::string address, std::string topic);
     void receive(std::string_view bytes);
     void apply(const machine_state& state, const peer_change& change);
+    void adopt_history(const machine_state& state);
     void send_to_some(const std::string& bytes);
     void fetch_news();
     [[nodiscard]] machine_state own_state();
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -469,12 +469,15 @@
 void request_flow::log_end(std::string_view outcome)
 {
     count_end(outcome);
-    log(events::request_ended, {{"id", m_facts.id.value()},
-                                {"outcome", std::string(outcome)},
-                                {"kind", std::string(kind_name(m_route->kind))},
-                                {"status", std::to_string(m_answer.status())},
-                                {"attempts", std::to_string(m_attempts)},
-                                {"ms", std::to_string(elapsed().count())}});
+    log(events::request_ended,
+        {{"id", m_facts.id.value()},
+         {"outcome", std::string(outcome)},
+         {"kind", std::string(kind_name(m_route->kind))},
+         {"tenant", m_tenant == nullptr ? "" : m_tenant->name.value()},
+         {"cost", std::to_string(static_cast<std::int64_t>(m_quota_cost))},
+         {"status", std::to_string(m_answer.status())},
+         {"attempts", std::to_string(m_attempts)},
+         {"ms", std::to_string(elapsed().count())}});
 }
 
 } // namespace daleshelf
--- a/tests/ingress/token_quota_test.cpp
+++ b/tests/ingress/token_quota_test.cpp
@@ -127,6 +127,25 @@
     EXPECT_LE(take_all(quota, at(7.5)), limit_of_window);
 }
 
+TEST(token_quota, a_tenant_that_a_history_lacks_is_assumed_to_be_used)
+{
+    auto quota = make_quota(token_quota::initial_use::unknown);
+    quota.adopt({{workspace_id("other"), {0, 0, 0, 0}}},
+                token_quota::history_source::peer, at(0));
+    EXPECT_EQ(take_all(quota, at(0)), 0);
+    EXPECT_EQ(take_all(quota, at(3)), 0);
+}
+
+TEST(token_quota, counts_what_peers_used_before_the_limits_were_known)
+{
+    token_quota quota(window, token_quota::initial_use::unknown);
+    quota.adopt({{studio, {0, 0, 0, 0}}}, token_quota::history_source::peer,
+                at(0));
+    quota.count_peer(studio, limit_of_window, at(0.2));
+    quota.set_limits(tenants_with(rate), at(1));
+    EXPECT_EQ(take_all(quota, at(1)), 0);
+}
+
 TEST(token_quota, takes_the_history_of_a_peer_rather_than_of_the_log)
 {
     auto peer = make_quota(token_quota::initial_use::none);
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -35,6 +35,16 @@
                       peer_options());
 }
 
+TEST(machine_state, tells_the_use_of_tenants_that_it_has_not_served_itself)
+{
+    auto state = make_state("2", 5, 6);
+    state.uses = {{studio, 12.5}};
+    state.window_use = {{studio, {1, 2, 3}}, {workspace_id("other"), {4, 5}}};
+    const auto read = decode_machine_state(encode(state));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->window_use, state.window_use);
+}
+
 TEST(machine_state, survives_its_encoding)
 {
     auto state = make_state("2", 5, 6);
