gateway: Drop what a closed connection still brings

A connection that had just been taken, with its request already in the socket, is read in one step of the event loop and told of it in the next; the close came between, and the request went to a server though nobody could answer it (log: client_left 10 ms after the first step that closes idle connections). Ruled out: the end of the process (requests in flight were counted), the client; a read that waits for the reactor (taken and told in one step: a test of that order passed without the change). Change: a channel that is closed takes no more input. closing_channel_test.takes_nothing_once_it_is_closed fails without it, each of three times.

--- a/services/gateway/byte_channel.cpp
+++ b/services/gateway/byte_channel.cpp
@@ -128,6 +128,12 @@
         }
         const auto [error, size] = co_await m_socket.async_read_some(
             asio::mutable_buffer(bytes.data(), bytes.size()), use_result);
+        if (m_end != channel_end::open)
+        {
+            // Closed while these bytes were on their way here: nobody could
+            // answer the request that they may hold.
+            co_return;
+        }
         if (error)
         {
             end_with(error == asio::error::eof ? channel_end::finished
--- /dev/null
+++ b/tests/gateway/byte_channel_test.cpp
@@ -0,0 +1,86 @@
+#include <gtest/gtest.h>
+
+#include <gateway/byte_channel.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+// Both ends of a connection, on one event loop that runs by hand.
+class byte_channel_test : public testing::Test
+{
+protected:
+    byte_channel_test() : m_peer(m_context)
+    {
+        asio::ip::tcp::acceptor acceptor(
+            m_context, {asio::ip::make_address("127.0.0.1"), 0});
+        m_peer.connect(acceptor.local_endpoint());
+        m_channel = std::make_shared<byte_channel>(acceptor.accept());
+    }
+
+    ~byte_channel_test() override
+    {
+        m_channel->close();
+        m_context.restart();
+        m_context.poll();
+    }
+
+    // Starts the channel and closes it after `steps` of the loop.
+    // @return the input at that moment
+    std::string close_after(int steps)
+    {
+        auto input = std::make_shared<std::string>();
+        m_channel->start();
+        close_later(steps, input);
+        m_context.poll();
+        return *input;
+    }
+
+    void close_later(int steps, const std::shared_ptr<std::string>& input)
+    {
+        asio::post(m_context,
+                   [this, steps, input]
+                   {
+                       if (steps > 0)
+                       {
+                           close_later(steps - 1, input);
+                           return;
+                       }
+                       *input = m_channel->input();
+                       m_channel->close();
+                   });
+    }
+
+    asio::io_context m_context{1};
+    asio::ip::tcp::socket m_peer;
+    std::shared_ptr<byte_channel> m_channel;
+};
+
+TEST_F(byte_channel_test, takes_what_comes)
+{
+    asio::write(m_peer, asio::buffer(std::string("abc")));
+    m_channel->start();
+    m_context.poll();
+    EXPECT_EQ(m_channel->input(), "abc");
+}
+
+// Bytes that are there before the channel starts are taken from the socket one
+// step before the channel is told: which step that is, is the loop's affair.
+class closing_channel_test : public byte_channel_test,
+                             public testing::WithParamInterface<int>
+{
+};
+
+TEST_P(closing_channel_test, takes_nothing_once_it_is_closed)
+{
+    asio::write(m_peer, asio::buffer(std::string("a request")));
+    const auto before = close_after(GetParam());
+    EXPECT_EQ(m_channel->input(), before);
+    EXPECT_EQ(m_channel->end(), channel_end::broken);
+}
+
+INSTANTIATE_TEST_SUITE_P(steps, closing_channel_test, testing::Range(0, 6));
+
+} // namespace
+} // namespace daleshelf
