tests: Add the fault soak

Real gateways as processes, stand-ins of the platform's store and servers as processes, harmed links, signals, storage faults; promises are checked from what callers and servers see (docs/design/soak.md). Each promise is seen broken once in promises_test.py.

--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,137 @@
+"""Clients of the soak: each keeps a connection and asks one thing at a time."""
+
+import asyncio
+import random
+import uuid
+
+import http_wire
+from promises import Attempt
+
+PATHS = {"safe": "/safe/", "unsafe": "/once/",
+         "stream": "/stream/", "fixed": "/fixed/"}
+DEADLINES = {"safe": 1.5, "unsafe": 1.5, "stream": 6.0, "fixed": 6.0}
+SHARE_LEAVING = 0.03
+SHARE_HOLDING = 0.5
+PATIENCE = 1.5
+
+
+class Client:
+    """One client at one gateway."""
+
+    def __init__(self, soak, gateway, tenant, seed):
+        self._soak = soak
+        self._gateway = gateway
+        self._tenant = tenant
+        self._random = random.Random(seed)
+        self._reader = None
+        self._writer = None
+        self._held = []
+
+    async def run(self):
+        while not self._soak.is_over:
+            try:
+                if self._writer is None:
+                    async with asyncio.timeout(2):
+                        self._reader, self._writer = (
+                            await asyncio.open_connection(
+                                *self._gateway.client_address))
+                pause = await self._ask()
+            except (OSError, TimeoutError):
+                self._drop()
+                pause = 0.2
+            await asyncio.sleep(pause + self._random.expovariate(20))
+        self._drop()
+        for writer in self._held:
+            writer.close()
+
+    async def _ask(self):
+        """Asks once; returns how long to wait before the next time."""
+        attempt, start, fields = self._draw()
+        promises = self._soak.promises
+        promises.attempts[attempt.id] = attempt
+        limit = attempt.deadline + PATIENCE
+        leaves = self._random.random() < SHARE_LEAVING
+        if leaves:
+            limit = self._random.uniform(0.01, 0.3)
+        try:
+            async with asyncio.timeout(limit):
+                self._writer.write(http_wire.write_message(start, fields))
+                await self._writer.drain()
+                answer = await self._read_answer(attempt)
+        except (http_wire.Broken, OSError):
+            promises.cut_off(attempt, self._soak.now())
+            self._drop()
+            return 0.05
+        except TimeoutError:
+            if not leaves:
+                promises.given_up(attempt, self._soak.now())
+            self._drop()
+            return 0.05
+        if answer.fields.get("connection", "").lower() == "close":
+            self._leave_connection()
+        retry = float(answer.fields.get("retry-after", "0"))
+        return min(retry, 1.0)
+
+    def _draw(self):
+        kind = self._random.choice(("safe", "unsafe", "stream", "fixed"))
+        attempt = Attempt(
+            uuid.UUID(int=self._random.getrandbits(128)).hex[:16], kind,
+            self._tenant, self._gateway.name, self._soak.now(),
+            DEADLINES[kind])
+        path = PATHS[kind]
+        if kind == "safe" and self._random.random() < 0.3:
+            path = self._random.choice(self._soak.extra_routes())
+        fields = {"Host": "soak.example", "X-Attempt-Id": attempt.id,
+                  "X-Deadline-Ms": str(int(attempt.deadline * 1000)),
+                  "X-Credential": self._soak.key_of(self._tenant)}
+        if kind in ("stream", "fixed"):
+            attempt.events = self._random.randrange(1, 60)
+            part = self._random.randrange(20)
+            fields |= {"X-Model": "m",
+                       "X-Token-Count": f"400,{attempt.events}",
+                       "X-Prompt-Prefix": f"{part:x}:300,{attempt.id}:100"}
+        method = "GET" if kind == "safe" else "POST"
+        return attempt, f"{method} {path}x HTTP/1.1", fields
+
+    async def _read_answer(self, attempt):
+        answer = await http_wire.read_head(self._reader)
+        if answer is None:
+            raise http_wire.Broken("closed without an answer")
+        is_stream = answer.fields.get("transfer-encoding") == "chunked"
+        if is_stream:
+            await self._read_stream(attempt, answer)
+            self._soak.promises.streamed(attempt, self._soak.now())
+        else:
+            await http_wire.read_body(self._reader, answer)
+            self._soak.promises.answered(attempt, answer, self._soak.now())
+        return answer
+
+    async def _read_stream(self, attempt, answer):
+        if answer.fields.get("x-attempt-id") != attempt.id:
+            self._soak.promises.breach("MIXED", f"{attempt.id} got the head "
+                                       f"of {answer.fields}")
+        rest = b""
+        while chunk := await http_wire.read_chunk(self._reader):
+            rest += chunk
+            while b"\n\n" in rest:
+                event, _, rest = rest.partition(b"\n\n")
+                lines = dict(line.split(": ", 1) for line in
+                             event.decode().split("\n"))
+                self._soak.promises.saw_event(attempt, int(lines["id"]),
+                                              lines["data"])
+        if rest:
+            self._soak.promises.breach("ORDER", f"{attempt.id}: half an event "
+                                       f"at the end: {rest[:60]!r}")
+
+    def _leave_connection(self):
+        """Some clients keep a connection open until the process is gone."""
+        if self._random.random() < SHARE_HOLDING:
+            self._held.append(self._writer)
+            self._reader = self._writer = None
+        else:
+            self._drop()
+
+    def _drop(self):
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,192 @@
+"""The processes of one run: gateways, servers, the store, and their links."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+from links import Link
+
+HERE = Path(__file__).resolve().parent
+ZONES = ("one", "two", "three")
+STOP_MS = 5000
+CLIENT_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 23101, 23102, 23103, 23104
+SERVER_PORT, STORE_PORT = 23105, 23106
+
+
+class Process:
+    """One process that was started here; signals go to it alone."""
+
+    def __init__(self, name, command, log, on_line, environment=None):
+        self.name = name
+        self._command = command
+        self._log = log
+        self._on_line = on_line
+        self._environment = environment
+        self._child = None
+        self._reading = None
+        self.is_expected_to_end = False
+        self.is_stopped = False
+
+    @property
+    def pid(self):
+        return self._child.pid
+
+    @property
+    def is_running(self):
+        return self._child is not None and self._child.returncode is None
+
+    async def start(self):
+        self._child = await asyncio.create_subprocess_exec(
+            *self._command, stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT, env=self._environment)
+        # Not before: until then the earlier process is the one that has ended.
+        self.is_expected_to_end = False
+        self._reading = asyncio.create_task(self._read(self._child.stdout))
+
+    async def _read(self, stream):
+        with open(self._log, "ab") as log:
+            while line := await stream.readline():
+                log.write(line)
+                try:
+                    event = json.loads(line)
+                except ValueError:
+                    event = {"text": line.decode(errors="replace")}
+                self._on_line(self, event)
+
+    def send(self, number):
+        if self.is_running:
+            os.kill(self._child.pid, number)
+
+    def kill(self):
+        self.is_expected_to_end = True
+        self.send(signal.SIGKILL)
+
+    async def ended(self):
+        await self._child.wait()
+        return self._child.returncode
+
+    def memory_mb(self):
+        try:
+            pages = Path(f"/proc/{self.pid}/statm").read_text().split()[1]
+        except OSError:
+            return 0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+class Gateway(Process):
+    """A gateway, with the links of its clients and to the store."""
+
+    def __init__(self, index, fleet):
+        self.index = index
+        self.ip = fleet.ip(1, index + 1)
+        self.client_address = (fleet.ip(6, index + 1), CLIENT_PORT)
+        self.client_link = Link(self.client_address, (self.ip, CLIENT_PORT))
+        self.store_link = Link((fleet.ip(5, index + 1), STORE_PORT),
+                               fleet.store_address)
+        self.settings = fleet.folder / f"gateway-{index + 1}.toml"
+        self._fleet = fleet
+        self._is_first = True
+        name = f"gateway-{index + 1}"
+        super().__init__(name, [str(fleet.program), "gateway"],
+                         fleet.folder / f"{name}.log", fleet.on_line,
+                         {**os.environ,
+                          "DALESHELF_BOOT": str(self.settings)})
+
+    def write_settings(self, is_first):
+        seeds = [f"{self._fleet.ip(1, seed + 1)}:{PEER_PORT}"
+                 for seed in range(min(3, self._fleet.gateway_count))]
+        self.settings.write_text(f"""[host]
+id = "{self.name}"
+hall = "{ZONES[self.index % len(ZONES)]}"
+first_start = {str(is_first).lower()}
+[clients]
+address = "{self.ip}:{CLIENT_PORT}"
+[readiness]
+address = "{self.ip}:{READY_PORT}"
+[metrics]
+address = "{self.ip}:{METRICS_PORT}"
+[peers]
+address = "{self.ip}:{PEER_PORT}"
+seeds = {json.dumps(seeds)}
+[store]
+address = "{self.store_link.address[0]}:{STORE_PORT}"
+[duties]
+address = "{self.store_link.address[0]}:{STORE_PORT}"
+[drain]
+stop_ms = {STOP_MS}
+[retries]
+ratio = 0.2
+slack = 60
+[quota]
+window_ms = 8000
+[usage]
+window_ms = 5000
+late_ms = 10000
+""")
+
+    async def start(self):
+        self.write_settings(self._is_first)
+        self._is_first = False
+        await super().start()
+
+    async def start_links(self):
+        await self.client_link.start()
+        await self.store_link.start()
+
+
+class Server(Process):
+    """A server, with the link that all gateways use to it."""
+
+    def __init__(self, number, service, fleet):
+        self.service = service
+        address = (fleet.ip(2, number), SERVER_PORT)
+        self.link = Link((fleet.ip(3, number), SERVER_PORT), address)
+        name = f"server-{number}"
+        super().__init__(name, [
+            sys.executable, str(HERE / "server.py"), "--id", name,
+            "--service", service, "--zone", ZONES[number % len(ZONES)],
+            "--address", f"{address[0]}:{SERVER_PORT}",
+            "--listed", f"{self.link.address[0]}:{SERVER_PORT}",
+            "--store", f"{fleet.store_address[0]}:{STORE_PORT}"],
+            fleet.folder / f"{name}.log", fleet.on_line)
+
+
+class Fleet:
+    """All processes of one run, on loopback addresses of one lane."""
+
+    def __init__(self, options, folder, on_line):
+        self.lane = options.lane
+        self.folder = folder
+        self.program = Path(options.program).resolve()
+        self.gateway_count = options.gateways
+        self.on_line = on_line
+        self.store_address = (self.ip(4, 1), STORE_PORT)
+        self.store = Process("store", [
+            sys.executable, str(HERE / "store.py"), "--address",
+            f"{self.store_address[0]}:{STORE_PORT}"],
+            folder / "store.log", on_line)
+        self.gateways = [Gateway(index, self)
+                         for index in range(options.gateways)]
+        self.servers = []
+        self._next_server = 1
+
+    def ip(self, group, number):
+        return f"127.{self.lane + 1}.{group}.{number}"
+
+    async def add_server(self, service):
+        server = Server(self._next_server, service, self)
+        self._next_server += 1
+        self.servers.append(server)
+        await server.link.start()
+        await server.start()
+        return server
+
+    def processes(self):
+        return [self.store, *self.gateways, *self.servers]
+
+    def kill_all(self):
+        for process in self.processes():
+            process.kill()
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,208 @@
+"""What the system promises, judged by what callers and servers see.
+
+Each `Attempt` is one request of a client. Executions come from the servers,
+answers from the clients, duty calls from the store. A broken promise is kept
+with what shows it; promises with a time bound are judged only where nobody has
+harmed what they depend on (`Disturbances`).
+"""
+
+from dataclasses import dataclass, field
+
+import server as server_stand_in
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+CONTACT = 3.0
+DRAIN_BOUND = 2.0
+CONFIGURATION_BOUND = 2.0
+ANSWER_SLACK = 0.5
+# A wake-up, a connection and a hop of Python stand-ins on a busy machine.
+STAND_IN_SLACK = 0.5
+
+
+@dataclass
+class Attempt:
+    """One request of a client, and all that became of it."""
+
+    id: str
+    kind: str  # safe, unsafe, stream (resumable) or fixed (not resumable)
+    tenant: str
+    gateway: str
+    sent_at: float
+    deadline: float  # seconds
+    events: int = 0
+    version: int = 0  # of the configuration that was acknowledged when sent
+    status: int = 0  # 0: no whole answer
+    ended_at: float = 0.0
+    seen_events: int = 0
+    runs: list = field(default_factory=list)  # (time, server, events before)
+
+    @property
+    def may_repeat(self):
+        return self.kind in ("safe", "stream")
+
+
+class Disturbances:
+    """When which part was harmed."""
+
+    def __init__(self):
+        self._spans = []  # (part, from, to)
+
+    def add(self, part, begin, end):
+        self._spans.append((part, begin, end))
+
+    def is_calm(self, parts, begin, end):
+        """Returns whether the parts were sound from `CONTACT` before."""
+        return not any(part in parts and start < end and stop > begin - CONTACT
+                       for part, start, stop in self._spans)
+
+
+class Promises:
+    """Judges as things happen; `broken` holds what was not kept."""
+
+    def __init__(self, disturbances):
+        self.disturbances = disturbances
+        self.attempts = {}
+        self.broken = []
+        self.late = []  # promises with a time bound
+        self.draining = {}  # server: when the store had it
+        self.routes_removed = {}  # path: when acknowledged
+        self.stops = {}  # gateway: when it was told to stop
+        self._usage = {}
+        self._fences = {}
+
+    def breach(self, promise, what):
+        self.broken.append((promise, what))
+
+    def bound(self, promise, what):
+        self.late.append((promise, what))
+
+    # What servers tell.
+
+    def ran(self, attempt_id, server, tenant, path, after, now):
+        attempt = self.attempts.get(attempt_id)
+        if attempt is None:
+            self.breach("UNASKED", f"{server} ran {attempt_id}")
+            return
+        attempt.runs.append((now, server, after))
+        if tenant != attempt.tenant:
+            self.breach("UNASKED", f"{attempt_id}: tenant {tenant} instead of "
+                        f"{attempt.tenant}")
+        if not attempt.may_repeat and len(attempt.runs) > 1:
+            self.breach("TWICE", f"{attempt_id} ({attempt.kind}): "
+                        f"{attempt.runs}")
+        if after > attempt.events:
+            self.breach("ORDER", f"{attempt_id} resumed after {after} of "
+                        f"{attempt.events}")
+        self._check_refusal(attempt)
+        self._check_drain(attempt, server, now)
+        self._check_route(attempt, path, now)
+
+    def _check_refusal(self, attempt):
+        if (attempt.status in PROMISES_NOT_RUN and attempt.runs and
+                not attempt.may_repeat):
+            self.breach("REFUSED", f"{attempt.id} ({attempt.kind}) answered "
+                        f"{attempt.status}, ran {attempt.runs}")
+
+    def _check_drain(self, attempt, server, now):
+        since = self.draining.get(server)
+        bound = DRAIN_BOUND + STAND_IN_SLACK
+        if since is None or now - since <= bound:
+            return
+        if self.disturbances.is_calm({attempt.gateway, "store", server},
+                                     since, now):
+            self.bound("DRAIN", f"{attempt.id}: {server} ran it "
+                       f"{now - since:.2f} s after it had stated its leaving")
+
+    def _check_route(self, attempt, path, now):
+        for prefix, removed_at in self.routes_removed.items():
+            bound = CONFIGURATION_BOUND + STAND_IN_SLACK
+            if (path.startswith(prefix) and
+                    attempt.sent_at - removed_at > bound and
+                    self.disturbances.is_calm({attempt.gateway, "store"},
+                                              removed_at, now)):
+                self.bound("CONFIG", f"{attempt.id} ran on {prefix}, removed "
+                           f"{attempt.sent_at - removed_at:.2f} s before")
+
+    # What clients see.
+
+    def answered(self, attempt, answer, now):
+        """Judges a whole answer that is no stream."""
+        attempt.status = answer.status
+        attempt.ended_at = now
+        self._check_refusal(attempt)
+        if answer.fields.get("x-attempt-id", attempt.id) != attempt.id:
+            self.breach("MIXED", f"{attempt.id} got the answer of "
+                        f"{answer.fields['x-attempt-id']}")
+        if 200 <= answer.status < 300:
+            wanted = server_stand_in.plain_body(attempt.id, attempt.tenant)
+            if "x-server-seal" not in answer.fields or answer.body != wanted:
+                self.breach("MIXED", f"{attempt.id}: {answer.body[:80]!r}")
+        self._check_time(attempt, now)
+
+    def saw_event(self, attempt, number, data):
+        """Judges one event of a stream, as it comes."""
+        attempt.seen_events += 1
+        if number != attempt.seen_events:
+            self.breach("ORDER", f"{attempt.id}: event {number} where "
+                        f"{attempt.seen_events} was due")
+        if data != server_stand_in.event_data(attempt.id, number):
+            self.breach("MIXED", f"{attempt.id}: event {number} holds {data}")
+
+    def streamed(self, attempt, now):
+        """Judges a stream that has ended as complete."""
+        attempt.status = 200
+        attempt.ended_at = now
+        if attempt.seen_events != attempt.events:
+            self.breach("ORDER", f"{attempt.id} ended as complete after "
+                        f"{attempt.seen_events} of {attempt.events} events")
+
+    def cut_off(self, attempt, now):
+        """Judges a request whose connection ended without a whole answer."""
+        attempt.ended_at = now
+        stop = self.stops.get(attempt.gateway, -1.0)
+        is_planned = stop - 1.0 <= attempt.sent_at <= stop + 2.0
+        parts = {attempt.gateway, "store", "servers"}
+        if (is_planned and attempt.runs and
+                self.disturbances.is_calm(parts, attempt.sent_at, now)):
+            self.bound("LOST", f"{attempt.id} ({attempt.kind}) at "
+                       f"{attempt.gateway}, told to stop "
+                       f"{attempt.sent_at - stop:+.2f} s before it was sent, "
+                       f"ran {attempt.runs}")
+
+    def given_up(self, attempt, now):
+        """Judges a request without a final answer at its deadline."""
+        attempt.ended_at = now
+        if self.disturbances.is_calm({attempt.gateway}, attempt.sent_at, now):
+            self.bound("HELD", f"{attempt.id} ({attempt.kind}) had no answer "
+                       f"{now - attempt.sent_at:.2f} s after it was sent to "
+                       f"{attempt.gateway}")
+
+    def _check_time(self, attempt, now):
+        late = now - attempt.sent_at - attempt.deadline
+        if late > ANSWER_SLACK + STAND_IN_SLACK:
+            self.given_up(attempt, now)
+
+    # What the store sees.
+
+    def duty(self, call, now):
+        """Judges one duty call."""
+        body = call["body"]
+        subject = call["duty"]
+        if subject == "usage":
+            window = body["windowId"]
+            known = self._usage.setdefault(window, body["counts"])
+            if known != body["counts"]:
+                self.breach("ONE", f"window {window}: {known} and "
+                            f"{body['counts']}")
+        else:
+            subject = f"scale {body['service']} {body['zone']}"
+        holder, fence = call["holder"], call["fence"]
+        highest, owner = self._fences.get(subject, (-1, holder))
+        is_calm = self.disturbances.is_calm({"store", holder}, now, now)
+        if fence == highest and holder != owner:
+            self.breach("ONE", f"{subject}: {holder} and {owner} sent {fence}")
+        if fence < highest and is_calm:
+            self.breach("ONE", f"{subject}: {holder} sent {fence} after "
+                        f"{highest}")
+        if fence > highest:
+            self._fences[subject] = (fence, holder)
--- /dev/null
+++ b/tests/soak/promises_test.py
@@ -0,0 +1,157 @@
+"""Each promise is seen broken once: a check that cannot fail proves nothing."""
+
+import unittest
+
+from http_wire import Message
+from promises import Attempt, Disturbances, Promises
+from server import event_data, plain_body
+
+
+class PromisesTest(unittest.TestCase):
+    def setUp(self):
+        self.disturbances = Disturbances()
+        self.promises = Promises(self.disturbances)
+
+    def send(self, kind, events=0, at=10.0):
+        attempt = Attempt("a", kind, "tenant", "gateway-1", at, 1.5, events)
+        self.promises.attempts["a"] = attempt
+        return attempt
+
+    def run_at(self, server="server-1", tenant="tenant", after=0, now=10.1,
+               path="/x/"):
+        self.promises.ran("a", server, tenant, path, after, now)
+
+    def answer(self, attempt, status, body=b"", now=10.2, **fields):
+        message = Message(f"HTTP/1.1 {status} Any", fields, body)
+        self.promises.answered(attempt, message, now)
+
+    def names(self):
+        return [name for name, _ in self.promises.broken + self.promises.late]
+
+    def test_a_sound_request_breaks_nothing(self):
+        attempt = self.send("unsafe")
+        self.run_at()
+        self.answer(attempt, 200, plain_body("a", "tenant"),
+                    **{"x-server-seal": "s", "x-attempt-id": "a"})
+        self.assertEqual(self.names(), [])
+
+    def test_twice(self):
+        self.send("unsafe")
+        self.run_at()
+        self.run_at("server-2")
+        self.assertEqual(self.names(), ["TWICE"])
+
+    def test_a_safe_request_may_run_twice(self):
+        self.send("safe")
+        self.run_at()
+        self.run_at("server-2")
+        self.assertEqual(self.names(), [])
+
+    def test_refused_after_it_ran(self):
+        attempt = self.send("unsafe")
+        self.run_at()
+        self.answer(attempt, 503)
+        self.assertEqual(self.names(), ["REFUSED"])
+
+    def test_refused_before_it_ran(self):
+        attempt = self.send("fixed")
+        self.answer(attempt, 429)
+        self.run_at()
+        self.assertEqual(self.names(), ["REFUSED"])
+
+    def test_another_requests_body(self):
+        attempt = self.send("safe")
+        self.answer(attempt, 200, plain_body("b", "tenant"),
+                    **{"x-server-seal": "s", "x-attempt-id": "a"})
+        self.assertEqual(self.names(), ["MIXED"])
+
+    def test_no_signature(self):
+        attempt = self.send("safe")
+        self.answer(attempt, 200, plain_body("a", "tenant"))
+        self.assertEqual(self.names(), ["MIXED"])
+
+    def test_another_requests_answer(self):
+        attempt = self.send("safe")
+        self.answer(attempt, 502, **{"x-attempt-id": "b"})
+        self.assertEqual(self.names(), ["MIXED"])
+
+    def test_an_unknown_request_runs(self):
+        self.run_at()
+        self.assertEqual(self.names(), ["UNASKED"])
+
+    def test_another_tenant(self):
+        self.send("safe")
+        self.run_at(tenant="other")
+        self.assertEqual(self.names(), ["UNASKED"])
+
+    def test_an_event_is_missing(self):
+        attempt = self.send("stream", 3)
+        self.promises.saw_event(attempt, 1, event_data("a", 1))
+        self.promises.saw_event(attempt, 3, event_data("a", 3))
+        self.assertEqual(self.names(), ["ORDER"])
+
+    def test_an_event_of_another_request(self):
+        attempt = self.send("stream", 3)
+        self.promises.saw_event(attempt, 1, event_data("b", 1))
+        self.assertEqual(self.names(), ["MIXED"])
+
+    def test_a_stream_ends_early_as_complete(self):
+        attempt = self.send("stream", 3)
+        self.promises.saw_event(attempt, 1, event_data("a", 1))
+        self.promises.streamed(attempt, 11.0)
+        self.assertEqual(self.names(), ["ORDER"])
+
+    def test_drain(self):
+        self.send("safe", at=20.0)
+        self.promises.draining["server-1"] = 10.0
+        self.run_at(now=20.0)
+        self.assertEqual(self.names(), ["DRAIN"])
+
+    def test_a_harmed_gateway_is_not_held_to_a_drain(self):
+        self.send("safe", at=20.0)
+        self.promises.draining["server-1"] = 10.0
+        self.disturbances.add("gateway-1", 18.0, 19.0)
+        self.run_at(now=20.0)
+        self.assertEqual(self.names(), [])
+
+    def test_a_removed_route(self):
+        self.send("safe", at=20.0)
+        self.promises.routes_removed["/x/"] = 10.0
+        self.run_at(now=20.0)
+        self.assertEqual(self.names(), ["CONFIG"])
+
+    def test_lost_at_a_planned_stop(self):
+        attempt = self.send("safe")
+        self.promises.stops["gateway-1"] = 10.0
+        self.run_at()
+        self.promises.cut_off(attempt, 10.5)
+        self.assertEqual(self.names(), ["LOST"])
+
+    def test_held(self):
+        attempt = self.send("safe")
+        self.answer(attempt, 504, now=13.0)
+        self.assertEqual(self.names(), ["HELD"])
+
+    def duty(self, holder, fence, counts=None, now=50.0):
+        body = {"windowId": 1, "counts": counts or {"t": 1}}
+        self.promises.duty({"duty": "usage", "holder": holder, "fence": fence,
+                            "body": body}, now)
+
+    def test_two_counts_of_one_window(self):
+        self.duty("g1", 1)
+        self.duty("g1", 1, {"t": 2})
+        self.assertEqual(self.names(), ["ONE"])
+
+    def test_two_holders_of_one_token(self):
+        self.duty("g1", 1)
+        self.duty("g2", 1)
+        self.assertEqual(self.names(), ["ONE"])
+
+    def test_an_older_token(self):
+        self.duty("g2", 2)
+        self.duty("g1", 1)
+        self.assertEqual(self.names(), ["ONE"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/soak/server.py
@@ -0,0 +1,185 @@
+"""Stand-in of one server: a plain service or a generator of event streams.
+
+A process of its own. It lists itself in the store, does the work that requests
+ask for and tells every run on standard output before it begins, a JSON line
+each. SIGTERM is a planned end: it states that it drains, serves on, and leaves.
+"""
+
+import argparse
+import asyncio
+import hashlib
+import json
+import signal
+import struct
+import sys
+import time
+
+import http_wire
+
+SLOTS = 64
+EVENT_PAUSE = 0.03
+DRAIN_TIME = 2.6
+
+
+def plain_body(attempt, tenant):
+    """Returns the one right body of a request."""
+    digest = hashlib.sha256(attempt.encode()).hexdigest()
+    return f"{attempt} {tenant} {digest}".encode()
+
+
+def event_data(attempt, number):
+    """Returns the one right content of an event."""
+    return hashlib.sha256(f"{attempt}/{number}".encode()).hexdigest()[:24]
+
+
+def event_bytes(attempt, number):
+    return (f"id: {number}\ndata: {event_data(attempt, number)}\n\n").encode()
+
+
+def events_wanted(fields):
+    return int(fields.get("x-token-count", "0,0").split(",")[1])
+
+
+class Server:
+    """The server's identity, its place in the list and its running requests."""
+
+    def __init__(self, options):
+        self.options = options
+        self.active = 0
+        self.is_draining = False
+
+    async def publish(self, value):
+        key = self.options.id.encode()
+        record = bytes([len(key)]) + key + value
+        await http_wire.call(
+            split_address(self.options.store),
+            "POST /log-append?operator=1&topic=keyed.servers&part=0",
+            struct.pack(">I", len(record)) + record)
+
+    async def publish_state(self, state):
+        await self.publish(json.dumps({
+            "service": self.options.service,
+            "address": self.options.listed or self.options.address,
+            "zone": self.options.zone, "version": "v1", "slots": SLOTS,
+            "state": state, "coldRemainingMs": 0}).encode())
+
+    async def drain(self):
+        self.is_draining = True
+        await self.publish_state("draining")
+        tell({"draining": self.options.id})
+        await asyncio.sleep(DRAIN_TIME)
+        await self.publish(b"")
+        while self.active > 0:
+            await asyncio.sleep(0.05)
+        sys.exit(0)
+
+    async def serve(self, request, reader, writer):
+        """Serves one request; returns whether the connection goes on."""
+        fields = request.fields
+        attempt = fields.get("x-attempt-id", "")
+        own = {"X-Attempt-Id": attempt}
+        if request.target == "/health":
+            writer.write(http_wire.write_message(
+                "HTTP/1.1 200 OK", {"X-Instance-Id": self.options.id}))
+            return True
+        if fields.get("x-expect-instance") != self.options.id:
+            writer.write(http_wire.write_message(
+                "HTTP/1.1 421 Misdirected Request", own))
+            return True
+        if self.active >= SLOTS:
+            writer.write(http_wire.write_message(
+                "HTTP/1.1 503 Full", {**own, "X-Not-Executed": "1"}))
+            return True
+        self.active += 1
+        try:
+            return await self.run(request, attempt, reader, writer)
+        finally:
+            self.active -= 1
+
+    async def run(self, request, attempt, reader, writer):
+        fields = request.fields
+        tenant = fields.get("x-tenant", "")
+        resumed = int(fields.get("last-event-id", "0"))
+        tell({"run": attempt, "server": self.options.id, "tenant": tenant,
+              "path": request.target, "after": resumed})
+        head = {"X-Attempt-Id": attempt,
+                "X-Server-Seal": f"{self.options.id}.{attempt}",
+                "X-Weight-Versions": "1"}
+        if self.is_draining:
+            head["Connection"] = "close"
+        if "x-token-count" in fields:
+            await self.stream(attempt, head, resumed,
+                              events_wanted(fields), writer)
+        else:
+            await asyncio.sleep(0.015)
+            writer.write(http_wire.write_message(
+                "HTTP/1.1 200 OK", head, plain_body(attempt, tenant)))
+        await writer.drain()
+        return not self.is_draining
+
+    async def stream(self, attempt, head, resumed, wanted, writer):
+        lines = ["HTTP/1.1 200 OK"]
+        lines += [f"{name}: {value}" for name, value in head.items()]
+        lines += ["Content-Type: text/event-stream",
+                  "Transfer-Encoding: chunked", "", ""]
+        writer.write("\r\n".join(lines).encode())
+        for number in range(resumed + 1, wanted + 1):
+            await asyncio.sleep(EVENT_PAUSE)
+            if writer.is_closing():
+                raise http_wire.Broken("the caller has left")
+            data = event_bytes(attempt, number)
+            writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+def split_address(text):
+    host, port = text.split(":")
+    return host, int(port)
+
+
+def tell(event):
+    # All processes of one machine share this clock.
+    event["at"] = time.monotonic()
+    print(json.dumps(event), flush=True)
+
+
+async def serve_connection(server, reader, writer):
+    try:
+        is_kept = True
+        while is_kept:
+            request = await http_wire.read_head(reader)
+            if request is None:
+                break
+            await http_wire.read_body(reader, request)
+            is_kept = await server.serve(request, reader, writer)
+            await writer.drain()
+    except (http_wire.Broken, OSError):
+        pass
+    finally:
+        writer.close()
+
+
+async def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--zone", required=True)
+    parser.add_argument("--address", required=True, help="IP:PORT")
+    parser.add_argument("--listed", help="IP:PORT that callers are to use")
+    parser.add_argument("--store", required=True, help="IP:PORT")
+    options = parser.parse_args()
+    server = Server(options)
+    listener = await asyncio.start_server(
+        lambda reader, writer: serve_connection(server, reader, writer),
+        *split_address(options.address))
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, lambda: asyncio.ensure_future(server.drain()))
+    await server.publish_state("ready")
+    tell({"ready": options.id})
+    async with listener:
+        await listener.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,454 @@
+#!/usr/bin/env python3
+"""Fault soak: real gateways under load and troubles, their promises checked.
+
+    soak.py --program build/bin/daleshelfd --seed 7 [--seconds 25]
+
+Starts the gateways, stand-ins of the store and of servers, and clients; harms
+processes, links and the store as the seed says; checks all the while what
+callers and servers see. Ends with a line of JSON; the exit status is 1 if a
+promise was broken. Promises with a time bound count only with `--judge-time`:
+a busy machine can be late without any fault of the program. Logs are kept in
+`--logs`. See docs/design/soak.md.
+"""
+
+import argparse
+import asyncio
+import json
+import shutil
+import signal
+import struct
+import sys
+import tempfile
+from pathlib import Path
+
+import faults
+import http_wire
+from clients import Client
+from fleet import STOP_MS, ZONES, Fleet
+from promises import Disturbances, Promises
+
+LEAD = 3.0
+RECOVERY = 12.0
+MEASURED = 4.0
+LEAST_SERVED = 0.9
+MOST_MEMORY_MB = 260
+QUOTA_WINDOW = 8.0
+QUOTA_SLACK = 1.3
+LIMITED = {"rate": 30, "burst": 30}
+EXTRA_ROUTES = ["/extra0/", "/extra1/", "/extra2/", "/extra3/"]
+LISTED_AFTER_CRASH = 3.6
+LONGEST_STOP = 60.0  # seconds; bounds a hang
+LONGEST_CALL = 30.0
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, options, folder):
+        self.options = options
+        self.disturbances = Disturbances()
+        self.promises = Promises(self.disturbances)
+        self.fleet = Fleet(options, folder, self.on_line)
+        self.is_over = False
+        self.version = 0
+        self.routes = list(EXTRA_ROUTES)
+        self.keys = {"large": ["key-l"], "small": ["key-s", "key-s2"]}
+        self.tasks = []
+        self.counts = {}
+        self.ready = asyncio.Event()
+
+    @staticmethod
+    def now():
+        return asyncio.get_running_loop().time()
+
+    def extra_routes(self):
+        return EXTRA_ROUTES
+
+    def key_of(self, tenant):
+        return self.keys[tenant][0]
+
+    # What processes tell.
+
+    def on_line(self, process, event):
+        now = event.get("at", self.now())
+        if "run" in event:
+            self.promises.ran(event["run"], event["server"], event["tenant"],
+                              event["path"], event["after"], now)
+        elif "draining" in event:
+            self.promises.draining[event["draining"]] = now
+        elif "duty" in event:
+            self.count("duty calls")
+            self.promises.duty(event, now)
+        elif event.get("name") == "unexpected_error":
+            self.promises.breach("ERROR", f"{process.name}: {event}")
+
+    def count(self, name):
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    # The run.
+
+    async def run(self):
+        await self.start_all()
+        await asyncio.sleep(LEAD)
+        for index, gateway in enumerate(self.fleet.gateways):
+            for number in range(self.options.clients):
+                tenant = "small" if number % 3 == 0 else "large"
+                seed = self.options.seed * 1000 + index * 100 + number
+                self.spawn(Client(self, gateway, tenant, seed).run())
+        self.spawn(self.watch_processes())
+        begin = self.now()
+        for trouble in faults.plan(self.options.seed, self.options.seconds):
+            await asyncio.sleep(max(0.0, begin + trouble.at - self.now()))
+            self.count(trouble.kind)
+            self.spawn(self.carry_out(trouble))
+        await asyncio.sleep(6.0)
+        await asyncio.sleep(RECOVERY)
+        measured_from = self.now()
+        await asyncio.sleep(MEASURED)
+        measured_to = self.now()
+        await asyncio.sleep(2.0)
+        self.is_over = True
+        self.check_recovery(measured_from, measured_to)
+        self.check_quota()
+
+    def spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self.on_task_end)
+        self.tasks.append(task)
+
+    def on_task_end(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self.promises.breach("HARNESS", repr(task.exception()))
+
+    async def start_all(self):
+        await self.fleet.store.start()
+        await self.wait_for_store()
+        await self.publish_configuration()
+        for gateway in self.fleet.gateways:
+            await gateway.start_links()
+            await gateway.start()
+        for number in range(self.options.servers):
+            await self.fleet.add_server("plain" if number % 3 == 0
+                                        else "engine")
+
+    async def wait_for_store(self):
+        for _ in range(100):
+            try:
+                await self.operate("GET /log-newest?topic=keyed.op&part=0&")
+                return
+            except OSError:
+                await asyncio.sleep(0.05)
+        raise RuntimeError("the store does not start")
+
+    async def operate(self, start, body=b""):
+        """Calls the store as the operator: no fault applies."""
+        return await http_wire.call(self.fleet.store_address,
+                                    start + "operator=1", body,
+                                    LONGEST_CALL)
+
+    async def publish_configuration(self):
+        """Writes the whole configuration; returns when it is acknowledged."""
+        self.version += 3
+        routes = [("/safe/", "safe", "plain"), ("/once/", "unsafe", "plain"),
+                  ("/stream/", "streaming", "engine"),
+                  ("/fixed/", "streaming", "engine")]
+        routes += [(path, "safe", "plain") for path in self.routes]
+        configuration = {
+            "version": self.version,
+            "routes": [{
+                "name": "r" + path.strip("/"), "host": "soak.example",
+                "pathPrefix": path, "kind": kind, "service": service,
+                "timeoutMs": 6000 if kind == "streaming" else 1500,
+                "targetLatencyMs": 500, "priority": 1, "public": False,
+                "maxAttempts": 1 if kind == "unsafe" else 2,
+                "streamResume": path == "/stream/"}
+                for path, kind, service in routes],
+            "services": [
+                {"name": "plain", "healthPath": "/health",
+                 "maxConnections": 600},
+                {"name": "engine", "healthPath": "/health",
+                 "maxConnections": 600,
+                 "engine": {"slots": 64, "kvCapacityTokens": 200000},
+                 "scaling": {"min": 1, "max": 6, "bootTimeS": 4.0,
+                             "spotPrice": 0.2,
+                             "zonePrices": {zone: 1.0 for zone in ZONES}}}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "tenants": [
+                {"name": "large", "apiKeys": self.keys["large"]},
+                {"name": "small", "apiKeys": self.keys["small"],
+                 "unit": "request", "ratePerS": LIMITED["rate"],
+                 "burst": LIMITED["burst"]}]}
+        record = b"\x06config" + json.dumps(configuration).encode()
+        await self.operate("POST /log-append?topic=keyed.op&part=0&",
+                           struct.pack(">I", len(record)) + record)
+
+    # Troubles.
+
+    async def carry_out(self, trouble):
+        await getattr(self, trouble.kind)(trouble)
+
+    def gateway(self, trouble):
+        gateways = self.fleet.gateways
+        return gateways[trouble.target % len(gateways)]
+
+    def running_server(self, trouble):
+        """Returns a server that is sound, if its service keeps another."""
+        sound = [server for server in self.fleet.servers
+                 if server.is_running and not server.is_expected_to_end]
+        server = sound[trouble.target % len(sound)]
+        others = [other for other in sound if other.service == server.service]
+        return server if len(others) > 1 else None
+
+    def disturb(self, part, seconds):
+        self.disturbances.add(part, self.now(), self.now() + seconds)
+
+    async def kill_gateway(self, trouble):
+        await self.kill_and_start(self.gateway(trouble), trouble.seconds)
+
+    async def kill_all_gateways(self, trouble):
+        await asyncio.gather(*(self.kill_and_start(gateway, 0.5)
+                               for gateway in self.fleet.gateways))
+
+    async def kill_and_start(self, gateway, seconds):
+        if not gateway.is_running or gateway.is_expected_to_end:
+            return
+        self.disturb(gateway.name, seconds + 1.0)
+        gateway.kill()
+        await gateway.ended()
+        await asyncio.sleep(seconds)
+        await gateway.start()
+
+    async def pause_gateway(self, trouble):
+        await self.pause(self.gateway(trouble), trouble.seconds)
+
+    async def pause_server(self, trouble):
+        server = self.running_server(trouble)
+        if server is not None:
+            self.disturb("servers", trouble.seconds + 0.5)
+            await self.pause(server, trouble.seconds)
+
+    async def pause(self, process, seconds):
+        self.disturb(process.name, seconds + 0.5)
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.send(signal.SIGCONT)
+
+    async def stop_gateway(self, trouble):
+        gateway = self.gateway(trouble)
+        if not gateway.is_running or gateway.is_expected_to_end:
+            return
+        gateway.is_expected_to_end = True
+        self.promises.stops[gateway.name] = self.now()
+        gateway.send(signal.SIGTERM)
+        told_at = self.now()
+        try:
+            async with asyncio.timeout(LONGEST_STOP):
+                code = await gateway.ended()
+        except TimeoutError:
+            self.promises.breach("STOP", f"{gateway.name} does not end")
+            gateway.kill()
+            code = await gateway.ended()
+        if self.now() - told_at > STOP_MS / 1000 + 1.0:
+            self.promises.bound("STOP", f"{gateway.name} took "
+                                f"{self.now() - told_at:.2f} s to end")
+        if code not in (0, -signal.SIGKILL):
+            self.promises.breach("STOP", f"{gateway.name} ended with {code}")
+        self.disturb(gateway.name, 1.0)
+        await gateway.start()
+
+    async def reload_gateway(self, trouble):
+        gateway = self.gateway(trouble)
+        if gateway.is_running and not gateway.is_expected_to_end:
+            gateway.send(signal.SIGHUP)
+
+    async def kill_server(self, trouble):
+        server = self.running_server(trouble)
+        if server is None:
+            return
+        self.disturb("servers", LISTED_AFTER_CRASH + 1.0)
+        self.disturb(server.name, 1000.0)
+        server.kill()
+        await server.ended()
+        await self.fleet.add_server(server.service)
+        await asyncio.sleep(LISTED_AFTER_CRASH)
+        key = server.name.encode()
+        record = bytes([len(key)]) + key
+        await self.operate("POST /log-append?topic=keyed.servers&part=0&",
+                           struct.pack(">I", len(record)) + record)
+
+    async def drain_server(self, trouble):
+        server = self.running_server(trouble)
+        if server is None:
+            return
+        await self.fleet.add_server(server.service)
+        server.is_expected_to_end = True
+        server.send(signal.SIGTERM)
+
+    async def harm_client_link(self, trouble):
+        gateway = self.gateway(trouble)
+        await self.harm(gateway.client_link, gateway.name, trouble)
+
+    async def harm_store_link(self, trouble):
+        gateway = self.gateway(trouble)
+        await self.harm(gateway.store_link, gateway.name, trouble)
+
+    async def harm_server_link(self, trouble):
+        server = self.running_server(trouble)
+        if server is not None:
+            self.disturb("servers", trouble.seconds + 0.5)
+            await self.harm(server.link, server.name, trouble)
+
+    async def harm(self, link, part, trouble):
+        self.disturb(part, trouble.seconds + 0.5)
+        link.harm(trouble.mode)
+        await asyncio.sleep(trouble.seconds)
+        link.heal()
+
+    async def store_fault(self, kind, seconds):
+        self.disturb("store", seconds + 0.5)
+        await self.operate(f"POST /fault?kind={kind}&for={seconds}&")
+
+    async def store_down(self, trouble):
+        await self.store_fault("down", trouble.seconds)
+
+    async def store_slow(self, trouble):
+        await self.store_fault("slow", trouble.seconds)
+
+    async def store_lost(self, trouble):
+        await self.store_fault("lost", trouble.seconds)
+
+    async def store_forget(self, trouble):
+        await self.store_fault("forget", 0)
+
+    async def remove_route(self, trouble):
+        if len(self.routes) > 1:
+            path = self.routes.pop(trouble.target % len(self.routes))
+            await self.publish_configuration()
+            self.promises.routes_removed[path] = self.now()
+
+    async def restore_route(self, trouble):
+        missing = [path for path in EXTRA_ROUTES if path not in self.routes]
+        if missing:
+            path = missing[trouble.target % len(missing)]
+            self.promises.routes_removed.pop(path, None)
+            self.routes.append(path)
+            await self.publish_configuration()
+
+    async def revoke_key(self, trouble):
+        self.keys["small"].reverse()
+        kept = self.keys["small"][:1]
+        both = list(self.keys["small"])
+        await self.publish_configuration()
+        await asyncio.sleep(3.0)
+        self.keys["small"] = kept
+        await self.publish_configuration()
+        await asyncio.sleep(1.0)
+        self.keys["small"] = both
+        await self.publish_configuration()
+
+    # Checks of their own.
+
+    async def watch_processes(self):
+        while not self.is_over:
+            for process in self.fleet.processes():
+                if not process.is_running and not process.is_expected_to_end:
+                    self.promises.breach("EXIT", f"{process.name} has ended "
+                                         "by itself")
+                    process.is_expected_to_end = True
+            for gateway in self.fleet.gateways:
+                memory = gateway.memory_mb() if gateway.is_running else 0
+                if memory > MOST_MEMORY_MB:
+                    self.promises.breach("MEMORY", f"{gateway.name} uses "
+                                         f"{memory:.0f} MB")
+            await asyncio.sleep(0.2)
+
+    def check_recovery(self, begin, end):
+        removed = set(self.promises.routes_removed)
+        sent = [attempt for attempt in self.promises.attempts.values()
+                if begin <= attempt.sent_at < end and
+                attempt.tenant == "large" and attempt.ended_at > 0]
+        served = [attempt for attempt in sent
+                  if attempt.status == 200 or
+                  (attempt.status == 404 and removed)]
+        share = len(served) / max(1, len(sent))
+        self.counts["served after the troubles"] = round(share, 3)
+        if share < LEAST_SERVED:
+            self.promises.bound("RECOVER", f"{len(served)} of {len(sent)} "
+                                "served after the troubles")
+
+    def check_quota(self):
+        """Checks every span of the quota's length, from the servers' runs."""
+        times = sorted(attempt.runs[0][0]
+                       for attempt in self.promises.attempts.values()
+                       if attempt.tenant == "small" and attempt.runs)
+        limit = (LIMITED["rate"] * QUOTA_WINDOW + LIMITED["burst"])
+        first = 0
+        most = 0
+        for last, time in enumerate(times):
+            while times[first] < time - QUOTA_WINDOW:
+                first += 1
+            most = max(most, last - first + 1)
+        self.counts["most within a quota's window"] = most
+        if most > limit * QUOTA_SLACK:
+            self.promises.breach("QUOTA", f"{most} of {limit:.0f} ran within "
+                                 f"{QUOTA_WINDOW} s")
+
+    def summary(self):
+        attempts = self.promises.attempts.values()
+        return {
+            "seed": self.options.seed,
+            "attempts": len(attempts),
+            "served": sum(200 <= a.status < 300 for a in attempts),
+            "refused": sum(a.status in (429, 503) for a in attempts),
+            "failed": sum(a.status in (502, 504) for a in attempts),
+            "no whole answer": sum(a.status == 0 for a in attempts),
+            "run again": sum(len(a.runs) > 1 for a in attempts),
+            "counts": self.counts,
+            "broken": self.promises.broken[:20],
+            "late": self.promises.late[:20]}
+
+
+async def run(options, folder):
+    soak = Soak(options, folder)
+    try:
+        await soak.run()
+    finally:
+        soak.is_over = True
+        soak.fleet.kill_all()
+        for task in soak.tasks:
+            task.cancel()
+    return soak.summary()
+
+
+def main():
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--program", required=True, help="daleshelfd")
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--seconds", type=float, default=25.0,
+                        help="length of the troubles")
+    parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--servers", type=int, default=6)
+    parser.add_argument("--clients", type=int, default=5,
+                        help="clients of each gateway")
+    parser.add_argument("--lane", type=int, default=0,
+                        help="0 to 200: loopback addresses; one a run")
+    parser.add_argument("--judge-time", action="store_true")
+    parser.add_argument("--logs", help="folder that keeps the logs")
+    options = parser.parse_args()
+    folder = Path(options.logs or tempfile.mkdtemp(prefix="soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    summary = asyncio.run(run(options, folder))
+    print(json.dumps(summary))
+    is_bad = bool(summary["broken"]) or (options.judge_time and
+                                         bool(summary["late"]))
+    if not options.logs and not is_bad:
+        shutil.rmtree(folder)
+    elif is_bad:
+        print(f"logs: {folder}", file=sys.stderr)
+    sys.exit(1 if is_bad else 0)
+
+
+if __name__ == "__main__":
+    main()
