peers: Tell all at once what is used of a quota that runs out

Change: in such a fleet, use of a tenant whose quota is used to two fifths or more goes to all peers with the next quarter second, in a small datagram of its own that carries nothing else. Three tests, of which two are seen failing without it (the message is new).

--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -12,6 +12,9 @@
 constexpr int history_parts = 8;
 // What machines that were killed may have used without telling anyone.
 constexpr double untold_share = 0.12;
+// From here on others are told of use at once: a tenant that suddenly sends
+// many times its usual uses up the rest within a second.
+constexpr double pressed_share = 0.4;
 
 double sum_for(const std::map<workspace_id, double>& sums,
                const workspace_id& tenant)
@@ -163,6 +166,13 @@
     return excess <= 0 ? absl::ZeroDuration() : m_window;
 }
 
+bool token_quota::is_pressed(const workspace_id& tenant) const
+{
+    const auto found = m_accounts.find(tenant);
+    return found != m_accounts.end() &&
+           found->second.used >= allowed(found->second) * pressed_share;
+}
+
 use_history token_quota::history(absl::Time now)
 {
     use_history history;
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -81,6 +81,10 @@
         return m_own_use;
     }
 
+    /// @return whether so much of a tenant's quota is used that other machines
+    /// need to hear of more at once
+    [[nodiscard]] bool is_pressed(const workspace_id& tenant) const;
+
     /// @return what all machines have used within the window, as far as known
     [[nodiscard]] use_history history(absl::Time now);
 
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -125,6 +125,7 @@
     message.set_wall_time_ms(state.wall_time_ms);
     message.set_configuration_version(state.configuration_version);
     message.set_servers_offset(state.servers_offset.value());
+    message.set_is_use_notice(state.is_use_notice);
     message.set_is_stopping(state.is_stopping);
     message.set_reaches_store(state.reaches_store);
     message.set_work_ms(state.work_ms);
@@ -150,6 +151,7 @@
     state.wall_time_ms = message.wall_time_ms();
     state.configuration_version = message.configuration_version();
     state.servers_offset = log_offset(message.servers_offset());
+    state.is_use_notice = message.is_use_notice();
     state.is_stopping = message.is_stopping();
     state.reaches_store = message.reaches_store();
     state.work_ms = message.work_ms();
--- a/libraries/peers/machine_state.hpp
+++ b/libraries/peers/machine_state.hpp
@@ -39,6 +39,8 @@
     std::int64_t wall_time_ms = 0;
     std::int64_t configuration_version = 0;
     log_offset servers_offset;
+    /// Only `self`, `started`, `sequence` and some of `uses` are told.
+    bool is_use_notice = false;
     bool is_stopping = false;
     bool reaches_store = false;
     double work_ms = 0; ///< of servers, asked for since the machine's start
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -45,6 +45,10 @@
     {
         return change;
     }
+    if (state.is_use_notice)
+    {
+        return receive_notice(state);
+    }
     m_counts.merge({state.self.name, state.started}, state.counts);
     for (const auto& [start, counts] : state.ended_counts)
     {
@@ -83,6 +87,32 @@
     return change;
 }
 
+// Takes what a known start of a peer has used since its last whole state.
+peer_change peer_table::receive_notice(const machine_state& state)
+{
+    peer_change change;
+    const auto known = m_peers.find(state.self.name);
+    if (known == m_peers.end() ||
+        known->second.heard_at == absl::InfinitePast() ||
+        known->second.state.started != state.started ||
+        state.sequence <= known->second.state.sequence)
+    {
+        return change;
+    }
+    change.is_news = true;
+    known->second.state.sequence = state.sequence;
+    for (const auto& [tenant, used] : state.uses)
+    {
+        auto& before = known->second.state.uses[tenant];
+        if (used != before)
+        {
+            change.new_use[tenant] = used - before;
+        }
+        before = used;
+    }
+    return change;
+}
+
 // A seed's address stands for its name until the machine there is heard.
 void peer_table::drop_seed(const std::string& address)
 {
@@ -119,6 +149,11 @@
     return m_options.send_pause * std::max(1.0, peers / m_options.many_peers);
 }
 
+bool peer_table::tells_all_at_once() const
+{
+    return static_cast<double>(m_peers.size()) <= m_options.many_peers;
+}
+
 absl::Duration peer_table::reach_time() const
 {
     constexpr double datagrams_missed = 3.5;
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -54,7 +54,7 @@
     /// Notes that a machine may be at an address.
     void add_address(const machine_address& machine, absl::Time now);
 
-    /// Takes a peer's state.
+    /// Takes a peer's state, or its notice of what was used since.
     [[nodiscard]] peer_change receive(machine_state state, absl::Time now);
 
     /// Forgets peers that have been silent for long.
@@ -64,6 +64,9 @@
     /// @return pause between two datagrams to each peer
     [[nodiscard]] absl::Duration send_pause() const;
 
+    /// @return whether each datagram goes to every peer
+    [[nodiscard]] bool tells_all_at_once() const;
+
     /// @return machines that are in reach, with this one
     [[nodiscard]] std::size_t reached(absl::Time now) const;
 
@@ -99,6 +102,7 @@
     }
 
 private:
+    [[nodiscard]] peer_change receive_notice(const machine_state& state);
     [[nodiscard]] absl::Duration reach_time() const;
     void drop_seed(const std::string& address);
 
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -139,6 +139,7 @@
             std::clamp(absl::ToChronoMilliseconds(m_table.send_pause() / 3),
                        least_change_pause, most_change_pause);
         send_to_some(encode(own_state()));
+        send_use_notice();
         fetch_news();
         timer.expires_after(tick +
                             milliseconds(absl::Uniform(m_state.random, 0, 20)));
@@ -168,6 +169,42 @@
     }
 }
 
+// In a large fleet each peer gets the whole state in its turn only. What is
+// used of a quota that is running out cannot wait: all machines would let
+// through what is left of it once each.
+void peer_exchange::send_use_notice()
+{
+    if (m_table.tells_all_at_once())
+    {
+        return;
+    }
+    machine_state notice;
+    notice.is_use_notice = true;
+    for (const auto& [tenant, used] : m_state.quota.own_use())
+    {
+        auto& told = m_told_use[tenant];
+        if (used != told && m_state.quota.is_pressed(tenant))
+        {
+            notice.uses[tenant] = used;
+            told = used;
+        }
+    }
+    if (notice.uses.empty())
+    {
+        return;
+    }
+    notice.self = {m_state.self, m_state.settings.peers_address};
+    notice.started = m_state.started;
+    notice.sequence = ++m_sequence;
+    const auto bytes = encode(notice);
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        error_code ignored;
+        m_socket.send_to(asio::const_buffer(bytes.data(), bytes.size()),
+                         udp_endpoint(peer.address), 0, ignored);
+    }
+}
+
 // Tells the store where this machine is, and learns where the others are.
 awaitable<void> peer_exchange::publish_self()
 {
@@ -248,11 +285,17 @@
     }
     const auto now = gateway_state::now();
     const auto name = state->self.name;
+    const bool is_use_notice = state->is_use_notice;
     const auto change = m_table.receive(std::move(*state), now);
     if (!change.is_news)
     {
         return;
     }
+    if (is_use_notice)
+    {
+        count_use(change);
+        return;
+    }
     const auto& newest = m_table.peers().at(name).state;
     if (change.is_start)
     {
@@ -267,10 +310,7 @@
 void peer_exchange::apply(const machine_state& state, const peer_change& change)
 {
     const auto now = gateway_state::now();
-    for (const auto& [tenant, used] : change.new_use)
-    {
-        m_state.quota.count_peer(tenant, used, now);
-    }
+    count_use(change);
     if (state.started < m_state.started && !state.window_use.empty())
     {
         adopt_history(state);
@@ -298,12 +338,20 @@
     }
 }
 
+void peer_exchange::count_use(const peer_change& change)
+{
+    for (const auto& [tenant, used] : change.new_use)
+    {
+        m_state.quota.count_peer(tenant, used, gateway_state::now());
+    }
+}
+
 // Takes from a machine that has been up for longer what quotas were used.
 void peer_exchange::adopt_history(const machine_state& state)
 {
-    const auto is_taken = m_state.quota.adopt(
-        state.window_use, token_quota::history_source::peer,
-        gateway_state::now());
+    const auto is_taken =
+        m_state.quota.adopt(state.window_use, token_quota::history_source::peer,
+                            gateway_state::now());
     if (is_taken)
     {
         const auto up_ms = m_state.started.value() - state.started.value();
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -63,8 +63,10 @@
     awaitable<void> fetch_from(std::string address, std::string topic);
     void receive(std::string_view bytes);
     void apply(const machine_state& state, const peer_change& change);
+    void count_use(const peer_change& change);
     void adopt_history(const machine_state& state);
     void send_to_some(const std::string& bytes);
+    void send_use_notice();
     void fetch_news();
     [[nodiscard]] machine_state own_state();
     [[nodiscard]] short_answer answer_peer(const std::string& target);
@@ -77,6 +79,7 @@
     small_server m_server;
     duty_state m_duty;
     std::int64_t m_sequence = 0;
+    std::map<workspace_id, double> m_told_use;
     host_id m_last_told;
     std::map<std::string, monotonic::time_point> m_behind_since;
     bool m_is_fetching = false;
--- a/tests/ingress/token_quota_test.cpp
+++ b/tests/ingress/token_quota_test.cpp
@@ -127,6 +127,15 @@
     EXPECT_LE(take_all(quota, at(7.5)), limit_of_window);
 }
 
+TEST(token_quota, says_when_others_need_to_hear_of_use_at_once)
+{
+    auto quota = make_quota(token_quota::initial_use::none);
+    EXPECT_FALSE(quota.is_pressed(studio));
+    EXPECT_FALSE(quota.is_pressed(workspace_id("other")));
+    quota.count_peer(studio, limit_of_window / 2, at(0));
+    EXPECT_TRUE(quota.is_pressed(studio));
+}
+
 TEST(token_quota, a_tenant_that_a_history_lacks_is_assumed_to_be_used)
 {
     auto quota = make_quota(token_quota::initial_use::unknown);
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -77,6 +77,39 @@
     EXPECT_EQ(read->work_ms, 1.5);
 }
 
+TEST(peer_table, a_notice_of_use_counts_what_is_new_and_keeps_the_state)
+{
+    auto table = make_table();
+    auto whole = make_state("2", 5, 1);
+    whole.uses = {{studio, 10}, {workspace_id("other"), 7}};
+    whole.work_ms = 3;
+    (void)table.receive(whole, at(0));
+    auto notice = make_state("2", 5, 2);
+    notice.is_use_notice = true;
+    notice.uses = {{studio, 25}};
+    const auto change =
+        table.receive(*decode_machine_state(encode(notice)), at(1));
+    EXPECT_TRUE(change.is_news);
+    EXPECT_EQ(change.new_use, (std::map<workspace_id, double>{{studio, 15}}));
+    EXPECT_EQ(table.peers().at(host_id("2")).state.work_ms, 3);
+    // The next whole state counts from there on.
+    whole.sequence = 3;
+    whole.uses[studio] = 26;
+    EXPECT_EQ(table.receive(whole, at(2)).new_use,
+              (std::map<workspace_id, double>{{studio, 1}}));
+    // One that was overtaken says nothing.
+    EXPECT_FALSE(table.receive(notice, at(2)).is_news);
+}
+
+TEST(peer_table, a_notice_of_an_unknown_start_is_left_to_its_whole_state)
+{
+    auto table = make_table();
+    auto notice = make_state("2", 5, 2);
+    notice.is_use_notice = true;
+    notice.uses = {{studio, 25}};
+    EXPECT_FALSE(table.receive(notice, at(1)).is_news);
+}
+
 TEST(machine_state, other_bytes_are_no_state)
 {
     EXPECT_FALSE(decode_machine_state("not a state"));
