gateway: Let two machines of a hall read the list of servers for the others

Ruled out: list calls (two a machine), duties (one machine). Whoever hears nothing for 1.4 s, or misses a record, asks the store itself, so a list is never older than that and one call. The configuration is still followed by every machine itself.

--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -1,5 +1,7 @@
 #include "peer_table.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <base/text.hpp>
 
@@ -12,6 +14,12 @@
 // Machines that start together have not heard of each other's first requests.
 constexpr std::int64_t recent_ms = 3000;
 constexpr std::size_t most_ended_told = 8;
+constexpr std::size_t readers_a_hall = 2;
+
+std::uint64_t reader_rank(const host_id& machine)
+{
+    return XXH3_64bits(machine.value().data(), machine.value().size());
+}
 
 } // namespace
 
@@ -154,6 +162,32 @@
     return static_cast<double>(m_peers.size()) <= m_options.many_peers;
 }
 
+std::vector<host_id> peer_table::readers_of(const hall_id& own_hall,
+                                            bool reaches_store,
+                                            absl::Time now) const
+{
+    std::vector<host_id> able;
+    if (reaches_store)
+    {
+        able.push_back(m_self.name);
+    }
+    for (const auto& [name, peer] : m_peers)
+    {
+        if (peer.state.hall == own_hall && peer.state.reaches_store &&
+            !peer.state.is_stopping && is_in_reach(name, now))
+        {
+            able.push_back(name);
+        }
+    }
+    // By a hash: names in order would let the first machines of a hall do it
+    // for good.
+    std::sort(able.begin(), able.end(),
+              [](const host_id& left, const host_id& right)
+              { return reader_rank(left) < reader_rank(right); });
+    able.resize(std::min(able.size(), readers_a_hall));
+    return able;
+}
+
 absl::Duration peer_table::reach_time() const
 {
     constexpr double datagrams_missed = 3.5;
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -67,6 +67,15 @@
     /// @return whether each datagram goes to every peer
     [[nodiscard]] bool tells_all_at_once() const;
 
+    /// @param own_hall the hall whose machines are meant
+    /// @param reaches_store whether this machine, of that hall, reaches the
+    /// store itself
+    /// @return the few machines of the hall that read for the others what the
+    /// store tells: every machine that hears the same finds the same
+    [[nodiscard]] std::vector<host_id> readers_of(const hall_id& own_hall,
+                                                  bool reaches_store,
+                                                  absl::Time now) const;
+
     /// @return machines that are in reach, with this one
     [[nodiscard]] std::size_t reached(absl::Time now) const;
 
--- a/libraries/peers/topic_records.cpp
+++ b/libraries/peers/topic_records.cpp
@@ -9,6 +9,7 @@
 {
     wire::TopicRecords message;
     message.set_topic(records.topic);
+    message.set_from(records.from.value());
     message.set_next(records.next.value());
     for (const auto& record : records.records)
     {
@@ -29,6 +30,7 @@
     }
     shared_records records;
     records.topic = message.topic();
+    records.from = log_offset(message.from());
     records.next = log_offset(message.next());
     for (const auto& item : message.records())
     {
--- a/libraries/peers/topic_records.hpp
+++ b/libraries/peers/topic_records.hpp
@@ -19,10 +19,11 @@
     std::string value;
 };
 
-/// All that a machine knows of a topic.
+/// What a machine knows of a topic: all of it, or what it has just read.
 struct shared_records
 {
     std::string topic;
+    log_offset from; ///< what was read begins here; 0: all that is known
     log_offset next; ///< all records before this offset are known
     std::vector<shared_record> records;
 };
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -33,7 +33,11 @@
                        [](const auto&) {}})
     , m_servers(m_state, std::string(platform::server_topic),
                 {[this](const auto& record) { take_server_record(record); },
-                 [this](const auto& records) { take_server_list(records); }})
+                 [this](const auto& records) { take_server_list(records); },
+                 [this](log_offset from, const auto& records) {
+                     m_peers.tell_read(std::string(platform::server_topic),
+                                       from, records);
+                 }})
     , m_peers(m_state, {m_configuration, m_servers})
     , m_duties(m_state, m_peers)
     , m_scaling(m_state, m_peers, m_duties)
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -61,6 +61,9 @@
     bool has_servers = false;
     bool is_stopping = false;
     monotonic::time_point stopping_since{};
+    /// Others of a large fleet wait for what this machine reads; otherwise it
+    /// waits for what they read.
+    bool is_reader = true;
     /// Changes that come within this time of one another are read together.
     milliseconds change_pause{100};
     std::int64_t requests_in_flight = 0;
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -17,6 +17,9 @@
 // The store's calls grow with machines and changes; the pause holds them down.
 constexpr milliseconds least_change_pause{50};
 constexpr milliseconds most_change_pause{800};
+constexpr milliseconds readers_change_pause{400};
+// Larger news are left to the store.
+constexpr std::size_t largest_news = 8192;
 constexpr std::size_t largest_datagram = 60000;
 constexpr std::size_t most_named_machines = 4;
 // How long a peer may know more before it is asked: the store is faster.
@@ -135,9 +138,11 @@
         m_state.clock.note(m_state.self, absl::Now(), now);
         m_state.quota.begin_interval(m_table.reached(now), m_table.size(), now);
         m_state.retries.set_machines(m_table.size());
-        m_state.change_pause =
-            std::clamp(absl::ToChronoMilliseconds(m_table.send_pause() / 3),
-                       least_change_pause, most_change_pause);
+        m_state.change_pause = std::clamp(
+            absl::ToChronoMilliseconds(m_table.send_pause() / 3),
+            least_change_pause,
+            m_state.is_reader ? readers_change_pause : most_change_pause);
+        choose_readers();
         send_to_some(encode(own_state()));
         send_use_notice();
         fetch_news();
@@ -147,6 +152,74 @@
     }
 }
 
+void peer_exchange::choose_readers()
+{
+    m_state.is_reader = m_table.tells_all_at_once();
+    if (m_state.is_reader)
+    {
+        return;
+    }
+    const bool reaches_store = m_topics.configuration.is_reached();
+    for (const auto& reader :
+         m_table.readers_of(m_state.hall, reaches_store, gateway_state::now()))
+    {
+        m_state.is_reader = m_state.is_reader || reader == m_state.self;
+    }
+}
+
+void peer_exchange::tell_read(
+    const std::string& topic, log_offset from,
+    const std::vector<platform::keyed_record>& records)
+{
+    if (m_table.tells_all_at_once())
+    {
+        return;
+    }
+    shared_records read;
+    read.topic = topic;
+    read.from = from;
+    read.next = records.back().offset.next();
+    for (const auto& record : records)
+    {
+        read.records.push_back(
+            {record.offset, record.key, record.value.value_or("")});
+    }
+    const auto bytes = encode(read);
+    if (bytes.size() > largest_news)
+    {
+        return;
+    }
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        if (peer.state.hall != m_state.hall)
+        {
+            continue;
+        }
+        error_code ignored;
+        m_socket.send_to(asio::const_buffer(bytes.data(), bytes.size()),
+                         udp_endpoint(peer.address), 0, ignored);
+    }
+}
+
+void peer_exchange::take_read(const shared_records& read)
+{
+    auto* follower = topic_named(read.topic);
+    if (follower == nullptr)
+    {
+        return;
+    }
+    std::vector<platform::keyed_record> records;
+    for (const auto& record : read.records)
+    {
+        records.push_back({record.offset, record.key, record.value});
+        if (record.value.empty())
+        {
+            records.back().value.reset();
+        }
+    }
+    follower->take_read(read.from, records);
+}
+
 // Sends to each peer in its turn: a datagram to all at once would fill the
 // links of small machines.
 void peer_exchange::send_to_some(const std::string& bytes)
@@ -281,6 +354,10 @@
     auto state = decode_machine_state(bytes);
     if (!state)
     {
+        if (const auto read = decode_shared_records(bytes))
+        {
+            take_read(*read);
+        }
         return;
     }
     const auto now = gateway_state::now();
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -38,6 +38,10 @@
 
     void start();
 
+    /// Tells the machines of this hall what has just been read from the store.
+    void tell_read(const std::string& topic, log_offset from,
+                   const std::vector<platform::keyed_record>& records);
+
     [[nodiscard]] const peer_table& table() const
     {
         return m_table;
@@ -67,6 +71,8 @@
     void adopt_history(const machine_state& state);
     void send_to_some(const std::string& bytes);
     void send_use_notice();
+    void choose_readers();
+    void take_read(const shared_records& read);
     void fetch_news();
     [[nodiscard]] machine_state own_state();
     [[nodiscard]] short_answer answer_peer(const std::string& target);
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{1000};
 constexpr std::chrono::seconds reached_time{3};
+// A machine that others read for asks the store itself after this silence.
+constexpr milliseconds told_time{1400};
 
 } // namespace
 
@@ -36,6 +38,7 @@
         bool was_answered = false;
         if (m_has_listed)
         {
+            co_await wait_for_readers();
             was_answered = co_await tail();
         }
         else
@@ -78,6 +81,42 @@
     return news;
 }
 
+void topic_follower::take_read(
+    log_offset from, const std::vector<platform::keyed_record>& records)
+{
+    if (!m_has_listed)
+    {
+        return;
+    }
+    if (from > m_next)
+    {
+        // Something was missed: the store has it.
+        m_told_at = {};
+        m_wake.notify();
+        return;
+    }
+    const auto before = m_next;
+    take_page(from, records);
+    if (m_next > before)
+    {
+        m_told_at = monotonic::now();
+    }
+}
+
+// While others read what the store tells, it need not be asked.
+awaitable<void> topic_follower::wait_for_readers()
+{
+    while (m_events.on_read && !m_state.is_reader)
+    {
+        const auto until = m_told_at + told_time;
+        if (monotonic::now() >= until)
+        {
+            co_return;
+        }
+        co_await m_wake.wait_until(until);
+    }
+}
+
 bool topic_follower::is_reached() const
 {
     const auto now = monotonic::now();
@@ -177,17 +216,18 @@
             m_has_listed = false;
             co_return true;
         }
+        std::vector<platform::keyed_record> records;
         auto offset = from;
         for (const auto& content : page.records)
         {
-            // A peer may have told more meanwhile.
-            if (offset >= m_next)
-            {
-                take(platform::decode_keyed(content, offset));
-                m_next = offset.next();
-            }
+            records.push_back(platform::decode_keyed(content, offset));
             offset = offset.next();
         }
+        take_page(from, records);
+        if (!records.empty() && m_state.is_reader && m_events.on_read)
+        {
+            m_events.on_read(from, records);
+        }
         if (page.records.empty() && is_at_once)
         {
             // A stale answer: what is known is newer.
@@ -202,6 +242,22 @@
     co_return true;
 }
 
+// Takes the records of consecutive offsets that are not known yet.
+void topic_follower::take_page(
+    log_offset from, const std::vector<platform::keyed_record>& records)
+{
+    auto offset = from;
+    for (const auto& record : records)
+    {
+        if (offset >= m_next)
+        {
+            take(record);
+            m_next = offset.next();
+        }
+        offset = offset.next();
+    }
+}
+
 // Takes a whole list: what it lacks had been dropped before `next`.
 void topic_follower::apply_list(
     const std::map<std::string, platform::keyed_record>& listed,
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -21,6 +21,10 @@
     /// The records are complete: the list of keys that there are.
     std::function<void(const std::map<std::string, platform::keyed_record>&)>
         on_list;
+    /// Records from an offset on, just read from the store; empty where nobody
+    /// reads for others.
+    std::function<void(log_offset, const std::vector<platform::keyed_record>&)>
+        on_read = nullptr;
 };
 
 /// Lists the newest records, then waits for more from the first page's end
@@ -41,6 +45,10 @@
     std::size_t merge(const std::vector<platform::keyed_record>& records,
                       log_offset next);
 
+    /// Takes what a peer has just read, if it follows on what is known.
+    void take_read(log_offset from,
+                   const std::vector<platform::keyed_record>& records);
+
     /// @return the offset up to which all records are known
     [[nodiscard]] log_offset next() const
     {
@@ -63,6 +71,9 @@
 private:
     awaitable<bool> list();
     awaitable<bool> tail();
+    awaitable<void> wait_for_readers();
+    void take_page(log_offset from,
+                   const std::vector<platform::keyed_record>& records);
     void apply_list(const std::map<std::string, platform::keyed_record>& listed,
                     log_offset next);
     void take(const platform::keyed_record& record);
@@ -81,6 +92,7 @@
     int m_failures = 0;
     monotonic::time_point m_answered_at{};
     monotonic::time_point m_asked_at{};
+    monotonic::time_point m_told_at{}; ///< by a peer that reads for others
 };
 
 } // namespace daleshelf
--- /dev/null
+++ b/tests/gateway/topic_follower_test.cpp
@@ -0,0 +1,85 @@
+#include <gtest/gtest.h>
+
+#include <gateway/topic_follower.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+gateway_settings make_settings()
+{
+    gateway_settings settings;
+    settings.host_id = "gateway";
+    settings.host_hall = "here";
+    settings.store_address = "127.0.0.1:1";
+    return settings;
+}
+
+platform::keyed_record record_at(std::int64_t offset, const std::string& key,
+                                 std::optional<std::string> value)
+{
+    return {log_offset(offset), key, std::move(value)};
+}
+
+// What a follower takes from peers; the store is never asked.
+class topic_follower_test : public testing::Test
+{
+protected:
+    topic_follower_test()
+        : m_state(m_context, make_settings())
+        , m_follower(m_state, "topic",
+                     {[this](const auto& record)
+                      { m_taken.push_back(record.key); },
+                      [](const auto&) {}})
+    {
+        m_follower.merge({record_at(3, "a", "1")}, log_offset(4));
+        m_taken.clear();
+    }
+
+    asio::io_context m_context{1};
+    gateway_state m_state;
+    std::vector<std::string> m_taken;
+    topic_follower m_follower;
+};
+
+TEST_F(topic_follower_test, takes_what_follows_on_what_it_knows)
+{
+    m_follower.take_read(log_offset(4), {record_at(4, "b", "2"),
+                                         record_at(5, "a", std::nullopt)});
+    EXPECT_EQ(m_taken, (std::vector<std::string>{"b", "a"}));
+    EXPECT_EQ(m_follower.next(), log_offset(6));
+    EXPECT_FALSE(m_follower.records().contains("a"));
+}
+
+TEST_F(topic_follower_test, takes_only_the_newer_part_of_what_overlaps)
+{
+    m_follower.take_read(log_offset(3),
+                         {record_at(3, "a", "1"), record_at(4, "b", "2")});
+    EXPECT_EQ(m_taken, std::vector<std::string>{"b"});
+    EXPECT_EQ(m_follower.next(), log_offset(5));
+}
+
+TEST_F(topic_follower_test, takes_nothing_after_a_gap)
+{
+    m_follower.take_read(log_offset(5), {record_at(5, "b", "2")});
+    EXPECT_TRUE(m_taken.empty());
+    EXPECT_EQ(m_follower.next(), log_offset(4));
+}
+
+TEST_F(topic_follower_test, takes_nothing_older)
+{
+    m_follower.take_read(log_offset(1), {record_at(1, "z", "0")});
+    EXPECT_TRUE(m_taken.empty());
+    EXPECT_EQ(m_follower.next(), log_offset(4));
+}
+
+TEST_F(topic_follower_test, an_older_list_of_a_peer_changes_nothing)
+{
+    EXPECT_EQ(m_follower.merge({record_at(2, "z", "0")}, log_offset(3)), 0U);
+    EXPECT_TRUE(m_taken.empty());
+    EXPECT_TRUE(m_follower.records().contains("a"));
+}
+
+} // namespace
+} // namespace daleshelf
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -77,6 +77,60 @@
     EXPECT_EQ(read->work_ms, 1.5);
 }
 
+// A fleet of `count` peers in this hall, all of which reach the store.
+peer_table make_large_table(int count)
+{
+    auto table = make_table();
+    for (int index = 0; index < count; ++index)
+    {
+        auto state = make_state(std::to_string(index + 2), 5, 1);
+        state.hall = hall_id("h");
+        state.reaches_store = true;
+        (void)table.receive(state, at(0));
+    }
+    return table;
+}
+
+bool reads(const peer_table& table, const std::string& name)
+{
+    const auto readers = table.readers_of(hall_id("h"), true, at(0.1));
+    return std::find(readers.begin(), readers.end(), host_id(name)) !=
+           readers.end();
+}
+
+TEST(peer_table, two_machines_of_a_hall_read_for_the_others)
+{
+    const auto table = make_large_table(20);
+    const auto readers = table.readers_of(hall_id("h"), true, at(0.1));
+    EXPECT_EQ(readers.size(), 2U);
+    EXPECT_TRUE(table.readers_of(hall_id("other"), false, at(0.1)).empty());
+}
+
+TEST(peer_table, a_machine_that_does_not_reach_the_store_does_not_read)
+{
+    auto table = make_large_table(20);
+    for (int index = 0; index < 20; ++index)
+    {
+        const auto name = std::to_string(index + 2);
+        if (!reads(table, name))
+        {
+            continue;
+        }
+        auto state = make_state(name, 5, 2);
+        state.hall = hall_id("h");
+        (void)table.receive(state, at(0.05));
+        EXPECT_FALSE(reads(table, name));
+        EXPECT_EQ(table.readers_of(hall_id("h"), true, at(0.1)).size(), 2U);
+    }
+}
+
+TEST(peer_table, a_silent_machine_does_not_read)
+{
+    const auto table = make_large_table(20);
+    EXPECT_EQ(table.readers_of(hall_id("h"), true, at(60)),
+              std::vector<host_id>{host_id("1")});
+}
+
 TEST(peer_table, a_notice_of_use_counts_what_is_new_and_keeps_the_state)
 {
     auto table = make_table();
@@ -120,11 +174,13 @@
 {
     const shared_records records{
         "topic",
+        log_offset(2),
         log_offset(9),
         {{log_offset(3), "key", std::string("\0v", 2)}}};
     const auto read = decode_shared_records(encode(records));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->topic, "topic");
+    EXPECT_EQ(read->from, log_offset(2));
     EXPECT_EQ(read->next, log_offset(9));
     EXPECT_EQ(read->records.front().value, std::string("\0v", 2));
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -179,9 +179,9 @@
     async def add_server(self, service):
         server = Server(self._next_server, service, self)
         self._next_server += 1
-        self.servers.append(server)
         await server.link.start()
         await server.start()
+        self.servers.append(server)
         return server
 
     def processes(self):
