gateway: Let readers say that there is nothing newer

Change: a reader whose own call is fresh says twice a second and more that there is nothing newer; its long polls are held for two seconds at most, so that one that hangs is noticed. alone, reader and follower are roles by name.

--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -21,6 +21,14 @@
 namespace daleshelf
 {
 
+/// How this machine learns of changes in the list of servers.
+enum class list_role
+{
+    alone,    ///< it asks the store; nobody waits for what it reads
+    reader,   ///< it asks the store and tells the other machines of its hall
+    follower, ///< it waits for what readers tell
+};
+
 /// The state that requests are decided by.
 struct gateway_state
 {
@@ -61,9 +69,7 @@
     bool has_servers = false;
     bool is_stopping = false;
     monotonic::time_point stopping_since{};
-    /// Others of a large fleet wait for what this machine reads; otherwise it
-    /// waits for what they read.
-    bool is_reader = true;
+    list_role role = list_role::alone;
     /// Changes that come within this time of one another are read together.
     milliseconds change_pause{100};
     std::int64_t requests_in_flight = 0;
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -138,10 +138,11 @@
         m_state.clock.note(m_state.self, absl::Now(), now);
         m_state.quota.begin_interval(m_table.reached(now), m_table.size(), now);
         m_state.retries.set_machines(m_table.size());
-        m_state.change_pause = std::clamp(
-            absl::ToChronoMilliseconds(m_table.send_pause() / 3),
-            least_change_pause,
-            m_state.is_reader ? readers_change_pause : most_change_pause);
+        m_state.change_pause =
+            std::clamp(absl::ToChronoMilliseconds(m_table.send_pause() / 3),
+                       least_change_pause,
+                       m_state.role == list_role::reader ? readers_change_pause
+                                                         : most_change_pause);
         choose_readers();
         send_to_some(encode(own_state()));
         send_use_notice();
@@ -154,16 +155,26 @@
 
 void peer_exchange::choose_readers()
 {
-    m_state.is_reader = m_table.tells_all_at_once();
-    if (m_state.is_reader)
+    if (m_table.tells_all_at_once())
     {
+        m_state.role = list_role::alone;
         return;
     }
+    m_state.role = list_role::follower;
     const bool reaches_store = m_topics.configuration.is_reached();
     for (const auto& reader :
          m_table.readers_of(m_state.hall, reaches_store, gateway_state::now()))
     {
-        m_state.is_reader = m_state.is_reader || reader == m_state.self;
+        if (reader == m_state.self)
+        {
+            m_state.role = list_role::reader;
+        }
+    }
+    if (m_topics.servers.is_fresh())
+    {
+        // Says that there is nothing newer.
+        tell_read(std::string(platform::server_topic), m_topics.servers.next(),
+                  {});
     }
 }
 
@@ -171,14 +182,14 @@
     const std::string& topic, log_offset from,
     const std::vector<platform::keyed_record>& records)
 {
-    if (m_table.tells_all_at_once())
+    if (m_state.role != list_role::reader)
     {
         return;
     }
     shared_records read;
     read.topic = topic;
     read.from = from;
-    read.next = records.back().offset.next();
+    read.next = records.empty() ? from : records.back().offset.next();
     for (const auto& record : records)
     {
         read.records.push_back(
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -11,6 +11,9 @@
 {
 
 constexpr milliseconds tail_wait{8000};
+// Others rely on a reader: a call of its that hangs is to be noticed soon.
+constexpr milliseconds readers_tail_wait{2000};
+constexpr milliseconds fresh_slack{300};
 constexpr milliseconds answer_time{1500};
 constexpr milliseconds shortest_tail{500};
 constexpr milliseconds first_pause{100};
@@ -95,9 +98,9 @@
         m_wake.notify();
         return;
     }
-    const auto before = m_next;
     take_page(from, records);
-    if (m_next > before)
+    const auto end = from.value() + static_cast<std::int64_t>(records.size());
+    if (m_next == log_offset(end))
     {
         m_told_at = monotonic::now();
     }
@@ -106,7 +109,7 @@
 // While others read what the store tells, it need not be asked.
 awaitable<void> topic_follower::wait_for_readers()
 {
-    while (m_events.on_read && !m_state.is_reader)
+    while (m_events.on_read && m_state.role == list_role::follower)
     {
         const auto until = m_told_at + told_time;
         if (monotonic::now() >= until)
@@ -117,6 +120,20 @@
     }
 }
 
+milliseconds topic_follower::longest_tail() const
+{
+    const bool is_relied_on =
+        m_events.on_read && m_state.role == list_role::reader;
+    return is_relied_on ? readers_tail_wait : tail_wait;
+}
+
+bool topic_follower::is_fresh() const
+{
+    const auto since = m_is_tailing ? m_asked_at : m_answered_at;
+    return m_has_listed &&
+           monotonic::now() - since < readers_tail_wait + fresh_slack;
+}
+
 bool topic_follower::is_reached() const
 {
     const auto now = monotonic::now();
@@ -187,9 +204,10 @@
     const auto from = m_next;
     m_is_tailing = true;
     m_asked_at = monotonic::now();
-    auto call = platform::read_call(m_topic, from, tail_wait);
+    const auto wait = longest_tail();
+    auto call = platform::read_call(m_topic, from, wait);
     const auto answer =
-        co_await m_caller.call(std::move(call), tail_wait + answer_time);
+        co_await m_caller.call(std::move(call), wait + answer_time);
     m_is_tailing = false;
     const bool is_at_once = monotonic::now() - m_asked_at < shortest_tail;
     if (!answer)
@@ -224,7 +242,7 @@
             offset = offset.next();
         }
         take_page(from, records);
-        if (!records.empty() && m_state.is_reader && m_events.on_read)
+        if (!records.empty() && m_events.on_read)
         {
             m_events.on_read(from, records);
         }
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -45,7 +45,8 @@
     std::size_t merge(const std::vector<platform::keyed_record>& records,
                       log_offset next);
 
-    /// Takes what a peer has just read, if it follows on what is known.
+    /// Takes what a peer has just read, if it follows on what is known; no
+    /// records at all say that there are none after `from`.
     void take_read(log_offset from,
                    const std::vector<platform::keyed_record>& records);
 
@@ -62,6 +63,9 @@
         return m_records;
     }
 
+    /// @return whether a change would have been heard of by now
+    [[nodiscard]] bool is_fresh() const;
+
     /// @return whether the store has answered lately
     [[nodiscard]] bool is_reached() const;
 
@@ -72,6 +76,7 @@
     awaitable<bool> list();
     awaitable<bool> tail();
     awaitable<void> wait_for_readers();
+    [[nodiscard]] milliseconds longest_tail() const;
     void take_page(log_offset from,
                    const std::vector<platform::keyed_record>& records);
     void apply_list(const std::map<std::string, platform::keyed_record>& listed,
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -67,6 +67,13 @@
     EXPECT_EQ(m_follower.next(), log_offset(4));
 }
 
+TEST_F(topic_follower_test, word_that_there_is_nothing_newer_changes_nothing)
+{
+    m_follower.take_read(log_offset(4), {});
+    EXPECT_TRUE(m_taken.empty());
+    EXPECT_EQ(m_follower.next(), log_offset(4));
+}
+
 TEST_F(topic_follower_test, takes_nothing_older)
 {
     m_follower.take_read(log_offset(1), {record_at(1, "z", "0")});
