duties: Let the readers of a large fleet watch the lease

Change: beyond eight peers a machine that follows a reader is no candidate for the lease: it reads the log once, for the note on quotas, and again when it becomes a reader. Its poll of the configuration is held for twenty seconds; peers tell which configuration they have.

--- a/libraries/duties/duty_ledger.cpp
+++ b/libraries/duties/duty_ledger.cpp
@@ -28,7 +28,13 @@
 
 ledger_action duty_ledger::next_action(bool is_holder_heard, absl::Time now)
 {
-    // 1. Read what is known to be unread.
+    // 1. A few machines of a large fleet watch the lease; the others need to
+    // know once what came before their start.
+    if (!m_is_candidate && m_was_read && m_is_current && !is_own())
+    {
+        return {};
+    }
+    // 2. Read what is known to be unread.
     const bool is_due = now - m_read_at >= read_pause;
     if (!m_is_current)
     {
@@ -38,7 +44,7 @@
     {
         return {};
     }
-    // 2. Renew the own lease; a lapsed one too, if nobody else has taken it.
+    // 3. Renew the own lease; a lapsed one too, if nobody else has taken it.
     if (is_own())
     {
         if (now - m_renewed_at < m_options.renewal)
@@ -47,13 +53,13 @@
         }
         return ledger_append{m_next, lease_record(renewal_kind), std::nullopt};
     }
-    // 3. While the holder is heard of, there is no hurry to read.
+    // 4. While the holder is heard of, there is no hurry to read.
     if (is_holder_heard)
     {
         const bool is_time = now - m_read_at >= quiet_read_pause;
         return is_time ? ledger_action(ledger_read{m_next}) : ledger_action();
     }
-    // 4. Take over once the lease has lapsed, by what this machine has seen.
+    // 5. Take over once the lease has lapsed, by what this machine has seen.
     const bool was_never_held = m_holder.empty() && m_next == log_offset(0);
     if (was_never_held || now - m_seen_at >= m_options.lease + m_options.margin)
     {
--- a/libraries/duties/duty_ledger.hpp
+++ b/libraries/duties/duty_ledger.hpp
@@ -85,6 +85,13 @@
         return m_note;
     }
 
+    /// @param is_candidate whether this machine takes the lease if it lapses;
+    /// one that does not reads the log once and leaves it alone then
+    void set_candidate(bool is_candidate)
+    {
+        m_is_candidate = is_candidate;
+    }
+
     /// Stops renewing, so that another machine may take over sooner.
     void stop()
     {
@@ -120,6 +127,7 @@
     bool m_is_current = false; ///< nothing is known to be unread
     bool m_was_read = false;
     bool m_is_stopping = false;
+    bool m_is_candidate = true;
     host_id m_holder;
     incarnation m_holder_started;
     std::int64_t m_token = -1;
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -117,6 +117,7 @@
                 encode_history(m_state.quota.history(gateway_state::now()),
                                m_state.time_of_day()));
         }
+        m_ledger.set_candidate(m_state.role != list_role::follower);
         const auto action = m_ledger.next_action(m_peers.hears_duty_holder(),
                                                  gateway_state::now());
         if (const auto* wanted = std::get_if<ledger_read>(&action))
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr milliseconds tail_wait{8000};
+// Peers tell which configuration they have: a call that hangs is noticed.
+constexpr milliseconds large_fleets_tail_wait{20000};
 // Others rely on a reader: a call of its that hangs is to be noticed soon.
 constexpr milliseconds readers_tail_wait{2000};
 constexpr milliseconds fresh_slack{300};
@@ -122,9 +124,13 @@
 
 milliseconds topic_follower::longest_tail() const
 {
+    if (m_state.role == list_role::alone)
+    {
+        return tail_wait;
+    }
     const bool is_relied_on =
         m_events.on_read && m_state.role == list_role::reader;
-    return is_relied_on ? readers_tail_wait : tail_wait;
+    return is_relied_on ? readers_tail_wait : large_fleets_tail_wait;
 }
 
 bool topic_follower::is_fresh() const
@@ -140,7 +146,7 @@
     if (m_is_tailing)
     {
         // A held call is no silence before its time is over.
-        return now - m_asked_at < tail_wait + answer_time;
+        return now - m_asked_at < longest_tail() + answer_time;
     }
     return now - m_answered_at < reached_time;
 }
--- a/tests/duties/duty_ledger_test.cpp
+++ b/tests/duties/duty_ledger_test.cpp
@@ -108,6 +108,43 @@
     EXPECT_FALSE(one.ledger.token(at(7)));
 }
 
+TEST(duty_ledger, a_machine_that_is_no_candidate_reads_once_and_waits)
+{
+    shared_log log;
+    machine one(log, "1");
+    machine two(log, "2");
+    one.tick(at(1), false);
+    one.tick(at(1.2), false);
+    two.ledger.set_candidate(false);
+    two.tick(at(2), false);
+    for (double now = 3; now < 20; now += 0.2)
+    {
+        const auto action = two.ledger.next_action(false, at(now));
+        EXPECT_TRUE(std::holds_alternative<std::monostate>(action));
+    }
+    // Once it is one, it takes over what has lapsed meanwhile.
+    two.ledger.set_candidate(true);
+    for (double now = 20; now < 22; now += 0.2)
+    {
+        two.tick(at(now), false);
+    }
+    EXPECT_TRUE(two.ledger.token(at(22)));
+}
+
+TEST(duty_ledger, a_holder_that_is_no_candidate_any_more_keeps_its_lease)
+{
+    shared_log log;
+    machine one(log, "1");
+    one.tick(at(1), false);
+    one.tick(at(1.2), false);
+    one.ledger.set_candidate(false);
+    for (double now = 1.4; now < 10; now += 0.2)
+    {
+        one.tick(at(now), false);
+        EXPECT_TRUE(one.ledger.token(at(now)));
+    }
+}
+
 TEST(duty_ledger, a_window_is_settled_once)
 {
     shared_log log;
