--- a/services/daleshelfd/request_service.hpp
+++ b/services/daleshelfd/request_service.hpp
@@ -3,15 +3,11 @@
 #pragma once
 
 #include "answer_sink.hpp"
-#include "live_request.hpp"
+#include "request_table.hpp"
 
-#include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
-#include <atomic>
 #include <base/timer_queue.hpp>
-#include <deque>
 #include <http/forward.hpp>
 #include <memory>
 #include <optional>
@@ -31,13 +27,6 @@
 struct routing_choice;
 struct upstream_entry;
 
-/// Limits of what is kept after a request has ended.
-struct kept_answer_limits
-{
-    std::size_t bytes = 0;
-    absl::Duration time;
-};
-
 /// A copy of a request, as it goes to another host.
 struct request_snapshot
 {
@@ -137,7 +126,7 @@
     [[nodiscard]] std::size_t in_flight() const;
 
 private:
-    using request_ptr = std::shared_ptr<live_request>;
+    using request_ptr = request_table::request_ptr;
 
     void perform(const request_ptr& request, const request_actions& actions);
     void perform_one(const request_ptr& request, const start_attempt& action);
@@ -178,26 +167,14 @@
     static void show(live_request& request,
                      const std::shared_ptr<answer_sink>& sink);
     void end(const request_ptr& request);
-    void keep_ended(const request_ptr& request);
-    void forget_old() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    request_ptr find(const request_id& id) const;
-    request_ptr find_or_add(const request_description& description,
-                            copy_role role);
-    std::vector<request_ptr> all() const;
 
     node_state& m_node;
     engine_client& m_engines;
     admission_service& m_admission;
     span_exporter& m_spans;
-    kept_answer_limits m_limits;
+    request_table m_requests;
     request_observer* m_observer = nullptr;
     retry_budget m_retries;
-    mutable absl::Mutex m_mutex;
-    absl::flat_hash_map<request_id, request_ptr>
-        m_requests ABSL_GUARDED_BY(m_mutex);
-    std::deque<request_ptr> m_ended ABSL_GUARDED_BY(m_mutex);
-    std::size_t m_ended_bytes ABSL_GUARDED_BY(m_mutex) = 0;
-    std::size_t m_in_flight ABSL_GUARDED_BY(m_mutex) = 0;
     timer_queue m_timers;
 };
 
