daleshelf: Name the deadline as the cause of a stream cut off at it

Change: broken off with a late attempt says that its time was over; no line at all says what that may mean. One test, seen failing.

--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -37,6 +37,16 @@
     EXPECT_TRUE(story.cause.ends_with("(server a: broken)"));
 }
 
+TEST(explain, a_stream_cut_off_at_its_deadline_is_not_blamed_on_its_server)
+{
+    const auto story = explain_request(
+        "r",
+        read(
+            R"({"time":"1","name":"upstream_failed","id":"r","server":"a","end":"late"}
+{"time":"2","name":"request_ended","id":"r","outcome":"broken_off"})"));
+    EXPECT_TRUE(story.cause.starts_with("broken off: its time was over"));
+}
+
 TEST(explain, tells_requests_apart)
 {
     EXPECT_EQ(explain_request("q", read(example)).cause,
--- a/utilities/daleshelf/explain.cpp
+++ b/utilities/daleshelf/explain.cpp
@@ -55,6 +55,8 @@
         {"broken_off",
          "broken off: its server ended the stream, and it could not go on "
          "elsewhere"},
+        {"broken_off_late",
+         "broken off: its time was over before its answer was whole"},
         {"server_error", "failed: every server that may be tried failed it"},
         {"client_left", "its client left before the answer was whole"},
         {"answered", "answered"},
@@ -66,12 +68,14 @@
 {
     std::string cause;
     std::string last_attempt;
+    std::string last_end;
     for (const auto& event : events)
     {
         if (event.name == "upstream_failed")
         {
-            last_attempt = "server " + text_of(event.fields, "server") + ": " +
-                           text_of(event.fields, "end");
+            last_end = text_of(event.fields, "end");
+            last_attempt =
+                "server " + text_of(event.fields, "server") + ": " + last_end;
             continue;
         }
         auto reason = text_of(event.fields, "reason");
@@ -79,6 +83,10 @@
         {
             reason = text_of(event.fields, "outcome");
         }
+        if (reason == "broken_off" && last_end == "late")
+        {
+            reason = "broken_off_late";
+        }
         const auto sentence = reasons().find(reason);
         if (sentence != reasons().end())
         {
--- a/utilities/daleshelf/verbs.cpp
+++ b/utilities/daleshelf/verbs.cpp
@@ -405,7 +405,10 @@
     const auto story = explain_request(id, log);
     if (story.events.empty())
     {
-        std::cerr << "daleshelf: no line names the request " << id << "\n";
+        std::cerr << "daleshelf: no line names the request " << id
+                  << ": it reached none of these processes, or its process was "
+                     "killed before it ended (process_started, 101, tells of "
+                     "the next one)\n";
         return exit_code::not_found;
     }
     if (call.form == output_form::people)
