ingress: Let no late record list a server again that has left

Change: the directory remembers who has left: one that had said so stays away; one that was removed without a word (servers of a cut hall, which do come back) is listed again by a record with a higher sequence only.

--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -5,8 +5,19 @@
 namespace daleshelf
 {
 
+namespace
+{
+
+constexpr std::size_t most_departed = 4096;
+
+} // namespace
+
 bool server_directory::set(const server_entry& entry)
 {
+    if (is_outdated(entry))
+    {
+        return false;
+    }
     auto [place, is_new] = m_servers.try_emplace(entry.id, entry);
     const bool was_draining = !is_new && place->second.is_draining;
     place->second = entry;
@@ -18,14 +29,46 @@
 
 bool server_directory::remove(const upstream_id& id)
 {
-    if (m_servers.erase(id) == 0)
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
     {
         return false;
     }
+    remember(found->second);
+    m_servers.erase(found);
     m_leaving.erase(id);
     return true;
 }
 
+bool server_directory::is_outdated(const server_entry& entry) const
+{
+    const auto departed = m_departed.find(entry.id);
+    if (departed == m_departed.end() || m_servers.contains(entry.id))
+    {
+        return false;
+    }
+    const auto& last = departed->second;
+    return last.was_leaving ||
+           (entry.sequence > 0 && entry.sequence <= last.sequence);
+}
+
+void server_directory::remember(const server_entry& entry)
+{
+    const bool was_leaving = entry.is_draining || m_leaving.contains(entry.id);
+    const auto [place, is_new] = m_departed.try_emplace(entry.id);
+    place->second = {was_leaving, entry.sequence};
+    if (!is_new)
+    {
+        return;
+    }
+    m_departed_order.push_back(entry.id);
+    if (m_departed_order.size() > most_departed)
+    {
+        m_departed.erase(m_departed_order.front());
+        m_departed_order.pop_front();
+    }
+}
+
 std::vector<upstream_id>
 server_directory::keep_only(const absl::flat_hash_set<upstream_id>& listed)
 {
--- a/libraries/ingress/server_directory.hpp
+++ b/libraries/ingress/server_directory.hpp
@@ -8,6 +8,7 @@
 
 #include <base/identifiers.hpp>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,10 +27,13 @@
     bool is_draining = false;
     bool is_spot = false;
     std::chrono::milliseconds cold_remaining{0};
+    std::int64_t sequence = 0; ///< grows with each record of it; 0: unknown
 };
 
 /// The newest list of servers. A server that is listed as draining, or no
-/// longer listed, gets no new work; an id never comes back once it is gone.
+/// longer listed, gets no new work. Records may come late: one that has said
+/// that it leaves never comes back, and one that was removed without a word
+/// comes back only by a record that is newer than its last.
 class server_directory
 {
 public:
@@ -68,6 +72,18 @@
     [[nodiscard]] std::vector<const server_entry*> all() const;
 
 private:
+    /// What is remembered of a server that is no longer listed.
+    struct departure
+    {
+        bool was_leaving = false;
+        std::int64_t sequence = 0;
+    };
+
+    [[nodiscard]] bool is_outdated(const server_entry& entry) const;
+    void remember(const server_entry& entry);
+
+    absl::flat_hash_map<upstream_id, departure> m_departed;
+    std::deque<upstream_id> m_departed_order; ///< the oldest first
     absl::flat_hash_map<upstream_id, server_entry> m_servers;
     absl::flat_hash_map<upstream_id, bool> m_leaving;
 };
--- a/tests/ingress/server_choice_test.cpp
+++ b/tests/ingress/server_choice_test.cpp
@@ -173,27 +173,6 @@
     ASSERT_NE(choose({}, 0.1, false), nullptr);
 }
 
-TEST(server_directory, a_server_that_leaves_does_not_come_back)
-{
-    server_directory directory;
-    directory.set(make_server("a", calls, true));
-    directory.set(make_server("a", calls, false));
-    EXPECT_FALSE(directory.is_usable(upstream_id("a")));
-    EXPECT_TRUE(directory.remove(upstream_id("a")));
-    EXPECT_FALSE(directory.remove(upstream_id("a")));
-}
-
-TEST(server_directory, a_whole_list_drops_what_it_lacks)
-{
-    server_directory directory;
-    directory.set(make_server("a", calls));
-    directory.set(make_server("b", calls));
-    EXPECT_EQ(directory.keep_only({upstream_id("b")}),
-              std::vector{upstream_id("a")});
-    EXPECT_EQ(directory.find(upstream_id("a")), nullptr);
-    EXPECT_TRUE(directory.is_usable(upstream_id("b")));
-}
-
 int retries_of_fleet(int machines, int requests)
 {
     int retries = 0;
--- /dev/null
+++ b/tests/ingress/server_directory_test.cpp
@@ -0,0 +1,82 @@
+#include <gtest/gtest.h>
+
+#include <ingress/server_directory.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+server_entry make_entry(std::int64_t sequence, bool is_draining = false)
+{
+    server_entry entry;
+    entry.id = upstream_id("a");
+    entry.service = service_name("s");
+    entry.sequence = sequence;
+    entry.is_draining = is_draining;
+    return entry;
+}
+
+TEST(server_directory, a_server_that_leaves_does_not_come_back)
+{
+    server_directory directory;
+    directory.set(make_entry(1, true));
+    directory.set(make_entry(2, false));
+    EXPECT_FALSE(directory.is_usable(upstream_id("a")));
+    EXPECT_TRUE(directory.remove(upstream_id("a")));
+    EXPECT_FALSE(directory.remove(upstream_id("a")));
+}
+
+TEST(server_directory, a_whole_list_drops_what_it_lacks)
+{
+    server_directory directory;
+    directory.set(make_entry(1));
+    auto other = make_entry(1);
+    other.id = upstream_id("b");
+    directory.set(other);
+    EXPECT_EQ(directory.keep_only({upstream_id("b")}),
+              std::vector{upstream_id("a")});
+    EXPECT_EQ(directory.find(upstream_id("a")), nullptr);
+    EXPECT_TRUE(directory.is_usable(upstream_id("b")));
+}
+
+TEST(server_directory, a_late_record_of_one_that_drained_does_not_list_it_again)
+{
+    server_directory directory;
+    directory.set(make_entry(4));
+    directory.set(make_entry(21, true));
+    directory.remove(upstream_id("a"));
+    EXPECT_FALSE(directory.set(make_entry(20)));
+    EXPECT_FALSE(directory.set(make_entry(22)));
+    EXPECT_FALSE(directory.is_usable(upstream_id("a")));
+}
+
+TEST(server_directory, a_late_record_of_one_that_said_nothing_is_told_by_number)
+{
+    server_directory directory;
+    directory.set(make_entry(4));
+    directory.remove(upstream_id("a"));
+    EXPECT_FALSE(directory.set(make_entry(4)));
+    EXPECT_FALSE(directory.is_usable(upstream_id("a")));
+}
+
+TEST(server_directory, one_that_was_out_of_reach_comes_back)
+{
+    server_directory directory;
+    directory.set(make_entry(4));
+    directory.keep_only({});
+    EXPECT_TRUE(directory.set(make_entry(9)));
+    EXPECT_TRUE(directory.is_usable(upstream_id("a")));
+}
+
+TEST(server_directory, one_that_said_itself_that_it_leaves_stays_away)
+{
+    server_directory directory;
+    directory.set(make_entry(4));
+    EXPECT_TRUE(directory.mark_leaving(upstream_id("a")));
+    directory.remove(upstream_id("a"));
+    EXPECT_FALSE(directory.set(make_entry(9)));
+}
+
+} // namespace
+} // namespace daleshelf
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -137,11 +137,13 @@
 {
     const auto entry =
         read_server("i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"a",
-        "slots":6,"state":"draining","coldRemainingMs":20,"spot":true})");
+        "slots":6,"state":"draining","coldRemainingMs":20,"spot":true,
+        "sequence":7})");
     EXPECT_EQ(entry.id.value(), "i-1");
     EXPECT_TRUE(entry.is_draining);
     EXPECT_TRUE(entry.is_spot);
     EXPECT_EQ(entry.slots, 6);
+    EXPECT_EQ(entry.sequence, 7);
 }
 
 TEST(store_calls, records_with_keys_survive_their_encoding)
