ingress: Share what was left of a quota among machines that have just started

Each has heard few others yet, so its part of the quota is small, while the use of the whole fleet before the start counted in full against that part. Ruled out: no note in the log (quota_history_adopted on all), the configuration (known within 0.2 s). Change: use before the start is that of all machines, and counts by the share of machines that are reached; together they let through what was left, no more. Use that is not known at all still counts as the whole quota. Two tests, one of them seen failing.

--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -48,8 +48,7 @@
             made = std::move(known->second);
         }
         made.limit = tenant.limit;
-        made.interval_share =
-            std::max(0.0, allowed(made) - made.used) / m_reached;
+        made.interval_share = left(made) / m_reached;
         if (is_first)
         {
             assume_initial_use(tenant.name, made, now);
@@ -67,7 +66,7 @@
     for (auto& [tenant, of] : m_accounts)
     {
         forget_old(of, now);
-        of.interval_share = std::max(0.0, allowed(of) - of.used) / m_reached;
+        of.interval_share = left(of) / m_reached;
         of.interval_use = 0;
     }
 }
@@ -82,7 +81,7 @@
     }
     auto& taken = found->second;
     forget_old(taken, now);
-    if (taken.used + cost > allowed(taken))
+    if (used_share(taken) + cost > allowed(taken))
     {
         return false;
     }
@@ -150,14 +149,14 @@
     }
     auto& of = found->second;
     forget_old(of, now);
-    auto excess = of.used + cost - allowed(of);
+    auto excess = used_share(of) + cost - allowed(of);
     for (const auto& counted : of.slots)
     {
         if (excess <= 0)
         {
             break;
         }
-        excess -= counted.used;
+        excess -= counted.is_history ? counted.used * m_reach : counted.used;
         if (excess <= 0)
         {
             return counted.until + m_window - now;
@@ -170,7 +169,7 @@
 {
     const auto found = m_accounts.find(tenant);
     return found != m_accounts.end() &&
-           found->second.used >= allowed(found->second) * pressed_share;
+           used_share(found->second) >= allowed(found->second) * pressed_share;
 }
 
 use_history token_quota::history(absl::Time now)
@@ -195,22 +194,41 @@
     return history;
 }
 
-double token_quota::allowed(const account& of) const
+double token_quota::whole_limit(const account& of) const
 {
     const auto seconds = absl::ToDoubleSeconds(m_window);
-    return (of.limit.rate_per_second * seconds + of.limit.burst) * m_reach;
+    return of.limit.rate_per_second * seconds + of.limit.burst;
+}
+
+double token_quota::allowed(const account& of) const
+{
+    return whole_limit(of) * m_reach;
+}
+
+// Use before this machine's start was that of all machines: of what it left of
+// the quota, as of the quota, a part of the fleet has its share.
+double token_quota::used_share(const account& of) const
+{
+    return of.used + of.history_used * m_reach;
+}
+
+double token_quota::left(const account& of) const
+{
+    return std::max(0.0, allowed(of) - used_share(of));
 }
 
 void token_quota::forget_old(account& of, absl::Time now) const
 {
     while (!of.slots.empty() && of.slots.front().until + m_window < now)
     {
-        of.used -= of.slots.front().used;
+        const auto& oldest = of.slots.front();
+        (oldest.is_history ? of.history_used : of.used) -= oldest.used;
         of.slots.pop_front();
     }
     if (of.slots.empty())
     {
         of.used = 0;
+        of.history_used = 0;
     }
 }
 
@@ -218,7 +236,8 @@
 {
     const auto length = m_window / slots_per_window;
     to.used += cost;
-    if (!to.slots.empty() && now < to.slots.back().until)
+    if (!to.slots.empty() && now < to.slots.back().until &&
+        !to.slots.back().is_history)
     {
         // NOTE: a slot ends with its newest use, so none is forgotten early.
         to.slots.back().used += cost;
@@ -233,12 +252,13 @@
 {
     of.slots.clear();
     of.used = 0;
+    of.history_used = 0;
     const auto length = m_window / static_cast<double>(use.size());
     for (std::size_t index = 0; index < use.size(); ++index)
     {
         const auto age = length * static_cast<double>(use.size() - 1 - index);
-        of.slots.push_back({now - age, use[index]});
-        of.used += use[index];
+        of.slots.push_back({now - age, use[index], true});
+        of.history_used += use[index];
     }
 }
 
@@ -251,13 +271,13 @@
     {
         return;
     }
-    const auto all = allowed(of);
+    const auto all = whole_limit(of);
     if (const auto* told = adopted_use(tenant))
     {
         auto use = *told;
-        use.back() += all * untold_share + sum_for(m_own_use, tenant) +
-                      sum_for(m_early_use, tenant);
+        use.back() += all * untold_share;
         assume(of, use, now);
+        add(of, sum_for(m_own_use, tenant) + sum_for(m_early_use, tenant), now);
         return;
     }
     // Unknown use may have come just now: none of it is forgotten soon.
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -93,18 +93,23 @@
     {
         absl::Time until; ///< of the newest use that it counts
         double used = 0;
+        bool is_history = false; ///< of all machines, before this one's start
     };
 
     struct account
     {
         tenant_limit limit;
         std::deque<slot> slots;
-        double used = 0;           ///< in all slots
+        double used = 0;           ///< in all slots but history
+        double history_used = 0;   ///< in slots of history
         double interval_share = 0; ///< that may be used in this interval
         double interval_use = 0;
     };
 
+    [[nodiscard]] double whole_limit(const account& of) const;
     [[nodiscard]] double allowed(const account& of) const;
+    [[nodiscard]] double used_share(const account& of) const;
+    [[nodiscard]] double left(const account& of) const;
     void forget_old(account& of, absl::Time now) const;
     void add(account& to, double cost, absl::Time now) const;
     void assume(account& of, const std::vector<double>& use,
--- a/tests/ingress/token_quota_test.cpp
+++ b/tests/ingress/token_quota_test.cpp
@@ -136,6 +136,38 @@
     EXPECT_TRUE(quota.is_pressed(studio));
 }
 
+// What machines that have all just started, and reach nobody yet, let through
+// together.
+double take_all_alone(const use_history& history, int machines)
+{
+    double taken = 0;
+    for (int machine = 0; machine < machines; ++machine)
+    {
+        auto quota = make_quota(token_quota::initial_use::unknown);
+        quota.adopt(history, token_quota::history_source::log, at(0));
+        quota.begin_interval(1, static_cast<std::size_t>(machines), at(0.1));
+        while (quota.try_take(studio, 1, at(0.1)))
+        {
+            taken += 1;
+        }
+    }
+    return taken;
+}
+
+TEST(token_quota, machines_that_have_all_just_started_share_what_was_left)
+{
+    constexpr double half = limit_of_window / 2;
+    const auto taken = take_all_alone({{studio, {0, 0, 0, half}}}, 10);
+    EXPECT_GT(taken, limit_of_window * 0.3);
+    EXPECT_LE(taken, half);
+}
+
+TEST(token_quota, machines_that_have_all_just_started_find_nothing_left)
+{
+    EXPECT_EQ(take_all_alone({{studio, {limit_of_window}}}, 10), 0);
+    EXPECT_EQ(take_all_alone({}, 10), 0);
+}
+
 TEST(token_quota, a_tenant_that_a_history_lacks_is_assumed_to_be_used)
 {
     auto quota = make_quota(token_quota::initial_use::unknown);
