duties: Keep a note of quotas in the log while nobody holds the lease

Besides, a machine that only assumes told its guess to others as the history of a peer, which outranks the log's note. Change: while no holder is heard, the first machine in reach that reaches the store writes the note by itself, 0.8 s after its start at the earliest; such a record says nothing of the lease. A guess is not told. Three tests; the calls are new, so none could be seen failing before.

--- a/libraries/duties/duty_ledger.hpp
+++ b/libraries/duties/duty_ledger.hpp
@@ -79,7 +79,11 @@
         m_own_note = std::move(note);
     }
 
-    /// @return the newest note of a holder
+    /// @return a record of the note alone, if it is time for one: while nobody
+    /// holds the lease, nobody's renewals carry it
+    [[nodiscard]] std::optional<ledger_append> next_note(absl::Time now);
+
+    /// @return the newest note
     [[nodiscard]] const std::string& note() const
     {
         return m_note;
@@ -135,6 +139,7 @@
     absl::Time m_valid_until = absl::InfinitePast(); ///< this machine's lease
     absl::Time m_renewed_at = absl::InfinitePast();
     absl::Time m_read_at = absl::InfinitePast();
+    absl::Time m_noted_at = absl::InfinitePast();
     std::string m_own_note;
     std::string m_note;
     counts_by_window m_settled;
--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -35,6 +35,7 @@
 {
     absl::flat_hash_map<workspace_id, account> accounts;
     const bool is_first = m_accounts.empty();
+    m_counts_since = std::min(m_counts_since, now);
     for (const auto& tenant : tenants)
     {
         if (tenant.limit.rate_per_second <= 0)
@@ -139,6 +140,12 @@
     return true;
 }
 
+bool token_quota::knows_history(absl::Time now) const
+{
+    return m_initial == initial_use::none || m_source.has_value() ||
+           now - m_counts_since >= m_window;
+}
+
 absl::Duration token_quota::wait_for(const workspace_id& tenant, double cost,
                                      absl::Time now)
 {
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -71,6 +71,10 @@
     bool adopt(const use_history& history, history_source source,
                absl::Time now);
 
+    /// @return whether what is counted of the window is known, rather than
+    /// assumed: a guess is not worth telling others
+    [[nodiscard]] bool knows_history(absl::Time now) const;
+
     /// @return time until `cost` may be within the quota
     [[nodiscard]] absl::Duration wait_for(const workspace_id& tenant,
                                           double cost, absl::Time now);
@@ -126,6 +130,7 @@
     double m_reached = 1;
     std::optional<use_history> m_adopted;
     std::optional<history_source> m_source;
+    absl::Time m_counts_since = absl::InfiniteFuture();
     absl::flat_hash_map<workspace_id, account> m_accounts;
     std::map<workspace_id, double> m_own_use;
     /// Of peers, before the first limits were known.
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -267,6 +267,17 @@
     return told;
 }
 
+bool peer_table::is_first_in_reach(absl::Time now) const
+{
+    return std::none_of(m_peers.begin(), m_peers.end(),
+                        [&](const auto& entry)
+                        {
+                            return entry.first < m_self.name &&
+                                   entry.second.state.reaches_store &&
+                                   is_in_reach(entry.first, now);
+                        });
+}
+
 bool peer_table::is_in_reach(const host_id& peer, absl::Time now) const
 {
     const auto found = m_peers.find(peer);
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -103,6 +103,9 @@
         return m_peers.size() + 1;
     }
 
+    /// @return whether no peer in reach that reaches the store has a lower name
+    [[nodiscard]] bool is_first_in_reach(absl::Time now) const;
+
     [[nodiscard]] bool is_in_reach(const host_id& peer, absl::Time now) const;
 
     [[nodiscard]] const std::map<host_id, peer_record>& peers() const
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -111,15 +111,19 @@
     asio::steady_timer timer(m_state.context);
     while (true)
     {
-        if (m_was_holder)
+        const bool is_holder_heard = m_peers.hears_duty_holder();
+        const bool writes_notes = !m_was_holder && !is_holder_heard &&
+                                  m_state.role != list_role::follower &&
+                                  m_peers.is_first_in_reach();
+        if (m_was_holder || writes_notes)
         {
             m_ledger.set_note(
                 encode_history(m_state.quota.history(gateway_state::now()),
                                m_state.time_of_day()));
         }
         m_ledger.set_candidate(m_state.role != list_role::follower);
-        const auto action = m_ledger.next_action(m_peers.hears_duty_holder(),
-                                                 gateway_state::now());
+        const auto action =
+            m_ledger.next_action(is_holder_heard, gateway_state::now());
         if (const auto* wanted = std::get_if<ledger_read>(&action))
         {
             co_await read(wanted->from);
@@ -133,6 +137,16 @@
         {
             co_await append(std::move(*settlement));
         }
+        else if (writes_notes)
+        {
+            // After a kill of all machines nobody holds the lease for a while;
+            // another kill must not find the log without a note.
+            auto note = m_ledger.next_note(gateway_state::now());
+            if (note)
+            {
+                co_await append(std::move(*note));
+            }
+        }
         note_lease();
         timer.expires_after(tick +
                             milliseconds(absl::Uniform(m_state.random, 0, 60)));
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -96,6 +96,12 @@
     return false;
 }
 
+bool peer_exchange::is_first_in_reach() const
+{
+    return m_topics.configuration.is_reached() &&
+           m_table.is_first_in_reach(gateway_state::now());
+}
+
 std::map<host_id, double> peer_exchange::work_of_all() const
 {
     std::map<host_id, double> work;
@@ -521,9 +527,10 @@
     {
         state.uses[tenant] = used;
     }
-    if (gateway_state::now() < m_tells_history_until)
+    const auto now = gateway_state::now();
+    if (now < m_tells_history_until && m_state.quota.knows_history(now))
     {
-        state.window_use = m_state.quota.history(gateway_state::now());
+        state.window_use = m_state.quota.history(now);
     }
     state.counts = m_state.usage.counts();
     m_table.note_own_counts(state.counts, m_state.started);
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -56,6 +56,10 @@
     /// @return whether a peer in reach says that it holds the duties
     [[nodiscard]] bool hears_duty_holder() const;
 
+    /// @return whether this machine reaches the store and comes before all
+    /// others in reach that do
+    [[nodiscard]] bool is_first_in_reach() const;
+
     /// @return work asked for through all machines since their starts, in
     /// milliseconds of servers
     [[nodiscard]] std::map<host_id, double> work_of_all() const;
--- a/tests/duties/duty_ledger_test.cpp
+++ b/tests/duties/duty_ledger_test.cpp
@@ -145,6 +145,32 @@
     }
 }
 
+TEST(duty_ledger, a_note_without_a_lease_is_kept_and_says_nothing_of_the_lease)
+{
+    shared_log log;
+    machine one(log, "1");
+    machine two(log, "2");
+    machine three(log, "3");
+    one.tick(at(1), false);
+    one.tick(at(1.2), false);
+    two.tick(at(1.3), false);
+    two.ledger.set_note("used");
+    EXPECT_FALSE(two.ledger.next_note(at(2))) << "others may be first";
+    const auto note = two.ledger.next_note(at(3));
+    ASSERT_TRUE(note);
+    two.perform(*note, at(3), false);
+    EXPECT_FALSE(two.ledger.next_note(at(3.1))) << "not again at once";
+    EXPECT_FALSE(two.ledger.token(at(3.2)));
+    three.tick(at(3.2), false);
+    EXPECT_EQ(three.ledger.note(), "used");
+    // Two saw the holder's last record at 1.3 s, whatever it has written since.
+    for (double now = 5.4; now < 6; now += 0.2)
+    {
+        two.tick(at(now), false);
+    }
+    EXPECT_TRUE(two.ledger.token(at(6)));
+}
+
 TEST(duty_ledger, a_window_is_settled_once)
 {
     shared_log log;
--- a/tests/ingress/token_quota_test.cpp
+++ b/tests/ingress/token_quota_test.cpp
@@ -168,6 +168,17 @@
     EXPECT_EQ(take_all_alone({}, 10), 0);
 }
 
+TEST(token_quota, a_machine_that_only_assumes_has_no_history_to_tell)
+{
+    auto quota = make_quota(token_quota::initial_use::unknown);
+    EXPECT_FALSE(quota.knows_history(at(1)));
+    EXPECT_TRUE(quota.knows_history(at(8.1))) << "it has counted a window";
+    quota.adopt({{studio, {0, 0}}}, token_quota::history_source::log, at(1));
+    EXPECT_TRUE(quota.knows_history(at(1)));
+    const auto first = make_quota(token_quota::initial_use::none);
+    EXPECT_TRUE(first.knows_history(at(0)));
+}
+
 TEST(token_quota, a_tenant_that_a_history_lacks_is_assumed_to_be_used)
 {
     auto quota = make_quota(token_quota::initial_use::unknown);
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -124,6 +124,21 @@
     }
 }
 
+TEST(peer_table, one_machine_in_reach_comes_first)
+{
+    auto table = peer_table({host_id("5"), "10.0.0.5:7"}, incarnation(100000),
+                            peer_options());
+    EXPECT_TRUE(table.is_first_in_reach(at(0)));
+    auto lower = make_state("2", 5, 1);
+    (void)table.receive(lower, at(0));
+    EXPECT_TRUE(table.is_first_in_reach(at(0.1))) << "it reaches no store";
+    lower.sequence = 2;
+    lower.reaches_store = true;
+    (void)table.receive(lower, at(0));
+    EXPECT_FALSE(table.is_first_in_reach(at(0.1)));
+    EXPECT_TRUE(table.is_first_in_reach(at(10)));
+}
+
 TEST(peer_table, a_silent_machine_does_not_read)
 {
     const auto table = make_large_table(20);
