telemetry: Wait a moment for a slow reader of logs at a process's end

Cause: a new test with a reader that stands still while 20,000 requests are refused found that the process's last lines, and the line that says how many were dropped, are lost: at the end only what the pipe takes at once was written. Change: at the end, when nothing is in flight, what is held is written for up to 300 ms. flush_log is finish_log. soak.a_reader_of_logs_that_stands_still_holds_nothing_up was seen failing; it also shows that nobody waits for such a reader.

--- a/libraries/telemetry/bounded_writer.cpp
+++ b/libraries/telemetry/bounded_writer.cpp
@@ -2,6 +2,7 @@
 
 #include <base/text.hpp>
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace daleshelf
@@ -45,6 +46,32 @@
     m_held.erase(0, written);
 }
 
+void bounded_writer::finish(std::chrono::milliseconds longest)
+{
+    using clock = std::chrono::steady_clock;
+    const auto deadline = clock::now() + longest;
+    add_drops();
+    flush();
+    while (!m_held.empty())
+    {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            deadline - clock::now());
+        pollfd output{m_descriptor, POLLOUT, 0};
+        if (left.count() <= 0 ||
+            ::poll(&output, 1, static_cast<int>(left.count())) <= 0)
+        {
+            return;
+        }
+        const auto before = m_held.size();
+        flush();
+        if (m_held.size() == before)
+        {
+            // The reader is gone.
+            return;
+        }
+    }
+}
+
 void bounded_writer::add_drops()
 {
     if (m_dropped == m_told)
--- a/libraries/telemetry/bounded_writer.hpp
+++ b/libraries/telemetry/bounded_writer.hpp
@@ -2,6 +2,7 @@
 /// Writes lines to a descriptor whose reader may stand still.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,6 +24,11 @@
     /// Writes what is held, as far as it is taken at once.
     void flush();
 
+    /// Writes what is held and what was dropped, at a process's end: nothing is
+    /// in flight then, and a reader that is only slow is waited for.
+    /// @param longest at the most
+    void finish(std::chrono::milliseconds longest);
+
     /// @return lines dropped so far
     [[nodiscard]] std::int64_t dropped() const
     {
--- a/libraries/telemetry/log.cpp
+++ b/libraries/telemetry/log.cpp
@@ -50,9 +50,10 @@
         m_writer.add(line);
     }
 
-    void flush_held()
+    void finish()
     {
-        m_writer.flush();
+        constexpr std::chrono::milliseconds longest{300};
+        m_writer.finish(longest);
     }
 
 private:
@@ -123,11 +124,11 @@
     boost::log::core::get()->add_sink(boost::make_shared<frontend>(stream));
 }
 
-void flush_log()
+void finish_log()
 {
     if (bounded_output())
     {
-        bounded_output()->flush_held();
+        bounded_output()->finish();
     }
 }
 
--- a/libraries/telemetry/log.hpp
+++ b/libraries/telemetry/log.hpp
@@ -54,8 +54,9 @@
                    log_severity least,
                    log_output output = log_output::standard_error);
 
-/// Hands on lines that are still held, as far as they are taken at once.
-void flush_log();
+/// Hands on lines that are still held; at a process's end. A reader that stands
+/// still is waited for a moment only.
+void finish_log();
 
 /// Writes one line.
 /// @param event what has happened
--- a/services/gateway/gateway_program.cpp
+++ b/services/gateway/gateway_program.cpp
@@ -31,7 +31,7 @@
     asio::io_context context(threads);
     gateway process(context, std::move(settings), settings_path);
     process.run();
-    flush_log();
+    finish_log();
     return EXIT_SUCCESS;
 }
 
