gateway: Notice a settings file that was written without a signal

Every two seconds the file's time of writing is compared, and read again as on SIGHUP if it is another; what is no valid file leaves the one in force. Tried with a running gateway: settings_reloaded, in_force, within two seconds of the writing.

--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr std::chrono::milliseconds house_pause{500};
+// The platform may write the settings anew without a signal.
+constexpr int settings_look_every = 4;
 constexpr std::chrono::milliseconds accept_pause{50};
 // The balancer asks every second and lets go after two misses.
 constexpr std::chrono::milliseconds balancer_time{2700};
@@ -26,6 +28,7 @@
                  std::string settings_path)
     : m_context(context)
     , m_settings_path(std::move(settings_path))
+    , m_settings_file(m_settings_path)
     , m_state(context, std::move(settings))
     , m_configuration(m_state, std::string(platform::operator_topic),
                       {[this](const auto& record)
@@ -138,6 +141,7 @@
         }
         if (signal == SIGHUP)
         {
+            (void)m_settings_file.has_changed();
             reload_settings();
             continue;
         }
@@ -152,11 +156,15 @@
 awaitable<void> gateway::keep_house()
 {
     asio::steady_timer timer(m_context);
-    while (true)
+    for (int round = 1;; ++round)
     {
         timer.expires_after(house_pause);
         co_await timer.async_wait(use_result);
         const auto now = monotonic::now();
+        if (round % settings_look_every == 0 && m_settings_file.has_changed())
+        {
+            reload_settings();
+        }
         m_state.pool.sweep(now);
         m_state.choice.drop_unlisted();
         for (const auto& session : m_sessions)
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 
 #include <memory>
 #include <set>
+#include <settings/file_watch.hpp>
 
 namespace daleshelf
 {
@@ -45,6 +46,7 @@
 
     asio::io_context& m_context;
     std::string m_settings_path;
+    file_watch m_settings_file;
     gateway_state m_state;
     topic_follower m_configuration;
     topic_follower m_servers;
