gateway: Give up a send that the server does not read

A server that does not read holds up a body that is larger than the socket's buffers; the client's deadline passes without an answer, and what is left arrives whenever the server reads again, perhaps after it has begun to leave. Change: after 1.5 s, or at the deadline, the connection is reset; the request may have run, as before when a write broke. byte_channel_test.a_write_that_nobody_takes_is_given_up; without the limit the write does not end.

--- a/services/gateway/byte_channel.cpp
+++ b/services/gateway/byte_channel.cpp
@@ -61,7 +61,8 @@
 }
 
 awaitable<byte_channel::write_result>
-byte_channel::write(std::string_view bytes)
+byte_channel::write(std::string_view bytes,
+                    std::optional<monotonic::time_point> until)
 {
     write_result result;
     if (m_end == channel_end::broken)
@@ -77,22 +78,48 @@
         end_with(channel_end::broken);
         co_return result;
     }
-    if (result.size < bytes.size())
+    if (result.size == bytes.size())
     {
-        m_writing_since = monotonic::now();
-        const auto rest = bytes.substr(result.size);
-        const auto buffer = asio::const_buffer(rest.data(), rest.size());
-        const auto [write_error, size] =
-            co_await asio::async_write(m_socket, buffer, use_result);
-        m_writing_since.reset();
-        result.size += size;
-        if (write_error)
-        {
-            end_with(channel_end::broken);
-            co_return result;
-        }
+        result.is_complete = true;
+        co_return result;
+    }
+    const auto rest = co_await write_rest(bytes.substr(result.size), until);
+    result.size += rest.size;
+    result.is_complete = rest.is_complete;
+    co_return result;
+}
+
+awaitable<byte_channel::write_result>
+byte_channel::write_rest(std::string_view bytes,
+                         std::optional<monotonic::time_point> until)
+{
+    write_result result;
+    m_writing_since = monotonic::now();
+    const auto is_writing = std::make_shared<bool>(true);
+    asio::steady_timer limit(m_socket.get_executor());
+    if (until)
+    {
+        limit.expires_at(*until);
+        limit.async_wait(
+            [self = shared_from_this(), is_writing](const error_code& error)
+            {
+                if (!error && *is_writing)
+                {
+                    self->reset();
+                }
+            });
+    }
+    const auto buffer = asio::const_buffer(bytes.data(), bytes.size());
+    const auto [error, size] =
+        co_await asio::async_write(m_socket, buffer, use_result);
+    *is_writing = false;
+    m_writing_since.reset();
+    result.size = size;
+    result.is_complete = !error;
+    if (error)
+    {
+        end_with(channel_end::broken);
     }
-    result.is_complete = true;
     co_return result;
 }
 
--- a/services/gateway/byte_channel.hpp
+++ b/services/gateway/byte_channel.hpp
@@ -48,13 +48,16 @@
     awaitable<bool> wait_input(monotonic::time_point deadline);
 
     /// Writes all bytes.
+    /// @param until when the connection is reset if the peer has not taken them
     /// @return bytes that were taken, and whether all were
     struct write_result
     {
         std::size_t size = 0;
         bool is_complete = false;
     };
-    awaitable<write_result> write(std::string_view bytes);
+    awaitable<write_result>
+    write(std::string_view bytes,
+          std::optional<monotonic::time_point> until = std::nullopt);
 
     /// Ends the connection; every wait returns.
     void close();
@@ -97,6 +100,9 @@
 
 private:
     awaitable<void> read_all();
+    awaitable<write_result>
+    write_rest(std::string_view bytes,
+               std::optional<monotonic::time_point> until);
     void end_with(channel_end end);
 
     asio::ip::tcp::socket m_socket;
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::uint32_t answer_head_bytes = 65536;
 constexpr milliseconds connect_time{350};
+// A server that does not read may have begun to leave when it does.
+constexpr milliseconds send_time{1500};
 
 } // namespace
 
@@ -113,7 +115,10 @@
 
 awaitable<bool> server_exchange::send()
 {
-    const auto result = co_await m_connection->channel->write(m_request.bytes);
+    const auto until =
+        std::min(m_request.deadline, monotonic::now() + send_time);
+    const auto result =
+        co_await m_connection->channel->write(m_request.bytes, until);
     if (result.size > 0)
     {
         m_verdict = verdict::may_have_run;
--- a/tests/gateway/byte_channel_test.cpp
+++ b/tests/gateway/byte_channel_test.cpp
@@ -65,6 +65,28 @@
     EXPECT_EQ(m_channel->input(), "abc");
 }
 
+// The peer never reads; without a limit the write would never end.
+TEST_F(byte_channel_test, a_write_that_nobody_takes_is_given_up)
+{
+    const std::string bytes(std::size_t{64} << 20, 'a');
+    byte_channel::write_result result;
+    result.is_complete = true;
+    asio::co_spawn(
+        m_context,
+        [&]() -> awaitable<void>
+        {
+            const auto until = monotonic::now() + std::chrono::milliseconds(50);
+            result = co_await m_channel->write(bytes, until);
+            m_context.stop();
+        },
+        asio::detached);
+    m_context.run();
+    EXPECT_FALSE(result.is_complete);
+    EXPECT_GT(result.size, 0U);
+    EXPECT_LT(result.size, bytes.size());
+    EXPECT_EQ(m_channel->end(), channel_end::broken);
+}
+
 // Bytes that are there before the channel starts are taken from the socket one
 // step before the channel is told: which step that is, is the loop's affair.
 class closing_channel_test : public byte_channel_test,
