duties: Let everybody watch a lease that the readers leave to nobody

Change: a machine that has heard of no holder for three seconds is a candidate, reader or not, as every machine was before.

--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -18,6 +18,8 @@
 // between two datagrams.
 constexpr absl::Duration settle_delay = absl::Milliseconds(850);
 constexpr std::size_t most_reported = 64;
+// How long the readers of the list may leave the lease to nobody.
+constexpr absl::Duration readers_time = absl::Seconds(3);
 // A history of quotas that is older than this says too little.
 constexpr absl::Duration newest_age = absl::Seconds(3);
 
@@ -112,6 +114,7 @@
     while (true)
     {
         const bool is_holder_heard = m_peers.hears_duty_holder();
+        note_candidacy(is_holder_heard);
         const bool writes_notes = !m_was_holder && !is_holder_heard &&
                                   m_state.role != list_role::follower &&
                                   m_peers.is_first_in_reach();
@@ -121,7 +124,6 @@
                 encode_history(m_state.quota.history(gateway_state::now()),
                                m_state.time_of_day()));
         }
-        m_ledger.set_candidate(m_state.role != list_role::follower);
         const auto action =
             m_ledger.next_action(is_holder_heard, gateway_state::now());
         if (const auto* wanted = std::get_if<ledger_read>(&action))
@@ -154,6 +156,19 @@
     }
 }
 
+// The readers of the list come first. If none of them has taken the lease for
+// long (all may just be restarting), everybody watches it.
+void duty_service::note_candidacy(bool is_holder_heard)
+{
+    const auto now = gateway_state::now();
+    if (is_holder_heard || m_holder_heard_at == absl::InfinitePast())
+    {
+        m_holder_heard_at = now;
+    }
+    m_ledger.set_candidate(m_state.role != list_role::follower ||
+                           now - m_holder_heard_at > readers_time);
+}
+
 awaitable<void> duty_service::report_usage()
 {
     while (true)
--- a/services/gateway/duty_service.hpp
+++ b/services/gateway/duty_service.hpp
@@ -48,6 +48,7 @@
 
 private:
     awaitable<void> keep_ledger();
+    void note_candidacy(bool is_holder_heard);
     awaitable<void> report_usage();
     awaitable<bool> read(log_offset from);
     awaitable<void> append(ledger_append append);
@@ -65,6 +66,7 @@
     async_event m_settled;
     std::set<std::int64_t> m_reported;
     bool m_was_holder = false;
+    absl::Time m_holder_heard_at = absl::InfinitePast();
     bool m_has_adopted = false;
 };
 
