gateway: Give up a call that waits for changes within the drain time

Change: such a call is held for 0.8 s and given up after 1.5 s; where peers tell what is newer (large fleets, machines that are no readers) it stays at 20 s. Price: at most one call a second and topic more on a small fleet.

--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -10,11 +10,8 @@
 namespace
 {
 
-constexpr milliseconds tail_wait{8000};
 // Peers tell which configuration they have: a call that hangs is noticed.
 constexpr milliseconds large_fleets_tail_wait{20000};
-// Others rely on a reader: a call of its that hangs is to be noticed soon.
-constexpr milliseconds readers_tail_wait{2000};
 constexpr milliseconds fresh_slack{300};
 constexpr milliseconds answer_time{1500};
 constexpr milliseconds shortest_tail{500};
@@ -124,20 +121,17 @@
 
 milliseconds topic_follower::longest_tail() const
 {
-    if (m_state.role == list_role::alone)
-    {
-        return tail_wait;
-    }
-    const bool is_relied_on =
-        m_events.on_read && m_state.role == list_role::reader;
-    return is_relied_on ? readers_tail_wait : large_fleets_tail_wait;
+    // What only this machine asks for, or others rely on, is asked for often.
+    const bool is_shared =
+        m_state.role != list_role::alone &&
+        !(m_events.on_read && m_state.role == list_role::reader);
+    return is_shared ? large_fleets_tail_wait : tail_wait;
 }
 
 bool topic_follower::is_fresh() const
 {
     const auto since = m_is_tailing ? m_asked_at : m_answered_at;
-    return m_has_listed &&
-           monotonic::now() - since < readers_tail_wait + fresh_slack;
+    return m_has_listed && monotonic::now() - since < tail_wait + fresh_slack;
 }
 
 bool topic_follower::is_reached() const
@@ -146,7 +140,7 @@
     if (m_is_tailing)
     {
         // A held call is no silence before its time is over.
-        return now - m_asked_at < longest_tail() + answer_time;
+        return now - m_asked_at < longest_tail() + tail_answer_time;
     }
     return now - m_answered_at < reached_time;
 }
@@ -213,7 +207,7 @@
     const auto wait = longest_tail();
     auto call = platform::read_call(m_topic, from, wait);
     const auto answer =
-        co_await m_caller.call(std::move(call), wait + answer_time);
+        co_await m_caller.call(std::move(call), wait + tail_answer_time);
     m_is_tailing = false;
     const bool is_at_once = monotonic::now() - m_asked_at < shortest_tail;
     if (!answer)
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -37,6 +37,13 @@
     topic_follower(gateway_state& state, std::string topic,
                    topic_events events);
 
+    /// How long the store may hold a call that waits for changes. A connection
+    /// that has died in silence, or whose answer was lost, shows only when such
+    /// a call is over: TCP's own probes take three seconds.
+    static constexpr milliseconds tail_wait{800};
+    /// How long an answer may take beyond that.
+    static constexpr milliseconds tail_answer_time{700};
+
     /// Follows until the process ends.
     awaitable<void> run();
 
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -43,6 +43,14 @@
     topic_follower m_follower;
 };
 
+// A server that leaves gets nothing new two seconds after its word.
+TEST_F(topic_follower_test, a_call_that_hangs_is_given_up_within_the_drain_time)
+{
+    constexpr milliseconds drain_time{2000};
+    EXPECT_LT(topic_follower::tail_wait + topic_follower::tail_answer_time,
+              drain_time - milliseconds(300));
+}
+
 TEST_F(topic_follower_test, takes_what_follows_on_what_it_knows)
 {
     m_follower.take_read(log_offset(4), {record_at(4, "b", "2"),
