--- a/libraries/ingress/token_quota.cpp
+++ b/libraries/ingress/token_quota.cpp
@@ -179,6 +179,21 @@
            used_share(found->second) >= allowed(found->second) * pressed_share;
 }
 
+std::map<workspace_id, token_quota::view> token_quota::pressed_views() const
+{
+    std::map<workspace_id, view> views;
+    for (const auto& [tenant, of] : m_accounts)
+    {
+        if (is_pressed(tenant))
+        {
+            views[tenant] = {of.used, of.history_used,
+                             sum_for(m_own_use, tenant), allowed(of),
+                             of.interval_share};
+        }
+    }
+    return views;
+}
+
 use_history token_quota::history(absl::Time now)
 {
     use_history history;
--- a/libraries/ingress/token_quota.hpp
+++ b/libraries/ingress/token_quota.hpp
@@ -89,6 +89,19 @@
     /// need to hear of more at once
     [[nodiscard]] bool is_pressed(const workspace_id& tenant) const;
 
+    /// What this machine counts of one tenant's quota.
+    struct view
+    {
+        double counted = 0; ///< used by all, within the window, as far as heard
+        double assumed = 0; ///< used before this start, told or guessed
+        double own = 0;     ///< used through this machine, in its life
+        double allowed = 0; ///< to the machines that this one reaches
+        double share = 0;   ///< that this machine may use in this interval
+    };
+
+    /// @return the view of each tenant whose quota is running out
+    [[nodiscard]] std::map<workspace_id, view> pressed_views() const;
+
     /// @return what all machines have used within the window, as far as known
     [[nodiscard]] use_history history(absl::Time now);
 
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -33,6 +33,7 @@
         events::request_ended,
         events::request_unreadable,
         events::quota_history_adopted,
+        events::quota_view,
         events::upstream_failed,
         events::upstream_leaving,
         events::order_given,
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -143,6 +143,7 @@
         }
         m_state.clock.note(m_state.self, absl::Now(), now);
         m_state.quota.begin_interval(m_table.reached(now), m_table.size(), now);
+        log_pressed_quotas(now);
         m_state.retries.set_machines(m_table.size());
         m_state.change_pause =
             std::clamp(absl::ToChronoMilliseconds(m_table.send_pause() / 3),
@@ -159,6 +160,24 @@
     }
 }
 
+void peer_exchange::log_pressed_quotas(absl::Time now) const
+{
+    const auto whole = [](double value)
+    { return std::to_string(static_cast<std::int64_t>(value)); };
+    for (const auto& [tenant, view] : m_state.quota.pressed_views())
+    {
+        log(events::quota_view,
+            {{"tenant", tenant.value()},
+             {"counted", whole(view.counted)},
+             {"assumed", whole(view.assumed)},
+             {"own", whole(view.own)},
+             {"allowed", whole(view.allowed)},
+             {"share", whole(view.share)},
+             {"reached", std::to_string(m_table.reached(now))},
+             {"known", std::to_string(m_table.size())}});
+    }
+}
+
 void peer_exchange::choose_readers()
 {
     if (m_table.tells_all_at_once())
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -75,6 +75,7 @@
     void adopt_history(const machine_state& state);
     void send_to_some(const std::string& bytes);
     void send_use_notice();
+    void log_pressed_quotas(absl::Time now) const;
     void choose_readers();
     void take_read(const shared_records& read);
     void fetch_news();
