tests: Model fleets that share quotas, with troubles between them

The product's decisions in a simulated fleet: machines, halls, clients, kills, cuts, freezes, lost and late datagrams.

--- /dev/null
+++ b/tests/quotas/quota_fleet_test.cpp
@@ -0,0 +1,161 @@
+#include "fleet_model.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <sstream>
+
+namespace daleshelf
+{
+namespace
+{
+
+using kind = fleet_trouble::kind;
+
+std::string describe(const fleet_trouble& trouble)
+{
+    static const std::map<kind, std::string> names{
+        {kind::kill, "kill"},     {kind::cut, "cut"},
+        {kind::freeze, "freeze"}, {kind::hall_cut, "hall cut"},
+        {kind::loss, "loss"},     {kind::delay, "delay"}};
+    std::ostringstream text;
+    text << names.at(trouble.what) << " at " << trouble.at << " s for "
+         << trouble.seconds << " s, share " << trouble.share << ", hall "
+         << trouble.hall;
+    return text.str();
+}
+
+// The users' grown site: 77 machines before one tenant that sends many times
+// its usual, as in the incident.
+fleet_plan plan_at_size()
+{
+    fleet_plan plan;
+    plan.machines_a_hall = 26;
+    plan.rate = 201'566;
+    plan.calm = 0.55;
+    plan.hot = 4.2;
+    plan.hot_from = 8;
+    plan.hot_until = 17;
+    return plan;
+}
+
+fleet_outcome play(fleet_plan plan)
+{
+    fleet_model model(std::move(plan));
+    return model.play();
+}
+
+void expect_within_bound(const fleet_plan& plan)
+{
+    const auto outcome = play(plan);
+    EXPECT_LE(outcome.most_in_window, fleet_model::bound_for(plan.rate))
+        << "at " << outcome.most_at << " s, seed " << plan.seed << ", "
+        << (plan.troubles.empty() ? "calm" : describe(plan.troubles.front()));
+}
+
+TEST(quota_fleet, a_hot_tenant_at_size_stays_within_its_limit)
+{
+    for (std::uint32_t seed = 1; seed <= 4; ++seed)
+    {
+        auto plan = plan_at_size();
+        plan.seed = seed;
+        expect_within_bound(plan);
+    }
+}
+
+TEST(quota_fleet, kills_at_size_give_a_hot_tenant_no_more_than_its_limit)
+{
+    for (const double share : {0.16, 0.55, 1.0})
+    {
+        auto plan = plan_at_size();
+        plan.troubles = {{kind::kill, 11, 2, share}};
+        expect_within_bound(plan);
+    }
+}
+
+// Machines hear of a cut late, and each side takes what the other had left.
+TEST(quota_fleet, cuts_at_size_give_a_hot_tenant_no_more_than_its_limit)
+{
+    const std::vector<fleet_trouble> troubles{{kind::cut, 9, 5, 0.3},
+                                              {kind::hall_cut, 9, 5, 0, 1},
+                                              {kind::hall_cut, 1, 20, 0, 1},
+                                              {kind::delay, 8, 10},
+                                              {kind::freeze, 9, 3, 0.3}};
+    for (const auto& trouble : troubles)
+    {
+        auto plan = plan_at_size();
+        plan.troubles = {trouble};
+        expect_within_bound(plan);
+    }
+}
+
+TEST(quota_fleet, a_hot_tenant_gets_most_of_its_limit)
+{
+    for (const int machines : {2, 26})
+    {
+        auto plan = plan_at_size();
+        plan.machines_a_hall = machines;
+        const auto outcome = play(plan);
+        EXPECT_GT(outcome.most_in_window, plan.rate * 8 * 0.9) << machines;
+    }
+}
+
+// A tenant within its limit is not refused, whether its requests are many, or
+// few and large against it.
+TEST(quota_fleet, a_tenant_within_its_limit_is_served)
+{
+    for (const int machines : {2, 26})
+    {
+        for (const double rate : {18'000.0, 200'000.0})
+        {
+            fleet_plan plan;
+            plan.machines_a_hall = machines;
+            plan.rate = rate;
+            plan.calm = 0.55;
+            plan.seconds = 40;
+            const auto outcome = play(plan);
+            EXPECT_GT(outcome.calm_ran, outcome.calm_asked * 0.98)
+                << machines << " machines, rate " << rate;
+        }
+    }
+}
+
+fleet_trouble any_trouble()
+{
+    fleet_trouble trouble;
+    trouble.what = *rc::gen::element(kind::kill, kind::cut, kind::hall_cut,
+                                     kind::freeze, kind::loss, kind::delay);
+    trouble.at = *rc::gen::inRange(2, 20);
+    trouble.seconds = *rc::gen::inRange(1, 12);
+    trouble.share = *rc::gen::element(0.1, 0.3, 0.6, 1.0);
+    trouble.hall = *rc::gen::inRange(0, 2);
+    return trouble;
+}
+
+// Whatever happens to the machines and between them.
+RC_GTEST_PROP(quota_fleet, any_fleet_stays_within_the_limit_in_any_trouble, ())
+{
+    fleet_plan plan;
+    plan.halls = *rc::gen::inRange(1, 5);
+    plan.machines_a_hall = *rc::gen::inRange(1, 12);
+    plan.rate = *rc::gen::element(18'000.0, 60'000.0, 200'000.0, 400'000.0);
+    plan.hot = *rc::gen::element(1.0, 2.0, 4.0, 8.0);
+    plan.hot_from = *rc::gen::inRange(0, 8);
+    plan.hot_until = *rc::gen::inRange(12, 24);
+    plan.seed = *rc::gen::inRange<std::uint32_t>(1, 1'000'000);
+    const auto troubles = *rc::gen::inRange(0, 4);
+    for (int number = 0; number < troubles; ++number)
+    {
+        plan.troubles.push_back(any_trouble());
+    }
+    for (const auto& trouble : plan.troubles)
+    {
+        RC_LOG() << describe(trouble) << '\n';
+    }
+    const auto outcome = play(plan);
+    RC_ASSERT(outcome.most_in_window <= fleet_model::bound_for(plan.rate));
+}
+
+} // namespace
+} // namespace daleshelf
