quotas: Take what tenants use from keepers that are given time

Change: a package in which nothing is inferred. Each machine earns its share of the time and gives it to its hall's keeper; requests take their cost from keepers. The gateway does not use it yet. Ruled out: one patch more (shorter reach time, smaller share of an interval): each lowers one of the figures of the model, none bounds it. Two crashes of the random fleets were the model's own: it called a machine that had ended while it stood still.

--- /dev/null
+++ b/libraries/quotas/fleet_roster.cpp
@@ -0,0 +1,177 @@
+#include "fleet_roster.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// One lost datagram says little, two in a row that a machine is away.
+constexpr int most_unanswered = 2;
+// A machine that was away is tried again after this time.
+constexpr absl::Duration away_time = absl::Seconds(2);
+// A machine that said that it stops, and is silent, has stopped.
+constexpr absl::Duration farewell_time = absl::Seconds(3);
+// A machine whose hall is heard, and which is not, is gone after this time;
+// longer than restarts, freezes and cuts of single machines last.
+constexpr absl::Duration gone_time = absl::Seconds(30);
+// Whole states of peers come every 2.9 s in a fleet of ninety.
+constexpr absl::Duration heard_time = absl::Seconds(10);
+// Other than for the readers of the list, so that others do this.
+constexpr XXH64_hash_t rank_seed = 19;
+
+std::uint64_t rank_of(const host_id& machine)
+{
+    return XXH3_64bits_withSeed(machine.value().data(), machine.value().size(),
+                                rank_seed);
+}
+
+} // namespace
+
+fleet_roster::fleet_roster(host_id self, hall_id hall)
+    : m_self(std::move(self)), m_hall(std::move(hall))
+{
+}
+
+void fleet_roster::list(const host_id& machine, const hall_id& hall,
+                        absl::Time now)
+{
+    if (machine == m_self)
+    {
+        return;
+    }
+    const auto [at, is_new] = m_members.try_emplace(machine);
+    if (is_new)
+    {
+        at->second.hall = hall;
+        at->second.listed_at = now;
+    }
+}
+
+void fleet_roster::hear(const host_id& machine, const hall_id& hall,
+                        incarnation started, bool is_stopping, absl::Time now)
+{
+    if (machine == m_self)
+    {
+        return;
+    }
+    auto& heard = m_members[machine];
+    if (started < heard.started)
+    {
+        return;
+    }
+    heard.hall = hall;
+    heard.started = started;
+    heard.is_stopping = is_stopping;
+    heard.heard_at = now;
+    heard.unanswered = 0;
+    heard.away_until = absl::InfinitePast();
+    m_hall_away_until.erase(hall);
+}
+
+void fleet_roster::note_silence(const host_id& machine, absl::Time now)
+{
+    const auto found = m_members.find(machine);
+    if (found == m_members.end())
+    {
+        return;
+    }
+    auto& silent = found->second;
+    ++silent.unanswered;
+    if (silent.unanswered < most_unanswered)
+    {
+        return;
+    }
+    silent.away_until = now + away_time;
+    if (silent.hall != m_hall)
+    {
+        // Behind a cut none of them would answer.
+        m_hall_away_until[silent.hall] = now + away_time;
+    }
+}
+
+void fleet_roster::strike_gone(absl::Time now)
+{
+    const bool hears_others = hears_most(now);
+    for (auto at = m_members.begin(); at != m_members.end();)
+    {
+        const auto& of = at->second;
+        const bool has_left =
+            of.is_stopping && now - of.heard_at > farewell_time;
+        const bool is_struck = has_left || (hears_others && is_gone(of, now));
+        at = is_struck ? m_members.erase(at) : std::next(at);
+    }
+}
+
+incarnation fleet_roster::started_of(const host_id& machine) const
+{
+    const auto found = m_members.find(machine);
+    return found == m_members.end() ? incarnation() : found->second.started;
+}
+
+std::vector<host_id> fleet_roster::keepers(absl::Time now) const
+{
+    std::map<hall_id, host_id> by_hall;
+    if (!m_is_stopping)
+    {
+        by_hall[m_hall] = m_self;
+    }
+    for (const auto& [name, of] : m_members)
+    {
+        const auto hall_away = m_hall_away_until.find(of.hall);
+        const bool is_hall_away =
+            hall_away != m_hall_away_until.end() && now < hall_away->second;
+        if (of.is_stopping || now < of.away_until || is_hall_away ||
+            of.hall.value().empty())
+        {
+            continue;
+        }
+        auto& keeper = by_hall[of.hall];
+        if (keeper.value().empty() || rank_of(name) < rank_of(keeper))
+        {
+            keeper = name;
+        }
+    }
+    std::vector<host_id> keepers;
+    const auto own = by_hall.find(m_hall);
+    keepers.push_back(own == by_hall.end() ? m_self : own->second);
+    for (const auto& [hall, keeper] : by_hall)
+    {
+        if (hall != m_hall)
+        {
+            keepers.push_back(keeper);
+        }
+    }
+    return keepers;
+}
+
+bool fleet_roster::is_gone(const member& of, absl::Time now) const
+{
+    return now - std::max(of.heard_at, of.listed_at) > gone_time &&
+           (of.hall == m_hall || hears_hall(of.hall, now));
+}
+
+bool fleet_roster::hears_most(absl::Time now) const
+{
+    const auto heard =
+        std::count_if(m_members.begin(), m_members.end(),
+                      [&](const auto& entry)
+                      { return now - entry.second.heard_at <= heard_time; });
+    return static_cast<std::size_t>(heard) * 2 > m_members.size();
+}
+
+bool fleet_roster::hears_hall(const hall_id& hall, absl::Time now) const
+{
+    return std::any_of(m_members.begin(), m_members.end(),
+                       [&](const auto& entry)
+                       {
+                           return entry.second.hall == hall &&
+                                  now - entry.second.heard_at <= heard_time;
+                       });
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/quotas/forward.hpp
@@ -0,0 +1,16 @@
+/// @file
+/// Names of this package.
+#pragma once
+
+namespace daleshelf
+{
+
+class fleet_roster;
+class quota_claim;
+class quota_mint;
+class quota_pool;
+class shared_quota;
+struct quota_message;
+struct quota_options;
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/quotas/quota_message.cpp
@@ -0,0 +1,78 @@
+#include "quota_message.hpp"
+
+#include "generated/quota.pb.h"
+
+#include <cmath>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// A machine's state comes by the same socket, with format 1.
+constexpr std::uint32_t format_version = 2;
+
+bool is_amount(double value)
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+bool is_sound(const wire::QuotaMessage& message)
+{
+    const auto kind = static_cast<int>(message.kind());
+    return message.format() == format_version && !message.name().empty() &&
+           kind >= static_cast<int>(quota_message_kind::deposit) &&
+           kind <= static_cast<int>(quota_message_kind::give_back) &&
+           is_amount(message.share()) && is_amount(message.credit()) &&
+           is_amount(message.amount());
+}
+
+} // namespace
+
+std::string encode(const quota_message& message)
+{
+    wire::QuotaMessage bytes;
+    bytes.set_format(format_version);
+    bytes.set_name(message.from.value());
+    bytes.set_hall(message.hall.value());
+    bytes.set_incarnation(message.started.value());
+    bytes.set_sequence(message.sequence);
+    bytes.set_kind(static_cast<std::uint32_t>(message.kind));
+    bytes.set_is_stopping(message.is_stopping);
+    bytes.set_fleet_size(message.fleet_size);
+    bytes.set_keeper_incarnation(message.keeper_started.value());
+    bytes.set_share(message.share);
+    bytes.set_credit(message.credit);
+    bytes.set_tenant(message.tenant.value());
+    bytes.set_amount(message.amount);
+    bytes.set_answer_to(message.answer_to);
+    return bytes.SerializeAsString();
+}
+
+std::optional<quota_message> decode_quota_message(std::string_view bytes)
+{
+    wire::QuotaMessage read;
+    if (!read.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        !is_sound(read))
+    {
+        return std::nullopt;
+    }
+    quota_message message;
+    message.kind = static_cast<quota_message_kind>(read.kind());
+    message.from = host_id(read.name());
+    message.hall = hall_id(read.hall());
+    message.started = incarnation(read.incarnation());
+    message.sequence = read.sequence();
+    message.is_stopping = read.is_stopping();
+    message.fleet_size = read.fleet_size();
+    message.keeper_started = incarnation(read.keeper_incarnation());
+    message.share = read.share();
+    message.credit = read.credit();
+    message.tenant = workspace_id(read.tenant());
+    message.amount = read.amount();
+    message.answer_to = read.answer_to();
+    return message;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/quotas/quota_message.hpp
@@ -0,0 +1,49 @@
+/// @file
+/// What machines tell each other of quotas.
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace daleshelf
+{
+
+/// What a message is for.
+enum class quota_message_kind
+{
+    deposit = 1, ///< a machine's share of the fleet's time, for its keeper
+    seen,        ///< a keeper has read a deposit
+    ask,         ///< a keeper is asked for a part of a quota
+    grant,       ///< what the keeper gives; may be nothing
+    give_back,   ///< a part that was granted and not used
+};
+
+/// One message. See docs/design/quotas.md.
+struct quota_message
+{
+    quota_message_kind kind = quota_message_kind::deposit;
+    host_id from;
+    hall_id hall;
+    incarnation started; ///< of the sender
+    std::int64_t sequence = 0;
+    bool is_stopping = false;
+    std::int64_t fleet_size = 0;
+    incarnation keeper_started; ///< 0: the sender has not heard the keeper
+    double share = 0;           ///< of the fleet
+    double credit = 0;          ///< seconds of the whole fleet, for that start
+    workspace_id tenant;
+    double amount = 0; ///< in the tenant's unit
+    std::int64_t answer_to = 0;
+};
+
+/// @return the bytes of a datagram
+[[nodiscard]] std::string encode(const quota_message& message);
+
+/// @return the message, or nothing if the bytes are no such datagram
+[[nodiscard]] std::optional<quota_message>
+decode_quota_message(std::string_view bytes);
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/quotas/quota_mint.cpp
@@ -0,0 +1,47 @@
+#include "quota_mint.hpp"
+
+#include <algorithm>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// What nobody could be given for this long is lost: a pool that had it would
+// have been full. In seconds; two pauses between deposits.
+constexpr double longest_kept = 1;
+
+} // namespace
+
+void quota_mint::set_share(double share, absl::Time now)
+{
+    earn(now);
+    m_share = share;
+}
+
+double quota_mint::give(const host_id& keeper, incarnation started,
+                        absl::Time now)
+{
+    earn(now);
+    auto& account = m_accounts[keeper];
+    if (account.started != started)
+    {
+        account = {started, 0};
+    }
+    account.given += m_earned;
+    m_earned = 0;
+    return account.given;
+}
+
+void quota_mint::earn(absl::Time now)
+{
+    if (m_earned_at != absl::InfinitePast())
+    {
+        m_earned += m_share * absl::ToDoubleSeconds(now - m_earned_at);
+        m_earned = std::min(m_earned, m_share * longest_kept);
+    }
+    m_earned_at = now;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/quotas/quota_pool.hpp
@@ -0,0 +1,102 @@
+/// @file
+/// What a keeper holds of each tenant's quota.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <base/identifiers.hpp>
+#include <ingress/ingress_configuration.hpp>
+#include <map>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// The bound that all machines keep to together.
+struct quota_options
+{
+    absl::Duration window = absl::Seconds(8);
+    /// Use beyond a tenant's limit that is borne, as a share of it.
+    double overshoot = 0.1;
+    /// Use beyond a tenant's limit that is borne besides, in its unit.
+    double slack = 0;
+};
+
+/// A keeper's pools: one for each tenant, filled at the tenant's rate for the
+/// time that machines have given this keeper. A pool holds no more than its
+/// part of the burst and of what the bound bears beyond the limit; while
+/// anything is in it, a larger request may overdraw it by a little.
+class quota_pool
+{
+public:
+    explicit quota_pool(const quota_options& options);
+
+    /// Takes the limits of a new configuration.
+    void set_limits(const std::vector<ingress_tenant>& tenants);
+
+    /// Takes what a machine gives; a message that comes again or late counts
+    /// for what is new in it.
+    /// @param given all that this start of the machine gave, in seconds
+    void deposit(const host_id& machine, incarnation started, double share,
+                 double given, absl::Time now);
+
+    /// @param wanted in the tenant's unit
+    /// @return what is granted of it
+    [[nodiscard]] double take(const workspace_id& tenant, double wanted,
+                              absl::Time now);
+
+    /// Puts back what was granted and not used.
+    void give_back(const workspace_id& tenant, double amount, absl::Time now);
+
+    /// @return whether the tenant has a limit
+    [[nodiscard]] bool is_limited(const workspace_id& tenant) const
+    {
+        return m_accounts.contains(tenant);
+    }
+
+    /// @return tokens or requests that the tenant may have a second
+    [[nodiscard]] double rate_of(const workspace_id& tenant) const;
+
+    /// @return the part of the fleet that gives to this keeper
+    [[nodiscard]] double weight(absl::Time now) const;
+
+    /// What is left of a tenant's pool, and how it went.
+    struct state
+    {
+        double balance = 0; ///< negative if overdrawn
+        double granted = 0; ///< since this start
+        double refused = 0; ///< since this start
+    };
+
+    [[nodiscard]] std::map<workspace_id, state> states() const;
+
+    /// Empties all pools.
+    /// @return what was in them
+    [[nodiscard]] std::map<workspace_id, double> drain();
+
+private:
+    struct account
+    {
+        tenant_limit limit;
+        state pool;
+    };
+
+    struct depositor
+    {
+        incarnation started;
+        double given = 0;
+        double share = 0;
+        absl::Time heard_at = absl::InfinitePast();
+    };
+
+    [[nodiscard]] double most(const account& of, double weight) const;
+    [[nodiscard]] double overdraft(const account& of, double weight) const;
+    [[nodiscard]] double beyond(const account& of) const;
+
+    quota_options m_options;
+    absl::flat_hash_map<workspace_id, account> m_accounts;
+    std::map<host_id, depositor> m_depositors;
+};
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/quotas/shared_quota.cpp
@@ -0,0 +1,354 @@
+#include "shared_quota.hpp"
+
+#include <algorithm>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// Two a second: keepers of thirty machines read sixty.
+constexpr absl::Duration deposit_pause = absl::Milliseconds(450);
+// How long a keeper that had too little is not asked again for that tenant.
+constexpr absl::Duration short_time = absl::Milliseconds(200);
+// The size that peers tell counts while this machine may not know them all.
+constexpr absl::Duration told_time = absl::Seconds(30);
+// Asks whose answer may still come.
+constexpr std::size_t most_late_asks = 256;
+// Rounding of sums.
+constexpr double least_amount = 1e-6;
+
+} // namespace
+
+shared_quota::shared_quota(host_id self, hall_id hall, incarnation started,
+                           const quota_options& options)
+    : m_self(std::move(self))
+    , m_hall(std::move(hall))
+    , m_started(started)
+    , m_roster(m_self, m_hall)
+    , m_pool(options)
+    , m_join_time(absl::Seconds(3))
+{
+}
+
+void shared_quota::note_fleet(bool was_listed, absl::Time now)
+{
+    m_fleet_known_at = std::min(m_fleet_known_at, now);
+    m_was_listed = m_was_listed || was_listed;
+}
+
+void shared_quota::stop()
+{
+    m_is_stopping = true;
+    m_roster.stop();
+}
+
+std::vector<addressed_quota_message> shared_quota::tick(absl::Time now)
+{
+    m_roster.strike_gone(now);
+    m_mint.set_share(share_at(now), now);
+    std::vector<addressed_quota_message> messages;
+    const auto keeper = m_roster.keepers(now).front();
+    give_back_unused(keeper, now, messages);
+    if (keeper == m_self)
+    {
+        m_pool.deposit(m_self, m_started, m_mint.share(),
+                       m_mint.give(m_self, m_started, now), now);
+        return messages;
+    }
+    if (now - m_deposited_at >= deposit_pause)
+    {
+        messages.push_back(deposit_to(keeper, now));
+    }
+    return messages;
+}
+
+// A machine earns once it knows how many others there are, and they of it.
+double shared_quota::share_at(absl::Time now) const
+{
+    const bool is_counted =
+        m_fleet_known_at <= now &&
+        (m_was_listed || now - m_fleet_known_at >= m_join_time);
+    if (!is_counted || m_is_stopping)
+    {
+        return 0;
+    }
+    auto size = static_cast<std::int64_t>(m_roster.size());
+    if (now - m_fleet_known_at < told_time)
+    {
+        size = std::max(size, m_told_size);
+    }
+    return 1.0 / static_cast<double>(size);
+}
+
+quota_message shared_quota::new_message(quota_message_kind kind)
+{
+    quota_message message;
+    message.kind = kind;
+    message.from = m_self;
+    message.hall = m_hall;
+    message.started = m_started;
+    message.sequence = ++m_sequence;
+    message.is_stopping = m_is_stopping;
+    message.fleet_size = static_cast<std::int64_t>(m_roster.size());
+    return message;
+}
+
+addressed_quota_message shared_quota::deposit_to(const host_id& keeper,
+                                                 absl::Time now)
+{
+    if (m_unseen_keeper == keeper)
+    {
+        m_roster.note_silence(keeper, now);
+    }
+    m_unseen_keeper = keeper;
+    m_deposited_at = now;
+    auto message = new_message(quota_message_kind::deposit);
+    message.share = m_mint.share();
+    message.keeper_started = m_roster.started_of(keeper);
+    if (message.keeper_started != incarnation())
+    {
+        message.credit = m_mint.give(keeper, message.keeper_started, now);
+    }
+    return {keeper, std::move(message)};
+}
+
+addressed_quota_message shared_quota::return_to(const host_id& keeper,
+                                                const workspace_id& tenant,
+                                                double amount)
+{
+    auto message = new_message(quota_message_kind::give_back);
+    message.tenant = tenant;
+    message.amount = amount;
+    return {keeper, std::move(message)};
+}
+
+// What nobody here has used since the last time others may have a use for; and
+// a process that stops hands on what it keeps.
+void shared_quota::give_back_unused(
+    const host_id& keeper, absl::Time now,
+    std::vector<addressed_quota_message>& messages)
+{
+    auto unused = std::exchange(m_wallet, {});
+    if (m_is_stopping && keeper != m_self)
+    {
+        for (const auto& [tenant, amount] : m_pool.drain())
+        {
+            unused[tenant] += amount;
+        }
+    }
+    for (const auto& [tenant, amount] : unused)
+    {
+        if (keeper == m_self)
+        {
+            m_pool.give_back(tenant, amount, now);
+            continue;
+        }
+        if (amount > least_amount)
+        {
+            messages.push_back(return_to(keeper, tenant, amount));
+        }
+    }
+}
+
+std::optional<quota_message> shared_quota::receive(const quota_message& message,
+                                                   absl::Time now)
+{
+    m_roster.hear(message.from, message.hall, message.started,
+                  message.is_stopping, now);
+    switch (message.kind)
+    {
+    case quota_message_kind::deposit:
+    {
+        if (message.keeper_started == m_started)
+        {
+            m_pool.deposit(message.from, message.started, message.share,
+                           message.credit, now);
+        }
+        auto seen = new_message(quota_message_kind::seen);
+        seen.answer_to = message.sequence;
+        return seen;
+    }
+    case quota_message_kind::ask:
+    {
+        auto grant = new_message(quota_message_kind::grant);
+        grant.answer_to = message.sequence;
+        grant.tenant = message.tenant;
+        grant.amount = m_pool.take(message.tenant, message.amount, now);
+        return grant;
+    }
+    case quota_message_kind::seen:
+        hear_fleet_size(message.fleet_size, now);
+        if (m_unseen_keeper == message.from)
+        {
+            m_unseen_keeper = host_id();
+        }
+        return std::nullopt;
+    case quota_message_kind::grant:
+        take_grant(message);
+        return std::nullopt;
+    case quota_message_kind::give_back:
+        take_back(message, now);
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+void shared_quota::hear_fleet_size(std::int64_t size, absl::Time now)
+{
+    m_told_size = std::max(m_told_size, size);
+    note_fleet(false, now);
+}
+
+// An answer that comes when nobody waits for it any more is kept for others;
+// one that comes twice counts once.
+void shared_quota::take_grant(const quota_message& message)
+{
+    const auto open = m_answers.find(message.answer_to);
+    if (open != m_answers.end())
+    {
+        if (!open->second)
+        {
+            open->second = message.amount;
+        }
+        return;
+    }
+    if (m_late_asks.erase(message.answer_to) > 0)
+    {
+        m_wallet[message.tenant] += message.amount;
+    }
+}
+
+void shared_quota::take_back(const quota_message& message, absl::Time now)
+{
+    auto& last = m_last_returns[message.from];
+    const auto order = std::pair(message.started, message.sequence);
+    if (last < order)
+    {
+        last = order;
+        m_pool.give_back(message.tenant, message.amount, now);
+    }
+}
+
+quota_claim shared_quota::open_claim(const workspace_id& tenant, double cost,
+                                     absl::Time now) const
+{
+    return {tenant, cost, m_roster.keepers(now)};
+}
+
+claim_step shared_quota::advance(quota_claim& claim, absl::Time now)
+{
+    // 1. A tenant without a limit is not counted.
+    if (!m_pool.is_limited(claim.m_tenant))
+    {
+        return {claim_step::outcome::granted, std::nullopt};
+    }
+    // 2. What the last keeper has granted, and what is left here.
+    close_ask(claim, now);
+    spend_wallet(claim);
+    // 3. The next keeper, while something is missing.
+    while (claim.m_collected + least_amount < claim.m_cost)
+    {
+        if (claim.m_next == claim.m_keepers.size())
+        {
+            // 4. Nobody has the rest: what was collected is for others.
+            m_wallet[claim.m_tenant] += claim.m_collected;
+            return {claim_step::outcome::refused, std::nullopt};
+        }
+        const auto keeper = claim.m_keepers[claim.m_next++];
+        const auto missing = claim.m_cost - claim.m_collected;
+        if (keeper == m_self)
+        {
+            claim.m_collected += m_pool.take(claim.m_tenant, missing, now);
+            continue;
+        }
+        if (is_short(keeper, claim.m_tenant, now))
+        {
+            continue;
+        }
+        auto ask = new_message(quota_message_kind::ask);
+        ask.tenant = claim.m_tenant;
+        ask.amount = missing;
+        claim.m_open_ask = ask.sequence;
+        claim.m_open_keeper = keeper;
+        claim.m_open_amount = missing;
+        ++claim.m_asked;
+        m_answers[ask.sequence] = std::nullopt;
+        return {claim_step::outcome::asking,
+                addressed_quota_message{keeper, std::move(ask)}};
+    }
+    return {claim_step::outcome::granted, std::nullopt};
+}
+
+void shared_quota::close_ask(quota_claim& claim, absl::Time now)
+{
+    const auto open = m_answers.find(claim.m_open_ask);
+    claim.m_open_ask = 0;
+    if (open == m_answers.end())
+    {
+        return;
+    }
+    const auto granted = open->second;
+    const auto ask = open->first;
+    m_answers.erase(open);
+    if (!granted)
+    {
+        m_late_asks.insert(ask);
+        if (m_late_asks.size() > most_late_asks)
+        {
+            m_late_asks.erase(m_late_asks.begin());
+        }
+        m_roster.note_silence(claim.m_open_keeper, now);
+        return;
+    }
+    ++claim.m_answered;
+    claim.m_collected += *granted;
+    if (*granted + least_amount < claim.m_open_amount)
+    {
+        m_short_until[{claim.m_open_keeper, claim.m_tenant}] = now + short_time;
+    }
+}
+
+void shared_quota::spend_wallet(quota_claim& claim)
+{
+    const auto found = m_wallet.find(claim.m_tenant);
+    if (found == m_wallet.end())
+    {
+        return;
+    }
+    const auto spent =
+        std::min(found->second, claim.m_cost - claim.m_collected);
+    found->second -= spent;
+    claim.m_collected += spent;
+}
+
+void shared_quota::refund(const workspace_id& tenant, double cost)
+{
+    if (m_pool.is_limited(tenant))
+    {
+        m_wallet[tenant] += cost;
+    }
+}
+
+bool shared_quota::has_answer(std::int64_t ask) const
+{
+    const auto open = m_answers.find(ask);
+    return open != m_answers.end() && open->second.has_value();
+}
+
+absl::Duration shared_quota::time_to_earn(const workspace_id& tenant,
+                                          double cost) const
+{
+    const auto rate = m_pool.rate_of(tenant);
+    return rate > 0 ? absl::Seconds(cost / rate) : absl::ZeroDuration();
+}
+
+bool shared_quota::is_short(const host_id& keeper, const workspace_id& tenant,
+                            absl::Time now) const
+{
+    const auto found = m_short_until.find({keeper, tenant});
+    return found != m_short_until.end() && now < found->second;
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/libraries/quotas/shared_quota.hpp
@@ -0,0 +1,203 @@
+/// @file
+/// Quotas that all machines share, as one machine sees them.
+#pragma once
+
+#include "fleet_roster.hpp"
+#include "quota_message.hpp"
+#include "quota_mint.hpp"
+#include "quota_pool.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// A message and the machine that it is for.
+struct addressed_quota_message
+{
+    host_id to;
+    quota_message message;
+};
+
+/// One request's way through the keepers.
+class quota_claim
+{
+public:
+    quota_claim(workspace_id tenant, double cost, std::vector<host_id> keepers)
+        : m_tenant(std::move(tenant))
+        , m_cost(cost)
+        , m_keepers(std::move(keepers))
+    {
+    }
+
+    /// @return how many keepers were asked by datagram, and how many of them
+    /// have answered, for logs
+    [[nodiscard]] std::pair<int, int> asked_and_answered() const
+    {
+        return {m_asked, m_answered};
+    }
+
+    /// @return what was granted so far
+    [[nodiscard]] double collected() const
+    {
+        return m_collected;
+    }
+
+private:
+    friend class shared_quota;
+
+    workspace_id m_tenant;
+    double m_cost;
+    std::vector<host_id> m_keepers;
+    std::size_t m_next = 0;
+    double m_collected = 0;
+    std::int64_t m_open_ask = 0; ///< its sequence; 0: none is open
+    host_id m_open_keeper;
+    double m_open_amount = 0;
+    int m_asked = 0;
+    int m_answered = 0;
+};
+
+/// What a claim does next.
+struct claim_step
+{
+    enum class outcome
+    {
+        granted, ///< the request is within the quota
+        refused, ///< it is not
+        asking,  ///< `ask` is to be sent, and its answer awaited
+    };
+    outcome what = outcome::refused;
+    std::optional<addressed_quota_message> ask;
+};
+
+/// Limits what a tenant uses through all machines together. Each machine earns
+/// its share of the time and gives it to the keeper of its hall; keepers turn
+/// it into parts of each tenant's quota, and every request takes its cost from
+/// a keeper before it runs. What is granted is never more than the time that
+/// passed is worth, whatever is lost, late, killed or cut off: nothing is
+/// inferred from what others are believed to have used. Free of I/O. See
+/// docs/design/quotas.md.
+class shared_quota
+{
+public:
+    shared_quota(host_id self, hall_id hall, incarnation started,
+                 const quota_options& options);
+
+    /// Takes the limits of a new configuration.
+    void set_limits(const std::vector<ingress_tenant>& tenants)
+    {
+        m_pool.set_limits(tenants);
+    }
+
+    /// The fleet as the store lists it, or as a peer does.
+    /// @param was_listed whether this machine was in the list before its start:
+    /// then all others count it already
+    void note_fleet(bool was_listed, absl::Time now);
+
+    [[nodiscard]] fleet_roster& roster()
+    {
+        return m_roster;
+    }
+
+    /// Sets how long it takes until all others have heard of a new machine.
+    void set_join_time(absl::Duration time)
+    {
+        m_join_time = time;
+    }
+
+    /// Begins the end of this process.
+    void stop();
+
+    /// To be called several times a second.
+    /// @return what is to be sent
+    [[nodiscard]] std::vector<addressed_quota_message> tick(absl::Time now);
+
+    /// @return an answer to the sender, if there is one
+    [[nodiscard]] std::optional<quota_message>
+    receive(const quota_message& message, absl::Time now);
+
+    /// Begins to take a request's cost.
+    [[nodiscard]] quota_claim open_claim(const workspace_id& tenant,
+                                         double cost, absl::Time now) const;
+
+    /// Goes on: at first, when an answer has come, and when none has come in
+    /// time.
+    [[nodiscard]] claim_step advance(quota_claim& claim, absl::Time now);
+
+    /// Gives back what a request took that has not run.
+    void refund(const workspace_id& tenant, double cost);
+
+    /// @return whether the answer to an ask has come
+    [[nodiscard]] bool has_answer(std::int64_t ask) const;
+
+    /// @return the time in which the tenant's whole quota earns the cost
+    [[nodiscard]] absl::Duration time_to_earn(const workspace_id& tenant,
+                                              double cost) const;
+
+    [[nodiscard]] const quota_pool& pool() const
+    {
+        return m_pool;
+    }
+
+    /// @return this machine's share of the fleet's time; 0: not yet known
+    [[nodiscard]] double share() const
+    {
+        return m_mint.share();
+    }
+
+    /// @return machines of the fleet, with this one
+    [[nodiscard]] std::size_t fleet_size() const
+    {
+        return m_roster.size();
+    }
+
+private:
+    using short_key = std::pair<host_id, workspace_id>;
+
+    [[nodiscard]] double share_at(absl::Time now) const;
+    [[nodiscard]] quota_message new_message(quota_message_kind kind);
+    [[nodiscard]] addressed_quota_message deposit_to(const host_id& keeper,
+                                                     absl::Time now);
+    [[nodiscard]] addressed_quota_message
+    return_to(const host_id& keeper, const workspace_id& tenant, double amount);
+    void give_back_unused(const host_id& keeper, absl::Time now,
+                          std::vector<addressed_quota_message>& messages);
+    void hear_fleet_size(std::int64_t size, absl::Time now);
+    void take_grant(const quota_message& message);
+    void take_back(const quota_message& message, absl::Time now);
+    void close_ask(quota_claim& claim, absl::Time now);
+    void spend_wallet(quota_claim& claim);
+    [[nodiscard]] bool is_short(const host_id& keeper,
+                                const workspace_id& tenant,
+                                absl::Time now) const;
+
+    host_id m_self;
+    hall_id m_hall;
+    incarnation m_started;
+    bool m_is_stopping = false;
+    fleet_roster m_roster;
+    quota_mint m_mint;
+    quota_pool m_pool;
+    std::int64_t m_sequence = 0;
+    absl::Duration m_join_time;
+    absl::Time m_fleet_known_at = absl::InfiniteFuture();
+    bool m_was_listed = false;
+    std::int64_t m_told_size = 0;
+    absl::Time m_deposited_at = absl::InfinitePast();
+    host_id m_unseen_keeper; ///< to whom a deposit is on its way
+    std::map<workspace_id, double> m_wallet;
+    /// Granted amounts of open asks, by sequence; nothing: no answer yet.
+    std::map<std::int64_t, std::optional<double>> m_answers;
+    std::set<std::int64_t> m_late_asks;
+    /// The newest of each machine that was taken.
+    std::map<host_id, std::pair<incarnation, std::int64_t>> m_last_returns;
+    std::map<short_key, absl::Time> m_short_until;
+};
+
+} // namespace daleshelf
--- a/meta/generate.sh
+++ b/meta/generate.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/../libraries"
 (cd protocol && protoc --cpp_out=generated peer.proto)
 (cd peers && protoc --cpp_out=generated machine.proto)
+(cd quotas && protoc --cpp_out=generated quota.proto)
--- a/tests/quotas/fleet_model.cpp
+++ b/tests/quotas/fleet_model.cpp
@@ -84,8 +84,15 @@
                         std::function<void()> run)
 {
     const auto index = index_of(machine);
-    const auto life = m_places[index].life;
-    schedule(m_now + time,
+    run_later(index, m_places[index].life, m_now + time, std::move(run));
+}
+
+// A machine that stands still does it once it goes on, one that has ended
+// never.
+void fleet_model::run_later(std::size_t index, int life, absl::Time time,
+                            std::function<void()> run)
+{
+    schedule(time,
              [this, index, life, run = std::move(run)]
              {
                  const auto& at = m_places[index];
@@ -95,7 +102,7 @@
                  }
                  if (m_now < at.frozen_until)
                  {
-                     schedule(at.frozen_until, run);
+                     run_later(index, life, at.frozen_until, run);
                      return;
                  }
                  run();
--- a/tests/quotas/fleet_model.hpp
+++ b/tests/quotas/fleet_model.hpp
@@ -132,6 +132,8 @@
     };
 
     void schedule(absl::Time at, std::function<void()> run);
+    void run_later(std::size_t index, int life, absl::Time time,
+                   std::function<void()> run);
     void start_machine(std::size_t index, bool is_first);
     void begin(const fleet_trouble& trouble);
     void strike(const fleet_trouble& trouble, place& at, std::size_t index);
--- a/tests/quotas/quota_machine.cpp
+++ b/tests/quotas/quota_machine.cpp
@@ -6,140 +6,100 @@
 namespace
 {
 
+// As services/gateway has them.
 constexpr absl::Duration pause = absl::Milliseconds(250);
-constexpr absl::Duration history_time = absl::Seconds(3);
+constexpr absl::Duration ask_time = absl::Milliseconds(50);
+
+quota_options options()
+{
+    return {fleet_model::window, fleet_model::overshoot, fleet_model::slack};
+}
 
 } // namespace
 
 quota_machine::quota_machine(fleet_model& model, identity self)
     : m_model(model)
     , m_self(std::move(self))
-    , m_table({m_self.name, m_self.name.value()}, m_self.started,
-              peer_options())
-    , m_quota(fleet_model::window, m_self.is_first_start
-                                       ? token_quota::initial_use::none
-                                       : token_quota::initial_use::unknown)
+    , m_quota(m_self.name, m_self.hall, m_self.started, options())
 {
 }
 
 void quota_machine::start()
 {
-    m_quota.set_limits(m_model.tenants(), m_model.now());
+    m_quota.set_limits(m_model.tenants());
     for (const auto& [name, hall] : m_model.listed())
     {
-        m_table.add_address({name, name.value()}, m_model.now());
+        m_quota.roster().list(name, hall, m_model.now());
     }
+    m_quota.note_fleet(!m_self.is_first_start, m_model.now());
     m_model.after(m_self.name, absl::Milliseconds(m_model.random(5, 250)),
                   [this] { tick(); });
 }
 
 void quota_machine::tick()
 {
-    const auto now = m_model.now();
-    (void)m_table.forget_silent(now);
-    m_quota.begin_interval(m_table.reached(now), m_table.size(), now);
-    send_to_some(encode(own_state()));
-    send_use_notice();
+    for (const auto& message : m_quota.tick(m_model.now()))
+    {
+        send(message);
+    }
     m_model.after(m_self.name,
                   pause + absl::Milliseconds(m_model.random(0, 20)),
                   [this] { tick(); });
 }
 
-void quota_machine::send_to_some(const std::string& bytes)
+void quota_machine::send(const addressed_quota_message& message)
 {
-    const auto& peers = m_table.peers();
-    const auto most = static_cast<std::size_t>(peer_options().many_peers);
-    auto peer = peers.upper_bound(m_last_told);
-    for (std::size_t index = 0; index < std::min(peers.size(), most); ++index)
-    {
-        if (peer == peers.end())
-        {
-            peer = peers.begin();
-        }
-        m_model.send(m_self.name, peer->first, bytes);
-        m_last_told = peer->first;
-        ++peer;
-    }
+    m_model.send(m_self.name, message.to, encode(message.message));
 }
 
-void quota_machine::send_use_notice()
+void quota_machine::receive(const std::string& bytes)
 {
-    machine_state notice;
-    notice.is_use_notice = true;
-    for (const auto& [name, used] : m_quota.own_use())
+    const auto message = decode_quota_message(bytes);
+    if (!message)
     {
-        auto& told = m_told_use[name];
-        if (used != told && m_quota.is_pressed(name))
-        {
-            notice.uses[name] = used;
-            told = used;
-        }
+        return;
     }
-    if (m_table.tells_all_at_once() || notice.uses.empty())
+    if (auto reply = m_quota.receive(*message, m_model.now()))
     {
-        return;
+        send({message->from, std::move(*reply)});
     }
-    notice.self = {m_self.name, m_self.name.value()};
-    notice.started = m_self.started;
-    notice.sequence = ++m_sequence;
-    const auto bytes = encode(notice);
-    for (const auto& [name, peer] : m_table.peers())
+    const auto waiting = m_waiting.find(message->answer_to);
+    if (waiting != m_waiting.end() && m_quota.has_answer(message->answer_to))
     {
-        m_model.send(m_self.name, name, bytes);
+        const auto claim = waiting->second;
+        m_waiting.erase(waiting);
+        go_on(claim);
     }
 }
 
-machine_state quota_machine::own_state()
+void quota_machine::take(double cost, std::function<void(bool)> answer)
 {
-    machine_state state;
-    state.self = {m_self.name, m_self.name.value()};
-    state.started = m_self.started;
-    state.sequence = ++m_sequence;
-    state.hall = m_self.hall;
-    state.uses = m_quota.own_use();
-    const auto now = m_model.now();
-    if (now < m_tells_history_until && m_quota.knows_history(now))
-    {
-        state.window_use = m_quota.history(now);
-    }
-    return state;
+    go_on(std::make_shared<waiting_claim>(waiting_claim{
+        m_quota.open_claim(tenant, cost, m_model.now()), std::move(answer)}));
 }
 
-void quota_machine::receive(const std::string& bytes)
+void quota_machine::go_on(const std::shared_ptr<waiting_claim>& waiting)
 {
-    auto state = decode_machine_state(bytes);
-    if (!state)
+    const auto step = m_quota.advance(waiting->claim, m_model.now());
+    if (step.what != claim_step::outcome::asking)
     {
+        waiting->answer(step.what == claim_step::outcome::granted);
         return;
     }
-    const auto now = m_model.now();
-    const auto name = state->self.name;
-    const bool is_notice = state->is_use_notice;
-    const auto change = m_table.receive(std::move(*state), now);
-    for (const auto& [of, used] : change.new_use)
-    {
-        m_quota.count_peer(of, used, now);
-    }
-    if (!change.is_news || is_notice)
-    {
-        return;
-    }
-    const auto& newest = m_table.peers().at(name).state;
-    if (change.is_start)
-    {
-        m_tells_history_until =
-            now + std::max(history_time, m_table.send_pause() * 2);
-    }
-    if (newest.started < m_self.started && !newest.window_use.empty())
-    {
-        (void)m_quota.adopt(newest.window_use,
-                            token_quota::history_source::peer, now);
-    }
-}
-
-void quota_machine::take(double cost, const std::function<void(bool)>& answer)
-{
-    answer(m_quota.try_take(tenant, cost, m_model.now()));
+    send(*step.ask);
+    const auto ask = step.ask->message.sequence;
+    m_waiting[ask] = waiting;
+    m_model.after(m_self.name, ask_time,
+                  [this, ask]
+                  {
+                      const auto open = m_waiting.find(ask);
+                      if (open != m_waiting.end())
+                      {
+                          const auto claim = open->second;
+                          m_waiting.erase(open);
+                          go_on(claim);
+                      }
+                  });
 }
 
 } // namespace daleshelf
--- a/tests/quotas/quota_machine.hpp
+++ b/tests/quotas/quota_machine.hpp
@@ -4,13 +4,12 @@
 
 #include "fleet_model.hpp"
 
-#include <ingress/token_quota.hpp>
-#include <peers/peer_table.hpp>
+#include <quotas/shared_quota.hpp>
 
 namespace daleshelf
 {
 
-/// Does as `services/gateway/peer_exchange.cpp` does, as far as quotas go.
+/// Does as the gateway does, as far as quotas go.
 class quota_machine
 {
 public:
@@ -30,22 +29,23 @@
     void receive(const std::string& bytes);
 
     /// @param answer called with whether the request is within the quota
-    void take(double cost, const std::function<void(bool)>& answer);
+    void take(double cost, std::function<void(bool)> answer);
 
 private:
+    struct waiting_claim
+    {
+        quota_claim claim;
+        std::function<void(bool)> answer;
+    };
+
     void tick();
-    void send_to_some(const std::string& bytes);
-    void send_use_notice();
-    [[nodiscard]] machine_state own_state();
+    void go_on(const std::shared_ptr<waiting_claim>& waiting);
+    void send(const addressed_quota_message& message);
 
     fleet_model& m_model;
     identity m_self;
-    peer_table m_table;
-    token_quota m_quota;
-    std::int64_t m_sequence = 0;
-    host_id m_last_told;
-    std::map<workspace_id, double> m_told_use;
-    absl::Time m_tells_history_until = absl::InfinitePast();
+    shared_quota m_quota;
+    std::map<std::int64_t, std::shared_ptr<waiting_claim>> m_waiting;
 };
 
 } // namespace daleshelf
