--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds retry_when_unconfigured{1000};
 constexpr milliseconds retry_when_full{250};
 // A tenant beyond its quota is mostly so for seconds.
-constexpr milliseconds retry_when_over{2000};
+constexpr milliseconds retry_when_over{500};
 constexpr milliseconds longest_retry{5000};
 
 std::string_view kind_name(request_kind kind)
