--- a/libraries/quotas/fleet_roster.cpp
+++ b/libraries/quotas/fleet_roster.cpp
@@ -16,11 +16,13 @@
 constexpr absl::Duration away_time = absl::Seconds(2);
 // A machine that said that it stops, and is silent, has stopped.
 constexpr absl::Duration farewell_time = absl::Seconds(3);
-// A machine whose hall is heard, and which is not, is gone after this time;
-// longer than restarts, freezes and cuts of single machines last.
+// A machine whose hall is heard, and which is not, is gone after this time, and
+// not before its state should have come several times; longer than restarts,
+// freezes and cuts of single machines last.
 constexpr absl::Duration gone_time = absl::Seconds(30);
-// Whole states of peers come every 2.9 s in a fleet of ninety.
-constexpr absl::Duration heard_time = absl::Seconds(10);
+constexpr int gone_states = 4;
+// A machine is heard if one of its last states has come.
+constexpr int heard_states = 3;
 // Other than for the readers of the list, so that others do this.
 constexpr XXH64_hash_t rank_seed = 19;
 
@@ -151,26 +153,30 @@
 
 bool fleet_roster::is_gone(const member& of, absl::Time now) const
 {
-    return now - std::max(of.heard_at, of.listed_at) > gone_time &&
+    return now - std::max(of.heard_at, of.listed_at) >
+               std::max(gone_time, m_state_time * gone_states) &&
            (of.hall == m_hall || hears_hall(of.hall, now));
 }
 
+bool fleet_roster::is_heard(const member& of, absl::Time now) const
+{
+    return now - of.heard_at <= m_state_time * heard_states;
+}
+
 bool fleet_roster::hears_most(absl::Time now) const
 {
-    const auto heard =
-        std::count_if(m_members.begin(), m_members.end(),
-                      [&](const auto& entry)
-                      { return now - entry.second.heard_at <= heard_time; });
+    const auto heard = std::count_if(m_members.begin(), m_members.end(),
+                                     [&](const auto& entry)
+                                     { return is_heard(entry.second, now); });
     return static_cast<std::size_t>(heard) * 2 > m_members.size();
 }
 
 bool fleet_roster::hears_hall(const hall_id& hall, absl::Time now) const
 {
     return std::any_of(m_members.begin(), m_members.end(),
-                       [&](const auto& entry)
-                       {
+                       [&](const auto& entry) {
                            return entry.second.hall == hall &&
-                                  now - entry.second.heard_at <= heard_time;
+                                  is_heard(entry.second, now);
                        });
 }
 
--- a/libraries/quotas/fleet_roster.hpp
+++ b/libraries/quotas/fleet_roster.hpp
@@ -30,6 +30,12 @@
     /// A machine has not answered.
     void note_silence(const host_id& machine, absl::Time now);
 
+    /// Sets how long it takes until a machine's state has gone to all.
+    void set_state_time(absl::Duration time)
+    {
+        m_state_time = time;
+    }
+
     /// This machine keeps no pool any more, if another one can.
     void stop()
     {
@@ -66,12 +72,14 @@
     };
 
     [[nodiscard]] bool is_gone(const member& of, absl::Time now) const;
+    [[nodiscard]] bool is_heard(const member& of, absl::Time now) const;
     [[nodiscard]] bool hears_most(absl::Time now) const;
     [[nodiscard]] bool hears_hall(const hall_id& hall, absl::Time now) const;
 
     host_id m_self;
     hall_id m_hall;
     bool m_is_stopping = false;
+    absl::Duration m_state_time = absl::Seconds(3);
     std::map<host_id, member> m_members;
     std::map<hall_id, absl::Time> m_hall_away_until;
 };
--- a/libraries/quotas/quota_pool.cpp
+++ b/libraries/quotas/quota_pool.cpp
@@ -12,9 +12,9 @@
 // none: four pauses between deposits.
 constexpr absl::Duration deposit_age = absl::Seconds(2);
 // So many seconds' worth of the bound are not given out, since deposits are
-// counted when they come: two of them (0.9 s) wait at a keeper that stands still
-// until its givers pass it over, and others are on their way. In the model, 0.75
-// broke one fleet of 1,500 by 2.5 %.
+// counted when they come: two of them (0.9 s) wait at a keeper that stands
+// still until its givers pass it over, and others are on their way. In the
+// model, 0.75 broke one fleet of 1,500 by 2.5 %.
 constexpr double margin_seconds = 1.25;
 // Pools hold at least what is earned within this time, in seconds: more than a
 // pause between deposits.
--- a/libraries/quotas/shared_quota.cpp
+++ b/libraries/quotas/shared_quota.cpp
@@ -12,9 +12,9 @@
 constexpr absl::Duration deposit_pause = absl::Milliseconds(450);
 // How long a keeper that had too little is not asked again for that tenant.
 constexpr absl::Duration short_time = absl::Milliseconds(200);
-// How long the fleet's size counts as a peer has told it: longer than the pause
-// between two of its states, 2.9 s in a fleet of ninety.
-constexpr absl::Duration told_time = absl::Seconds(10);
+// How long the fleet's size counts as a peer has told it, against the time in
+// which its state goes to all: one state may be lost.
+constexpr int told_states = 3;
 // Asks whose answer may still come.
 constexpr std::size_t most_late_asks = 256;
 // Rounding of sums.
@@ -85,7 +85,7 @@
     auto size = static_cast<std::int64_t>(m_roster.size());
     for (const auto& [peer, told] : m_told_sizes)
     {
-        if (now - told.second < told_time)
+        if (now - told.second < m_join_time * told_states)
         {
             size = std::max(size, told.first);
         }
--- a/libraries/quotas/shared_quota.hpp
+++ b/libraries/quotas/shared_quota.hpp
@@ -122,6 +122,7 @@
     void set_join_time(absl::Duration time)
     {
         m_join_time = time;
+        m_roster.set_state_time(time);
     }
 
     /// Begins the end of this process.
