quotas: Divide the retry budget's slack by those behind a cut too

Change: by the most machines that anybody counts (tested there; that the gateway asks it has no test of its own).

--- a/libraries/quotas/shared_quota.cpp
+++ b/libraries/quotas/shared_quota.cpp
@@ -81,16 +81,21 @@
     {
         return 0;
     }
-    // The most that anybody counts: too many is safe, too few is not.
-    auto size = static_cast<std::int64_t>(m_roster.size());
+    return 1.0 / static_cast<double>(counted_machines(now));
+}
+
+// The most that anybody counts: too many is safe, too few is not.
+std::size_t shared_quota::counted_machines(absl::Time now) const
+{
+    auto most = m_roster.size();
     for (const auto& [peer, told] : m_told_sizes)
     {
         if (now - told.second < m_join_time * told_states)
         {
-            size = std::max(size, told.first);
+            most = std::max(most, static_cast<std::size_t>(told.first));
         }
     }
-    return 1.0 / static_cast<double>(size);
+    return most;
 }
 
 quota_message shared_quota::new_message(quota_message_kind kind)
--- a/libraries/quotas/shared_quota.hpp
+++ b/libraries/quotas/shared_quota.hpp
@@ -166,7 +166,11 @@
         return m_mint.share();
     }
 
-    /// @return machines of the fleet, with this one
+    /// @return the most machines that this one, or a peer heard lately, counts:
+    /// what is divided by it is shared by no more, also while halls are cut off
+    [[nodiscard]] std::size_t counted_machines(absl::Time now) const;
+
+    /// @return machines of the fleet that this one knows of, with itself
     [[nodiscard]] std::size_t fleet_size() const
     {
         return m_roster.size();
--- a/tests/quotas/shared_quota_test.cpp
+++ b/tests/quotas/shared_quota_test.cpp
@@ -200,6 +200,8 @@
         (void)quota.tick(at(second));
     }
     EXPECT_DOUBLE_EQ(quota.share(), 0.25);
+    // The retry budget is divided by as many.
+    EXPECT_EQ(quota.counted_machines(at(3600)), 4U);
 }
 
 TEST(shared_quota, a_machine_that_is_gone_for_good_leaves_its_share)
