quotas: Count a deposit only if it names a recent answer of its keeper

Change: a deposit names the keeper's last answer, and counts while that is at most 1.2 s old by the keeper's clock; 0.75 s are kept back again.

--- a/libraries/quotas/quota_pool.cpp
+++ b/libraries/quotas/quota_pool.cpp
@@ -11,11 +11,10 @@
 // A machine that has not deposited for so long gives to another keeper, or to
 // none: four pauses between deposits.
 constexpr absl::Duration deposit_age = absl::Seconds(2);
-// So many seconds' worth of the bound are not given out, since deposits are
-// counted when they come: two of them (0.9 s) wait at a keeper that stands
-// still until its givers pass it over, and others are on their way. In the
-// model, 0.75 broke one fleet of 1,500 by 2.5 %.
-constexpr double margin_seconds = 1.25;
+// So many seconds' worth of the bound are not given out, since deposits count
+// when they come: they are given every 0.45 s, and are on their way for a
+// while.
+constexpr double margin_seconds = 0.75;
 // Pools hold at least what is earned within this time, in seconds: more than a
 // pause between deposits.
 constexpr double least_held_seconds = 0.6;
@@ -51,26 +50,27 @@
     m_accounts = std::move(accounts);
 }
 
-void quota_pool::deposit(const host_id& machine, incarnation started,
-                         double share, double given, absl::Time now)
+void quota_pool::deposit(const gift& gift, absl::Time now)
 {
-    auto& from = m_depositors[machine];
-    if (started < from.started)
+    auto& from = m_depositors[gift.machine];
+    if (gift.started < from.started)
     {
         return;
     }
-    if (from.started < started)
+    if (from.started < gift.started)
     {
-        from = {started, 0, 0, absl::InfinitePast()};
+        from = {gift.started, 0, 0, absl::InfinitePast()};
     }
-    // Deposits that were lost for longer are: their time has passed.
-    const auto added = std::min(given - from.given, share * longest_deposit);
-    if (added < 0)
+    if (gift.given < from.given)
     {
         return;
     }
-    from.given = given;
-    from.share = share;
+    // Deposits that were lost for longer are: their time has passed.
+    const auto added = gift.is_late ? 0.0
+                                    : std::min(gift.given - from.given,
+                                               gift.share * longest_deposit);
+    from.given = gift.given;
+    from.share = gift.share;
     from.heard_at = now;
     const auto part = weight(now);
     for (auto& [tenant, of] : m_accounts)
--- a/libraries/quotas/quota_pool.hpp
+++ b/libraries/quotas/quota_pool.hpp
@@ -38,11 +38,19 @@
     /// Takes the limits of a new configuration.
     void set_limits(const std::vector<ingress_tenant>& tenants);
 
-    /// Takes what a machine gives; a message that comes again or late counts
-    /// for what is new in it.
-    /// @param given all that this start of the machine gave, in seconds
-    void deposit(const host_id& machine, incarnation started, double share,
-                 double given, absl::Time now);
+    /// What a machine gives.
+    struct gift
+    {
+        host_id machine;
+        incarnation started; ///< of the machine
+        double share = 0;
+        double given = 0;     ///< all that this start of it gave, in seconds
+        bool is_late = false; ///< too old to be used now
+    };
+
+    /// Takes what a machine gives; one that comes again counts for what is new
+    /// in it, one that is late for nothing, then or later.
+    void deposit(const gift& gift, absl::Time now);
 
     /// @param wanted in the tenant's unit
     /// @return what is granted of it
--- a/libraries/quotas/shared_quota.cpp
+++ b/libraries/quotas/shared_quota.cpp
@@ -10,6 +10,11 @@
 
 // Two a second: keepers of thirty machines read sixty.
 constexpr absl::Duration deposit_pause = absl::Milliseconds(450);
+// A deposit names a message of the keeper that is no older than this; one lost
+// datagram is borne.
+constexpr absl::Duration echo_time = absl::Seconds(1);
+// The keeper counts it within this time of that message.
+constexpr absl::Duration recent_time = absl::Milliseconds(1200);
 // How long a keeper that had too little is not asked again for that tenant.
 constexpr absl::Duration short_time = absl::Milliseconds(200);
 // How long the fleet's size counts as a peer has told it, against the time in
@@ -60,8 +65,9 @@
     give_back_unused(keeper, now, messages);
     if (keeper == m_self)
     {
-        m_pool.deposit(m_self, m_started, m_mint.share(),
-                       m_mint.give(m_self, m_started, now), now);
+        m_pool.deposit({m_self, m_started, m_mint.share(),
+                        m_mint.give(m_self, m_started, now), false},
+                       now);
         return messages;
     }
     if (now - m_deposited_at >= deposit_pause)
@@ -122,9 +128,10 @@
     m_deposited_at = now;
     auto message = new_message(quota_message_kind::deposit);
     message.share = m_mint.share();
-    message.keeper_started = m_roster.started_of(keeper);
-    if (message.keeper_started != incarnation())
+    if (m_echo.keeper == keeper && now - m_echo.heard_at <= echo_time)
     {
+        message.answer_to = m_echo.sequence;
+        message.keeper_started = m_roster.started_of(keeper);
         message.credit = m_mint.give(keeper, message.keeper_started, now);
     }
     return {keeper, std::move(message)};
@@ -172,11 +179,13 @@
     {
         if (message.keeper_started == m_started)
         {
-            m_pool.deposit(message.from, message.started, message.share,
-                           message.credit, now);
+            m_pool.deposit({message.from, message.started, message.share,
+                            message.credit, !is_recent(message.answer_to, now)},
+                           now);
         }
         auto seen = new_message(quota_message_kind::seen);
         seen.answer_to = message.sequence;
+        m_seen_sent.emplace_back(seen.sequence, now);
         return seen;
     }
     case quota_message_kind::ask:
@@ -189,6 +198,7 @@
     }
     case quota_message_kind::seen:
         note_fleet(false, now);
+        m_echo = {message.from, message.sequence, now};
         if (m_unseen_keeper == message.from)
         {
             m_unseen_keeper = host_id();
@@ -204,6 +214,18 @@
     return std::nullopt;
 }
 
+// Whether this process has sent that message a short while ago, by its own
+// clock: what names it has not waited for this process to go on again.
+bool shared_quota::is_recent(std::int64_t sequence, absl::Time now)
+{
+    while (!m_seen_sent.empty() &&
+           now - m_seen_sent.front().second > recent_time)
+    {
+        m_seen_sent.pop_front();
+    }
+    return !m_seen_sent.empty() && sequence >= m_seen_sent.front().first;
+}
+
 // An answer that comes when nobody waits for it any more is kept for others;
 // one that comes twice counts once.
 void shared_quota::take_grant(const quota_message& message)
--- a/libraries/quotas/shared_quota.hpp
+++ b/libraries/quotas/shared_quota.hpp
@@ -9,6 +9,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <deque>
 #include <optional>
 #include <set>
 #include <utility>
@@ -179,6 +180,14 @@
 private:
     using short_key = std::pair<host_id, workspace_id>;
 
+    /// The newest message of a keeper.
+    struct keeper_echo
+    {
+        host_id keeper;
+        std::int64_t sequence = 0;
+        absl::Time heard_at = absl::InfinitePast();
+    };
+
     [[nodiscard]] double share_at(absl::Time now) const;
     [[nodiscard]] quota_message new_message(quota_message_kind kind);
     [[nodiscard]] addressed_quota_message deposit_to(const host_id& keeper,
@@ -187,6 +196,7 @@
     return_to(const host_id& keeper, const workspace_id& tenant, double amount);
     void give_back_unused(const host_id& keeper, absl::Time now,
                           std::vector<addressed_quota_message>& messages);
+    [[nodiscard]] bool is_recent(std::int64_t sequence, absl::Time now);
     void take_grant(const quota_message& message);
     void take_back(const quota_message& message, absl::Time now);
     void close_ask(quota_claim& claim, absl::Time now);
@@ -210,6 +220,9 @@
     std::map<host_id, std::pair<std::int64_t, absl::Time>> m_told_sizes;
     absl::Time m_deposited_at = absl::InfinitePast();
     host_id m_unseen_keeper; ///< to whom a deposit is on its way
+    keeper_echo m_echo;
+    /// What this keeper has answered lately: sequences and times.
+    std::deque<std::pair<std::int64_t, absl::Time>> m_seen_sent;
     std::map<workspace_id, double> m_wallet;
     /// Granted amounts of open asks, by sequence; nothing: no answer yet.
     std::map<std::int64_t, std::optional<double>> m_answers;
