--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -23,8 +23,6 @@
         {"host.id", &settings::host_id, "name of this host", required},
         {"host.hall", &settings::host_hall, "hall that this host is in",
          required},
-        {"host.first_start", &settings::is_first_start,
-         "whether the whole system starts for the first time"},
         {"clients.address", &settings::clients_address,
          "IP:PORT that clients reach", required},
         {"readiness.address", &settings::readiness_address,
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -16,7 +16,6 @@
 {
     std::string host_id;
     std::string host_hall;
-    bool is_first_start = false;
     std::string clients_address;
     std::string readiness_address;
     std::string metrics_address;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -17,7 +17,6 @@
     gateway_settings settings;
     settings.host_id = "gateway";
     settings.host_hall = "here";
-    settings.is_first_start = true;
     settings.retry_slack = 1000;
     return settings;
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -88,20 +88,18 @@
                                fleet.store_address)
         self.settings = fleet.folder / f"gateway-{index + 1}.toml"
         self._fleet = fleet
-        self._is_first = True
         name = f"gateway-{index + 1}"
         super().__init__(name, [str(fleet.program), "gateway"],
                          fleet.folder / f"{name}.log", fleet.on_line,
                          {**os.environ,
                           "DALESHELF_BOOT": str(self.settings)})
 
-    def write_settings(self, is_first):
+    def write_settings(self):
         seeds = [f"{self._fleet.ip(1, seed + 1)}:{PEER_PORT}"
                  for seed in range(min(3, self._fleet.gateway_count))]
         self.settings.write_text(f"""[host]
 id = "{self.name}"
 hall = "{ZONES[self.index % len(ZONES)]}"
-first_start = {str(is_first).lower()}
 [clients]
 address = "{self.ip}:{CLIENT_PORT}"
 [readiness]
@@ -128,8 +126,7 @@
 """)
 
     async def start(self):
-        self.write_settings(self._is_first)
-        self._is_first = False
+        self.write_settings()
         await super().start()
 
     async def start_links(self):
