--- a/libraries/quotas/forward.hpp
+++ b/libraries/quotas/forward.hpp
@@ -7,7 +7,7 @@
 
 class fleet_roster;
 class quota_claim;
-class quota_mint;
+class share_meter;
 class quota_pool;
 class shared_quota;
 struct quota_message;
--- a/libraries/quotas/quota_pool.cpp
+++ b/libraries/quotas/quota_pool.cpp
@@ -51,27 +51,28 @@
     m_accounts = std::move(accounts);
 }
 
-void quota_pool::deposit(const gift& gift, absl::Time now)
+void quota_pool::deposit(const deposit_report& report, absl::Time now)
 {
-    auto& from = m_depositors[gift.host];
-    if (gift.started < from.started)
+    auto& from = m_depositors[report.host];
+    if (report.started < from.started)
     {
         return;
     }
-    if (from.started < gift.started)
+    if (from.started < report.started)
     {
-        from = {gift.started, 0, 0, absl::InfinitePast()};
+        from = {report.started, 0, 0, absl::InfinitePast()};
     }
-    if (gift.given < from.given)
+    if (report.given < from.given)
     {
         return;
     }
     // Deposits that were lost for longer are: their time has passed.
-    const auto added = gift.is_late ? 0.0
-                                    : std::min(gift.given - from.given,
-                                               gift.share * longest_deposit);
-    from.given = gift.given;
-    from.share = gift.share;
+    const auto added = report.is_late
+                           ? 0.0
+                           : std::min(report.given - from.given,
+                                      report.share * longest_deposit);
+    from.given = report.given;
+    from.share = report.share;
     from.heard_at = now;
     const auto part = weight(now);
     for (auto& [workspace, of] : m_accounts)
--- a/libraries/quotas/quota_pool.hpp
+++ b/libraries/quotas/quota_pool.hpp
@@ -39,7 +39,7 @@
     void set_limits(const std::vector<ingress_tenant>& workspaces);
 
     /// What a host gives.
-    struct gift
+    struct deposit_report
     {
         host_id host;
         incarnation started; ///< of the host
@@ -50,7 +50,7 @@
 
     /// Takes what a host gives; one that comes again counts for what is new
     /// in it, one that is late for nothing, then or later.
-    void deposit(const gift& gift, absl::Time now);
+    void deposit(const deposit_report& report, absl::Time now);
 
     /// @param wanted in the workspace's unit
     /// @return what is granted of it
--- a/libraries/quotas/quota_mint.cpp
+++ b/libraries/quotas/share_meter.cpp
@@ -1,4 +1,4 @@
-#include "quota_mint.hpp"
+#include "share_meter.hpp"
 
 #include <algorithm>
 
@@ -15,14 +15,14 @@
 
 } // namespace
 
-void quota_mint::set_share(double share, absl::Time now)
+void share_meter::set_share(double share, absl::Time now)
 {
     earn(now);
     m_share = share;
 }
 
-double quota_mint::give(const host_id& keeper, incarnation started,
-                        absl::Time now)
+double share_meter::give(const host_id& keeper, incarnation started,
+                         absl::Time now)
 {
     earn(now);
     auto& account = m_accounts[keeper];
@@ -35,7 +35,7 @@
     return account.given;
 }
 
-void quota_mint::earn(absl::Time now)
+void share_meter::earn(absl::Time now)
 {
     if (m_earned_at != absl::InfinitePast())
     {
--- a/libraries/quotas/quota_mint.hpp
+++ b/libraries/quotas/share_meter.hpp
@@ -14,7 +14,7 @@
 /// 1/N second of the whole fleet a second. Each part is given to one keeper
 /// once, so that all keepers together get no more than the time that passed. A
 /// process that starts again begins at nothing. See docs/design/quotas.md.
-class quota_mint
+class share_meter
 {
 public:
     /// Sets the share from now on.
--- a/libraries/quotas/shared_quota.cpp
+++ b/libraries/quotas/shared_quota.cpp
@@ -59,14 +59,14 @@
 std::vector<addressed_quota_message> shared_quota::tick(absl::Time now)
 {
     m_roster.strike_gone(now);
-    m_mint.set_share(share_at(now), now);
+    m_meter.set_share(share_at(now), now);
     std::vector<addressed_quota_message> messages;
     const auto keeper = m_roster.keepers(now).front();
     give_back_unused(keeper, now, messages);
     if (keeper == m_self)
     {
-        m_pool.deposit({m_self, m_started, m_mint.share(),
-                        m_mint.give(m_self, m_started, now), false},
+        m_pool.deposit({m_self, m_started, m_meter.share(),
+                        m_meter.give(m_self, m_started, now), false},
                        now);
         return messages;
     }
@@ -127,12 +127,12 @@
     m_unseen_keeper = keeper;
     m_deposited_at = now;
     auto message = new_message(quota_message_kind::deposit);
-    message.share = m_mint.share();
+    message.share = m_meter.share();
     if (m_echo.keeper == keeper && now - m_echo.heard_at <= echo_time)
     {
         message.answer_to = m_echo.sequence;
         message.keeper_started = m_roster.started_of(keeper);
-        message.credit = m_mint.give(keeper, message.keeper_started, now);
+        message.credit = m_meter.give(keeper, message.keeper_started, now);
     }
     return {keeper, std::move(message)};
 }
@@ -152,7 +152,7 @@
     const host_id& keeper, absl::Time now,
     std::vector<addressed_quota_message>& messages)
 {
-    const auto unused = std::exchange(m_wallet, {});
+    const auto unused = std::exchange(m_unspent, {});
     for (const auto& [workspace, amount] : unused)
     {
         if (keeper == m_self)
@@ -242,7 +242,7 @@
     }
     if (m_late_asks.erase(message.answer_to) > 0)
     {
-        m_wallet[message.workspace] += message.amount;
+        m_unspent[message.workspace] += message.amount;
     }
 }
 
@@ -272,14 +272,14 @@
     }
     // 2. What the last keeper has granted, and what is left here.
     close_ask(claim, now);
-    spend_wallet(claim);
+    spend_unspent(claim);
     // 3. The next keeper, while something is missing.
     while (claim.m_collected + least_amount < claim.m_cost)
     {
         if (claim.m_next == claim.m_keepers.size())
         {
             // 4. Nobody has the rest: what was collected is for others.
-            m_wallet[claim.m_workspace] += claim.m_collected;
+            m_unspent[claim.m_workspace] += claim.m_collected;
             return {claim_step::outcome::refused, std::nullopt};
         }
         const auto keeper = claim.m_keepers[claim.m_next++];
@@ -337,10 +337,10 @@
     }
 }
 
-void shared_quota::spend_wallet(quota_claim& claim)
+void shared_quota::spend_unspent(quota_claim& claim)
 {
-    const auto found = m_wallet.find(claim.m_workspace);
-    if (found == m_wallet.end())
+    const auto found = m_unspent.find(claim.m_workspace);
+    if (found == m_unspent.end())
     {
         return;
     }
@@ -354,7 +354,7 @@
 {
     if (m_pool.is_limited(workspace))
     {
-        m_wallet[workspace] += cost;
+        m_unspent[workspace] += cost;
     }
 }
 
--- a/libraries/quotas/shared_quota.hpp
+++ b/libraries/quotas/shared_quota.hpp
@@ -3,11 +3,10 @@
 #pragma once
 
 #include "fleet_roster.hpp"
+#include "quota_claim.hpp"
 #include "quota_message.hpp"
-#include "quota_mint.hpp"
 #include "quota_pool.hpp"
-
-#include <absl/container/flat_hash_map.h>
+#include "share_meter.hpp"
 
 #include <deque>
 #include <optional>
@@ -18,13 +17,6 @@
 namespace daleshelf
 {
 
-/// A message and the host that it is for.
-struct addressed_quota_message
-{
-    host_id to;
-    quota_message message;
-};
-
 /// What a peer tells of itself.
 struct quota_peer
 {
@@ -35,59 +27,6 @@
     std::int64_t fleet_size = 0; ///< hosts that it counts, with itself
 };
 
-/// One request's way through the keepers.
-class quota_claim
-{
-public:
-    quota_claim(workspace_id workspace, double cost,
-                std::vector<host_id> keepers)
-        : m_workspace(std::move(workspace))
-        , m_cost(cost)
-        , m_keepers(std::move(keepers))
-    {
-    }
-
-    /// @return how many keepers were asked by datagram, and how many of them
-    /// have answered, for logs
-    [[nodiscard]] std::pair<int, int> asked_and_answered() const
-    {
-        return {m_asked, m_answered};
-    }
-
-    /// @return what was granted so far
-    [[nodiscard]] double collected() const
-    {
-        return m_collected;
-    }
-
-private:
-    friend class shared_quota;
-
-    workspace_id m_workspace;
-    double m_cost;
-    std::vector<host_id> m_keepers;
-    std::size_t m_next = 0;
-    double m_collected = 0;
-    std::int64_t m_open_ask = 0; ///< its sequence; 0: none is open
-    host_id m_open_keeper;
-    double m_open_amount = 0;
-    int m_asked = 0;
-    int m_answered = 0;
-};
-
-/// What a claim does next.
-struct claim_step
-{
-    enum class outcome
-    {
-        granted, ///< the request is within the quota
-        refused, ///< it is not
-        asking,  ///< `ask` is to be sent, and its answer awaited
-    };
-    outcome what = outcome::refused;
-    std::optional<addressed_quota_message> ask;
-};
-
 /// Limits what a workspace uses through all hosts together. Each host earns
 /// its share of the time and gives it to the keeper of its hall; keepers turn
 /// it into parts of each workspace's quota, and every request takes its cost
@@ -165,7 +104,7 @@
     /// @return this host's share of the fleet's time; 0: not yet known
     [[nodiscard]] double share() const
     {
-        return m_mint.share();
+        return m_meter.share();
     }
 
     /// @return the most hosts that this one, or a peer heard lately, counts:
@@ -202,7 +141,7 @@
     void take_grant(const quota_message& message);
     void take_back(const quota_message& message, absl::Time now);
     void close_ask(quota_claim& claim, absl::Time now);
-    void spend_wallet(quota_claim& claim);
+    void spend_unspent(quota_claim& claim);
     [[nodiscard]] bool is_short(const host_id& keeper,
                                 const workspace_id& workspace,
                                 absl::Time now) const;
@@ -212,7 +151,7 @@
     incarnation m_started;
     bool m_is_stopping = false;
     fleet_roster m_roster;
-    quota_mint m_mint;
+    share_meter m_meter;
     quota_pool m_pool;
     std::int64_t m_sequence = 0;
     absl::Duration m_join_time;
@@ -225,7 +164,7 @@
     keeper_echo m_echo;
     /// What this keeper has answered lately: sequences and times.
     std::deque<std::pair<std::int64_t, absl::Time>> m_seen_sent;
-    std::map<workspace_id, double> m_wallet;
+    std::map<workspace_id, double> m_unspent;
     /// Granted amounts of open asks, by sequence; nothing: no answer yet.
     std::map<std::int64_t, std::optional<double>> m_answers;
     std::set<std::int64_t> m_late_asks;
