experiment: Play new files of the work tree too, and build only what changed

A stash has no untracked files: a variant with a new library did not build. The work tree is now committed on no branch, and has one copy that is brought up to date.

--- a/tests/experiment/experiment_test.py
+++ b/tests/experiment/experiment_test.py
@@ -216,6 +216,16 @@
         _, output, _ = self.run_tool("old@HEAD", "new")
         self.assertIn("| mill | new | 0.315 | 2 | +0.100", output)
 
+    def test_the_work_tree_has_its_new_files_and_one_id(self):
+        (self.repository / "docs/NEW.md").write_text("new\n")
+        first = workshop.resolve_commit(self.repository, ".")
+        self.assertEqual("new", workshop.run_git(
+            self.repository, "show", f"{first}:docs/NEW.md"))
+        (self.repository / "journal/1.json").write_text("{}")
+        self.assertEqual(first, workshop.resolve_commit(self.repository, "."))
+        self.assertNotIn("NEW", workshop.run_git(
+            self.repository, "diff", "--cached"))
+
     def test_ends_what_it_started_when_it_is_interrupted(self):
         shop = workshop.Workshop(self.repository, self.bench, self.root, 1)
         process = subprocess.Popen(["sleep", "60"], start_new_session=True)
--- a/utilities/experiment/workshop.py
+++ b/utilities/experiment/workshop.py
@@ -5,6 +5,7 @@
 import shutil
 import signal
 import subprocess
+import tempfile
 from pathlib import Path
 
 from .errors import ExperimentError
@@ -14,10 +15,11 @@
 LAST_LINES = 3  # of a failed play's output that are shown
 
 
-def run_git(folder, *arguments):
+def run_git(folder, *arguments, variables=None):
     """Returns what git prints."""
     result = subprocess.run(["git", "-C", str(folder), *arguments],
-                            capture_output=True, text=True, check=False)
+                            capture_output=True, text=True, check=False,
+                            env={**os.environ, **(variables or {})})
     if result.returncode != 0:
         raise ExperimentError(
             f"git {' '.join(arguments)}: {result.stderr.strip()}")
@@ -27,11 +29,33 @@
 def resolve_commit(repository, commit):
     """Returns a commit's id; "." is the work tree, with its changes."""
     if commit == ".":
-        changed = run_git(repository, "stash", "create")
-        return changed or run_git(repository, "rev-parse", "HEAD")
+        return commit_of_work_tree(repository)
     return run_git(repository, "rev-parse", "--verify", f"{commit}^{{commit}}")
 
 
+def commit_of_work_tree(repository):
+    """Makes a commit of all that is there, new files too, on no branch.
+
+    The same content gives the same commit, so that what was played with it is
+    found again.
+    """
+    head = run_git(repository, "rev-parse", "HEAD")
+    with tempfile.TemporaryDirectory() as folder:
+        variables = {"GIT_INDEX_FILE": str(Path(folder) / "index")}
+        run_git(repository, "read-tree", "HEAD", variables=variables)
+        # What plays leave behind is no source.
+        run_git(repository, "add", "-A", ":!journal", variables=variables)
+        tree = run_git(repository, "write-tree", variables=variables)
+    if tree == run_git(repository, "rev-parse", f"{head}^{{tree}}"):
+        return head
+    fixed = {f"GIT_{who}_{what}": text for who in ("AUTHOR", "COMMITTER")
+             for what, text in (("NAME", "experiment"),
+                                ("EMAIL", "experiment@localhost"),
+                                ("DATE", "2000-01-01T00:00:00Z"))}
+    return run_git(repository, "commit-tree", tree, "-p", head, "-m",
+                   "The work tree", variables=fixed)
+
+
 class Workshop:
     """Copies by commit; each is built once, and plays one variant at a time."""
 
@@ -44,22 +68,30 @@
         if not os.access(self._bench, os.X_OK):
             raise ExperimentError(f"no bench at '{bench}'")
 
-    def copy_of(self, commit_id):
-        """Returns a checkout of the commit, made if it is not there."""
-        copy = self._folder / "copies" / commit_id[:12]
+    def copy_of(self, variant, commit_id):
+        """Returns a checkout of the commit, made if it is not there.
+
+        The work tree has one copy, which is brought up to date, so that only
+        what has changed is built again.
+        """
+        name = "work" if variant.commit == "." else commit_id[:12]
+        copy = self._folder / "copies" / name
         if not copy.exists():
             made = copy.with_suffix(".part")
             shutil.rmtree(made, ignore_errors=True)
             made.parent.mkdir(parents=True, exist_ok=True)
             run_git(self._repository, "clone", "--quiet", "--shared",
                     "--no-checkout", ".", str(made))
-            run_git(made, "checkout", "--quiet", commit_id)
             made.rename(copy)
+        if run_git(copy, "rev-parse", "HEAD") != commit_id or \
+                not (copy / SETTINGS_PAGE).exists():
+            run_git(copy, "checkout", "--quiet", "--force", commit_id)
         return copy
 
     def check_settings(self, variant, commit_id):
         """Refuses a setting that the commit's page does not list."""
-        page = (self.copy_of(commit_id) / SETTINGS_PAGE).read_text()
+        page = run_git(self._repository, "show",
+                       f"{commit_id}:{SETTINGS_PAGE}")
         for key, _ in variant.settings:
             if f"| `{key}` |" not in page:
                 raise ExperimentError(f"variant '{variant.name}': there is no "
@@ -67,7 +99,7 @@
 
     def prepare(self, variant, commit_id):
         """Lays the variant's settings into the commit's copy."""
-        copy = self.copy_of(commit_id)
+        copy = self.copy_of(variant, commit_id)
         original = run_git(copy, "show", f"HEAD:{TEMPLATE}") + "\n"
         lines = [f"{key.removeprefix('policy.')} = {value}"
                  for key, value in variant.settings]
@@ -128,11 +160,17 @@
                 os.killpg(process.pid, signal.SIGTERM)
 
     def collect_journal(self, target):
-        """Copies the journal entries of all plays; returns how many are new."""
+        """Copies the journal of all plays, with what its entries name.
+
+        Returns how many entries are new.
+        """
         count = 0
-        for entry in sorted(self._folder.glob("copies/*/journal/*.json")):
-            kept = Path(target) / entry.name
-            if not kept.exists():
-                shutil.copyfile(entry, kept)
-                count += 1
+        for journal in sorted(self._folder.glob("copies/*/journal")):
+            for file in sorted(journal.rglob("*.*")):
+                kept = Path(target) / file.relative_to(journal)
+                if kept.exists() or not file.is_file():
+                    continue
+                kept.parent.mkdir(parents=True, exist_ok=True)
+                shutil.copyfile(file, kept)
+                count += kept.parent == Path(target)
         return count
