engines: Learn the speed of engines; order servers by what the load needs

Change: a model of each service's engines, learned from requests, joined over hosts; the need follows from it and from the objectives; the cheapest mix of on-demand and spot servers that bears the loss of a hall. docs/design/engines.md. A section of settings, policy, switches mechanisms of decision off.

Ruled out: weighing observations by the expected time alone (one early stall raised the estimate sevenfold), a free period of Huber's weights (the same), the doubtful part as a coefficient of the fit (biased by 0.2).

--- /dev/null
+++ b/libraries/engines/service_work.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// What requests have asked of a service.
+#pragma once
+
+namespace daleshelf
+{
+
+/// Sums over the prompts that one host has sent since its start, or rates a
+/// second of all hosts.
+struct service_work
+{
+    double prompts = 0;
+    double read_tokens = 0;         ///< expected to be read
+    double read_tokens_squared = 0; ///< sum of squares over prompts
+    double allowed_tokens = 0;      ///< the most that may be generated
+
+    service_work& operator+=(const service_work& other)
+    {
+        prompts += other.prompts;
+        read_tokens += other.read_tokens;
+        read_tokens_squared += other.read_tokens_squared;
+        allowed_tokens += other.allowed_tokens;
+        return *this;
+    }
+
+    friend service_work operator-(service_work left, const service_work& right)
+    {
+        return left += right * -1;
+    }
+
+    friend service_work operator*(service_work left, double factor)
+    {
+        left.prompts *= factor;
+        left.read_tokens *= factor;
+        left.read_tokens_squared *= factor;
+        left.allowed_tokens *= factor;
+        return left;
+    }
+};
+
+} // namespace daleshelf
--- a/libraries/ingress/forward.hpp
+++ b/libraries/ingress/forward.hpp
@@ -11,6 +11,7 @@
 class route_table;
 class server_choice;
 class server_directory;
+struct decision_policy;
 struct ingress_configuration;
 struct ingress_route;
 struct ingress_service;
--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -11,18 +11,16 @@
 namespace
 {
 
-// Weights of the cost, in milliseconds of a server's time. The rate is what
-// the engines in use reach; only its relation to the others matters.
-constexpr double tokens_per_ms = 32;
-constexpr double ms_per_active_generation = 0.6;
+// Weights of the cost, in milliseconds of a server's time.
+// A running generation counts as much as reading so many tokens: each step of
+// the engine carries its context and its token beside what is read.
+constexpr double tokens_per_generation = 20;
 constexpr double ms_per_active_call = 15;
 constexpr double ms_for_other_hall = 1;
 constexpr double ms_for_cold_start = 50;
 constexpr double ms_for_avoided_hall = 3000;
 constexpr double ms_while_suspect = 100000;
 constexpr double ms_of_jitter = 0.5;
-// A prompt at the server that the hash names is probably cached there.
-constexpr double likely_share_to_read = 0.35;
 
 constexpr absl::Duration first_pause = absl::Milliseconds(400);
 constexpr absl::Duration longest_pause = absl::Seconds(4);
@@ -53,9 +51,11 @@
 } // namespace
 
 server_choice::server_choice(const server_directory& directory,
-                             hall_id own_hall, std::uint64_t seed)
+                             hall_id own_hall, std::uint64_t seed,
+                             const decision_policy& policy)
     : m_directory(directory)
     , m_own_hall(std::move(own_hall))
+    , m_policy(policy)
     , m_random(std::seed_seq{static_cast<std::uint32_t>(seed),
                              static_cast<std::uint32_t>(seed >> 32U)})
 {
@@ -64,15 +64,10 @@
 const server_entry* server_choice::choose(const choice_request& request,
                                           absl::Time now)
 {
-    const auto servers = m_directory.usable(request.service);
-    upstream_id home;
-    if (request.is_engine && !request.facts->prompt.empty())
-    {
-        home = find_home(servers, *request.facts).value_or(upstream_id());
-    }
+    const auto home = home_of(request);
     const server_entry* best = nullptr;
     auto best_cost = std::numeric_limits<double>::infinity();
-    for (const auto* server : servers)
+    for (const auto* server : m_directory.usable(request.service))
     {
         if (request.excluded.contains(server->id))
         {
@@ -88,24 +83,22 @@
     return best;
 }
 
-std::int64_t server_choice::start(const upstream_id& server,
-                                  const request_facts& facts,
-                                  std::int64_t cache_tokens)
+expected_work server_choice::start(const upstream_id& server,
+                                   const choice_request& request,
+                                   std::int64_t cache_tokens)
 {
-    auto& memory = m_prompts.try_emplace(server, prompt_memory(cache_tokens))
-                       .first->second;
-    const auto unread =
-        total_tokens(facts.prompt) - memory.cached_tokens(facts.prompt);
-    memory.note(facts.prompt);
+    const auto work = expect(server, request, home_of(request));
+    m_prompts.try_emplace(server, prompt_memory(cache_tokens))
+        .first->second.note(request.facts->prompt);
     auto& load = m_own[server];
     load.active += 1;
-    load.unread_tokens += unread;
-    return unread;
+    load.unread_tokens += work.tokens;
+    return work;
 }
 
-void server_choice::prompt_read(const upstream_id& server, std::int64_t unread)
+void server_choice::prompt_read(const upstream_id& server, std::int64_t tokens)
 {
-    m_own[server].unread_tokens -= unread;
+    m_own[server].unread_tokens -= tokens;
 }
 
 void server_choice::end(const upstream_id& server)
@@ -144,12 +137,37 @@
 void server_choice::set_peer_load(
     const host_id& peer, absl::flat_hash_map<upstream_id, server_load> loads)
 {
-    m_peers[peer] = std::move(loads);
+    auto& known = m_peers[peer];
+    add_to_peers(known, -1);
+    known = std::move(loads);
+    add_to_peers(known, 1);
 }
 
 void server_choice::drop_peer(const host_id& peer)
 {
-    m_peers.erase(peer);
+    const auto known = m_peers.find(peer);
+    if (known != m_peers.end())
+    {
+        add_to_peers(known->second, -1);
+        m_peers.erase(known);
+    }
+}
+
+// Keeps the sum over all peers: there are many, and it is asked for each
+// server at each choice.
+void server_choice::add_to_peers(
+    const absl::flat_hash_map<upstream_id, server_load>& loads, int sign)
+{
+    for (const auto& [server, load] : loads)
+    {
+        auto& sum = m_peers_sum[server];
+        sum.active += sign * load.active;
+        sum.unread_tokens += sign * load.unread_tokens;
+        if (sum.active == 0 && sum.unread_tokens == 0)
+        {
+            m_peers_sum.erase(server);
+        }
+    }
 }
 
 void server_choice::drop_unlisted()
@@ -164,59 +182,36 @@
 
 server_load server_choice::total_load(const upstream_id& server) const
 {
-    server_load total;
-    const auto add = [&](const auto& loads)
-    {
-        const auto found = loads.find(server);
-        if (found != loads.end())
-        {
-            total.active += found->second.active;
-            total.unread_tokens += found->second.unread_tokens;
-        }
-    };
-    add(m_own);
-    for (const auto& [peer, loads] : m_peers)
-    {
-        add(loads);
-    }
-    return total;
+    const auto own = own_load(server);
+    const auto peers = peers_load(server);
+    return {own.active + peers.active, own.unread_tokens + peers.unread_tokens};
+}
+
+server_load server_choice::own_load(const upstream_id& server) const
+{
+    const auto found = m_own.find(server);
+    return found == m_own.end() ? server_load{} : found->second;
+}
+
+server_load server_choice::peers_load(const upstream_id& server) const
+{
+    const auto found = m_peers_sum.find(server);
+    return found == m_peers_sum.end() || !m_policy.counts_peers ? server_load{}
+                                                                : found->second;
 }
 
 double server_choice::cost_of(const server_entry& server,
                               const choice_request& request,
                               const upstream_id& home, absl::Time now)
 {
-    const auto load = total_load(server.id);
-    double cost = absl::Uniform(m_random, 0.0, ms_of_jitter);
-    if (request.is_engine)
-    {
-        const auto all = total_tokens(request.facts->prompt);
-        auto to_read = static_cast<double>(all);
-        const auto memory = m_prompts.find(server.id);
-        if (memory != m_prompts.end())
-        {
-            to_read = static_cast<double>(
-                all - memory->second.cached_tokens(request.facts->prompt));
-        }
-        if (server.id == home && to_read > 0)
-        {
-            to_read = std::min(to_read,
-                               static_cast<double>(all) * likely_share_to_read);
-        }
-        cost +=
-            (static_cast<double>(load.unread_tokens) + to_read) / tokens_per_ms;
-        cost += static_cast<double>(load.active) * ms_per_active_generation;
-    }
-    else
-    {
-        const auto slots = std::max(1, server.slots);
-        cost += static_cast<double>(load.active) / slots * ms_per_active_call;
-    }
-    if (server.hall != m_own_hall)
+    auto cost = absl::Uniform(m_random, 0.0, ms_of_jitter);
+    cost += request.is_engine ? engine_cost(server, request, home)
+                              : call_cost(server);
+    if (server.hall != m_own_hall && m_policy.prefers_own_hall)
     {
         cost += ms_for_other_hall;
     }
-    if (request.avoided_halls.contains(server.hall))
+    if (request.avoided_halls.contains(server.hall) && m_policy.avoids_halls)
     {
         cost += ms_for_avoided_hall;
     }
@@ -225,24 +220,83 @@
         cost += ms_for_cold_start;
     }
     const auto known = m_health.find(server.id);
-    if (known != m_health.end() && now < known->second.suspect_until)
+    if (m_policy.passes_over_suspects && known != m_health.end() &&
+        now < known->second.suspect_until)
     {
         cost += ms_while_suspect;
     }
     return cost;
 }
 
-std::optional<upstream_id>
-server_choice::find_home(const std::vector<const server_entry*>& servers,
-                         const request_facts& facts) const
+// The time until the request's prompt is read, and what it holds others up.
+double server_choice::engine_cost(const server_entry& server,
+                                  const choice_request& request,
+                                  const upstream_id& home) const
+{
+    const auto work = expect(server.id, request, home);
+    const auto tokens =
+        work.ahead_tokens +
+        work.peers_ahead_tokens * request.engine.peers_part +
+        static_cast<double>(work.tokens) +
+        static_cast<double>(work.running) * tokens_per_generation;
+    return tokens * request.engine.read_ms_per_token;
+}
+
+double server_choice::call_cost(const server_entry& server) const
 {
-    const auto& key = sharing_key(facts.prompt);
-    std::optional<upstream_id> home;
+    const auto slots = std::max(1, server.slots);
+    const auto active = total_load(server.id).active;
+    return static_cast<double>(active) / slots * ms_per_active_call;
+}
+
+expected_work server_choice::expect(const upstream_id& server,
+                                    const choice_request& request,
+                                    const upstream_id& home) const
+{
+    expected_work work;
+    const auto own = own_load(server);
+    const auto peers = peers_load(server);
+    work.ahead_tokens = static_cast<double>(own.unread_tokens);
+    work.peers_ahead_tokens = static_cast<double>(peers.unread_tokens);
+    work.running = own.active + peers.active;
+    const auto& prompt = request.facts->prompt;
+    if (!request.is_engine || prompt.empty())
+    {
+        return work;
+    }
+    auto unread = total_tokens(prompt);
+    const auto memory = m_prompts.find(server);
+    if (memory != m_prompts.end() && m_policy.routes_by_prompt)
+    {
+        unread -= memory->second.cached_tokens(prompt);
+    }
+    const auto own_part = std::min(unread, prompt.back().tokens);
+    const auto shared = static_cast<double>(unread - own_part);
+    work.certain_tokens = static_cast<double>(own_part);
+    auto& kind = server == home ? work.doubtful_tokens : work.certain_tokens;
+    kind += shared;
+    work.tokens = static_cast<std::int64_t>(work.certain_tokens +
+                                            work.doubtful_tokens *
+                                                request.engine.doubtful_part);
+    return work;
+}
+
+// Of prompts that this host has not sent lately, a rendezvous hash of the part
+// that others share tells every host the same server.
+upstream_id server_choice::home_of(const choice_request& request) const
+{
+    if (!request.is_engine || request.facts->prompt.empty() ||
+        !m_policy.routes_by_prompt)
+    {
+        return {};
+    }
+    const auto& key = sharing_key(request.facts->prompt);
+    upstream_id home;
     std::uint64_t best = 0;
-    for (const auto* server : servers)
+    for (const auto* server : m_directory.usable(request.service))
     {
         const auto weight = rendezvous_weight(server->id, key);
-        if (!home || weight > best)
+        if (home.value().empty() || weight > best)
         {
             home = server->id;
             best = weight;
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -2,6 +2,7 @@
 /// Which server gets a request.
 #pragma once
 
+#include "decision_policy.hpp"
 #include "ingress_configuration.hpp"
 #include "prompt_memory.hpp"
 #include "request_facts.hpp"
@@ -12,6 +13,7 @@
 #include <absl/random/random.h>
 #include <absl/time/time.h>
 
+#include <engines/engine_estimate.hpp>
 #include <optional>
 
 namespace daleshelf
@@ -40,11 +42,23 @@
     service_name service;
     bool is_engine = false;
     const request_facts* facts = nullptr;
+    engine_estimate engine;                    ///< of the service
     absl::flat_hash_set<upstream_id> excluded; ///< tried before
     /// Where an attempt broke: the whole hall may be cut off.
     absl::flat_hash_set<hall_id> avoided_halls;
 };
 
+/// What a server probably has to do for a prompt, and before it.
+struct expected_work
+{
+    double certain_tokens = 0;  ///< to read, that it has not read before
+    double doubtful_tokens = 0; ///< that it may have read for another host
+    double ahead_tokens = 0;    ///< of this host, sent before
+    double peers_ahead_tokens = 0;
+    std::int64_t running = 0; ///< requests in flight there
+    std::int64_t tokens = 0;  ///< expected to be read
+};
+
 /// Picks the server with the least work ahead of the request. The work is what
 /// this machine has in flight there, what its peers have told, and the prompt
 /// tokens that the server would have to read; of prompts that nobody has sent
@@ -54,19 +68,22 @@
 {
 public:
     server_choice(const server_directory& directory, hall_id own_hall,
-                  std::uint64_t seed);
+                  std::uint64_t seed, const decision_policy& policy = {});
 
     /// @return the server, or null if none may get the request
     [[nodiscard]] const server_entry* choose(const choice_request& request,
                                              absl::Time now);
 
     /// Notes that a request is sent to the server.
-    /// @return prompt tokens that the server probably has to read
-    std::int64_t start(const upstream_id& server, const request_facts& facts,
-                       std::int64_t cache_tokens);
+    /// @param cache_tokens tokens that the server keeps
+    /// @return what the server probably has to do
+    expected_work start(const upstream_id& server,
+                        const choice_request& request,
+                        std::int64_t cache_tokens);
 
-    /// Notes that a prompt of `unread` tokens has been read.
-    void prompt_read(const upstream_id& server, std::int64_t unread);
+    /// Notes that a prompt has been read.
+    /// @param tokens as expected when it was sent
+    void prompt_read(const upstream_id& server, std::int64_t tokens);
 
     /// Notes that a request no longer runs at the server.
     void end(const upstream_id& server);
@@ -104,16 +121,27 @@
 
     double cost_of(const server_entry& server, const choice_request& request,
                    const upstream_id& home, absl::Time now);
-    std::optional<upstream_id>
-    find_home(const std::vector<const server_entry*>& servers,
-              const request_facts& facts) const;
-
+    [[nodiscard]] double engine_cost(const server_entry& server,
+                                     const choice_request& request,
+                                     const upstream_id& home) const;
+    [[nodiscard]] double call_cost(const server_entry& server) const;
+    [[nodiscard]] expected_work expect(const upstream_id& server,
+                                       const choice_request& request,
+                                       const upstream_id& home) const;
+    [[nodiscard]] server_load own_load(const upstream_id& server) const;
+    [[nodiscard]] server_load peers_load(const upstream_id& server) const;
+    [[nodiscard]] upstream_id home_of(const choice_request& request) const;
+    void
+    add_to_peers(const absl::flat_hash_map<upstream_id, server_load>& loads,
+                 int sign);
     const server_directory& m_directory;
     hall_id m_own_hall;
+    decision_policy m_policy;
     absl::BitGen m_random;
     absl::flat_hash_map<upstream_id, server_load> m_own;
     absl::flat_hash_map<host_id, absl::flat_hash_map<upstream_id, server_load>>
         m_peers;
+    absl::flat_hash_map<upstream_id, server_load> m_peers_sum;
     absl::flat_hash_map<upstream_id, health> m_health;
     absl::flat_hash_map<upstream_id, prompt_memory> m_prompts;
 };
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -27,8 +27,55 @@
     }
 }
 
+void add_service(wire::ServiceState& message, const told_service& told)
+{
+    message.set_service(told.service.value());
+    message.set_prompts(told.work.prompts);
+    message.set_read_tokens(told.work.read_tokens);
+    message.set_read_tokens_squared(told.work.read_tokens_squared);
+    message.set_allowed_tokens(told.work.allowed_tokens);
+    const auto& learned = told.learned;
+    message.set_first_ms(static_cast<float>(learned.first_ms));
+    message.set_read_ms_per_token(
+        static_cast<float>(learned.read_ms_per_token));
+    message.set_doubtful_part(static_cast<float>(learned.doubtful_part));
+    message.set_peers_part(static_cast<float>(learned.peers_part));
+    message.set_gap_ms(static_cast<float>(learned.gap_ms));
+    message.set_gap_ms_per_generation(
+        static_cast<float>(learned.gap_ms_per_generation));
+    message.set_generation_ms_per_token(
+        static_cast<float>(learned.generation_ms_per_token));
+    message.set_learned_prompts(static_cast<float>(learned.prompts));
+    message.set_learned_generations(static_cast<float>(learned.generations));
+    message.set_first_error(static_cast<float>(learned.first_error));
+}
+
+told_service read_service(const wire::ServiceState& message)
+{
+    told_service told;
+    told.service = service_name(message.service());
+    told.work = {message.prompts(), message.read_tokens(),
+                 message.read_tokens_squared(), message.allowed_tokens()};
+    auto& learned = told.learned;
+    learned.first_ms = message.first_ms();
+    learned.read_ms_per_token = message.read_ms_per_token();
+    learned.doubtful_part = message.doubtful_part();
+    learned.peers_part = message.peers_part();
+    learned.gap_ms = message.gap_ms();
+    learned.gap_ms_per_generation = message.gap_ms_per_generation();
+    learned.generation_ms_per_token = message.generation_ms_per_token();
+    learned.prompts = message.learned_prompts();
+    learned.generations = message.learned_generations();
+    learned.first_error = message.first_error();
+    return told;
+}
+
 void add_lists(wire::MachineState& message, const machine_state& state)
 {
+    for (const auto& told : state.services)
+    {
+        add_service(*message.add_services(), told);
+    }
     for (const auto& load : state.loads)
     {
         auto& item = *message.add_loads();
@@ -56,6 +103,10 @@
 
 void read_lists(const wire::MachineState& message, machine_state& state)
 {
+    for (const auto& item : message.services())
+    {
+        state.services.push_back(read_service(item));
+    }
     for (const auto& item : message.loads())
     {
         state.loads.push_back(
@@ -97,7 +148,6 @@
     message.set_servers_offset(state.servers_offset.value());
     message.set_is_stopping(state.is_stopping);
     message.set_reaches_store(state.reaches_store);
-    message.set_work_ms(state.work_ms);
     message.set_fleet_size(state.fleet_size);
     message.set_duty_holder(state.duty_holder.value());
     message.set_duty_token(state.duty_token);
@@ -123,7 +173,6 @@
     state.servers_offset = log_offset(message.servers_offset());
     state.is_stopping = message.is_stopping();
     state.reaches_store = message.reaches_store();
-    state.work_ms = message.work_ms();
     state.fleet_size = message.fleet_size();
     state.duty_holder = host_id(message.duty_holder());
     state.duty_token = message.duty_token();
--- a/libraries/peers/machine_state.hpp
+++ b/libraries/peers/machine_state.hpp
@@ -6,6 +6,8 @@
 
 #include <base/identifiers.hpp>
 #include <cstdint>
+#include <engines/engine_estimate.hpp>
+#include <engines/service_work.hpp>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,6 +32,14 @@
     hall_id hall{};      ///< empty: not known
 };
 
+/// What one machine has sent to a service, and learned of its engines.
+struct told_service
+{
+    service_name service;
+    service_work work; ///< since the machine's start
+    engine_estimate learned;
+};
+
 /// The state of one machine, as it tells it.
 struct machine_state
 {
@@ -42,7 +52,7 @@
     log_offset servers_offset;
     bool is_stopping = false;
     bool reaches_store = false;
-    double work_ms = 0; ///< of servers, asked for since the machine's start
+    std::vector<told_service> services;
     std::vector<reported_load> loads;
     counts_by_window counts; ///< of this start
     /// Of starts that cannot tell by themselves any more.
--- a/libraries/scaling/demand_meter.cpp
+++ b/libraries/scaling/demand_meter.cpp
@@ -14,17 +14,20 @@
 
 } // namespace
 
-void demand_meter::note(const std::map<host_id, double>& work, absl::Time now)
+void demand_meter::note(const std::map<host_id, service_work>& work,
+                        absl::Time now)
 {
-    for (const auto& [machine, total] : work)
+    for (const auto& [host, total] : work)
     {
-        const auto [known, is_new] = m_last.try_emplace(machine, total);
-        if (!is_new)
+        const auto [known, is_new] = m_last.try_emplace(host, total);
+        if (is_new)
         {
-            // A machine that has started again counts from zero.
-            m_sum += total >= known->second ? total - known->second : total;
-            known->second = total;
+            continue;
         }
+        // A host that has started again counts from zero.
+        const bool has_started = total.prompts < known->second.prompts;
+        m_sum += has_started ? total : total - known->second;
+        known->second = total;
     }
     if (m_sampled_at == absl::InfinitePast())
     {
@@ -36,10 +39,11 @@
     {
         return;
     }
-    const auto newest = m_sum / absl::ToDoubleMilliseconds(passed);
-    const auto before = m_rates.empty() ? newest : m_rates.back().busy;
-    m_rates.push_back({now, before + (newest - before) * newest_weight});
-    m_sum = 0;
+    const auto newest = m_sum * (1 / absl::ToDoubleSeconds(passed));
+    auto rate = m_rates.empty() ? newest : m_rates.back().rate;
+    rate += (newest - rate) * newest_weight;
+    m_rates.push_back({now, rate});
+    m_sum = {};
     m_sampled_at = now;
     while (now - m_rates.front().at > m_memory)
     {
@@ -47,12 +51,17 @@
     }
 }
 
-double demand_meter::busy() const
+service_work demand_meter::peak() const
 {
-    double most = 0;
-    for (const auto& rate : m_rates)
+    service_work most;
+    for (const auto& [at, rate] : m_rates)
     {
-        most = std::max(most, rate.busy);
+        most.prompts = std::max(most.prompts, rate.prompts);
+        most.read_tokens = std::max(most.read_tokens, rate.read_tokens);
+        most.read_tokens_squared =
+            std::max(most.read_tokens_squared, rate.read_tokens_squared);
+        most.allowed_tokens =
+            std::max(most.allowed_tokens, rate.allowed_tokens);
     }
     return most;
 }
--- a/libraries/scaling/scale_planner.cpp
+++ b/libraries/scaling/scale_planner.cpp
@@ -1,7 +1,8 @@
 #include "scale_planner.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
+#include <optional>
 #include <vector>
 
 namespace daleshelf
@@ -42,6 +43,11 @@
     return total;
 }
 
+int rounded_up(int value, int divisor)
+{
+    return (value + divisor - 1) / divisor;
+}
+
 // Adds servers one by one, hall after hall, until `wanted` are added.
 void add_evenly(scale_plan& plan, const std::vector<hall_id>& halls,
                 int scale_target::*kind, int wanted, int most_in_hall)
@@ -64,48 +70,100 @@
     }
 }
 
+/// Servers of each kind, over all halls.
+struct server_mix
+{
+    int on_demand = 0;
+    int spot = 0;
+};
+
+// Spot servers beside so many on demand, evenly in so many halls.
+// @return nothing if no number of them meets the need
+std::optional<int> spot_beside(int on_demand, int halls,
+                               const server_need& need,
+                               const scale_options& options)
+{
+    const auto spare = std::min(options.spare_halls, halls);
+    const auto missing = need.least - on_demand;
+    if (halls == spare && missing > 0)
+    {
+        return std::nullopt;
+    }
+    auto spot = std::max(0, need.usual - on_demand);
+    if (missing > 0)
+    {
+        // A hall that is taken away leaves what the others have.
+        spot = std::max(spot, rounded_up(missing, halls - spare) * halls);
+    }
+    return halls == 0 ? spot : std::max(spot, halls);
+}
+
+// @param spot_halls halls where spot servers are to be had
+server_mix cheapest_mix(int spot_halls, double spot_price,
+                        const server_need& need, const scale_options& options)
+{
+    server_mix best{std::max(options.least_on_demand, need.least), 0};
+    if (spot_halls == 0)
+    {
+        return best;
+    }
+    auto best_cost = std::numeric_limits<double>::infinity();
+    for (auto on_demand = options.least_on_demand;
+         on_demand <= std::max(need.usual, options.least_on_demand);
+         ++on_demand)
+    {
+        const auto spot = spot_beside(on_demand, spot_halls, need, options);
+        if (!spot)
+        {
+            continue;
+        }
+        const auto cost = on_demand + *spot * spot_price;
+        if (cost < best_cost)
+        {
+            best_cost = cost;
+            best = {on_demand, *spot};
+        }
+    }
+    return best;
+}
+
 } // namespace
 
-scale_plan plan_servers(const scaling_limits& limits, double busy,
+scale_plan plan_servers(const scaling_limits& limits, const server_need& need,
                         const std::map<hall_id, int>& spot_limit,
                         const scale_options& options)
 {
     scale_plan plan;
     const auto halls = halls_by_price(limits);
-    // 1. On-demand servers as a floor.
-    const auto floor =
-        std::max(options.least_on_demand,
-                 static_cast<int>(std::ceil(busy * options.on_demand_factor)));
-    for (const auto& hall : halls)
-    {
-        plan[hall] = {};
-    }
-    add_evenly(plan, halls, &scale_target::on_demand, floor, limits.most);
-    // 2. Spot servers where they are to be had: one in each hall at least, so
-    // that a hall that is cut off has servers.
-    const auto wanted =
-        static_cast<int>(std::ceil(busy * options.total_factor));
-    const auto total = std::max(wanted, floor + static_cast<int>(halls.size()));
+    // 1. Halls where no more spot servers are to be had keep what they have.
     std::vector<hall_id> with_spot;
+    int kept = 0;
     for (const auto& hall : halls)
     {
+        plan[hall] = {};
         const auto limit = spot_limit.find(hall);
         if (limit != spot_limit.end())
         {
             plan[hall].spot = limit->second;
+            kept += limit->second;
         }
         else if (limits.spot_price > 0)
         {
             with_spot.push_back(hall);
         }
     }
-    add_evenly(plan, with_spot, &scale_target::spot, total - total_of(plan),
-               limits.most);
-    // 3. What is still missing has to be on demand, but for the reserve.
-    const auto needed =
-        static_cast<int>(std::ceil(busy * options.dry_factor)) - total_of(plan);
-    add_evenly(plan, halls, &scale_target::on_demand, std::max(0, needed),
+    // 2. The cheapest mix of the rest: on demand in the cheapest halls first,
+    // spot in every hall, so that one that is cut off has servers.
+    const server_need rest{std::max(1, need.usual - kept),
+                           std::max(1, need.least - kept)};
+    const auto mix = cheapest_mix(static_cast<int>(with_spot.size()),
+                                  limits.spot_price, rest, options);
+    add_evenly(plan, halls, &scale_target::on_demand, mix.on_demand,
                limits.most);
+    add_evenly(plan, with_spot, &scale_target::spot, mix.spot, limits.most);
+    // 3. What halls had no room for has to be on demand elsewhere.
+    add_evenly(plan, halls, &scale_target::on_demand,
+               std::max(0, need.least - total_of(plan)), limits.most);
     for (auto& [hall, target] : plan)
     {
         const auto missing = limits.least - total_of(target);
--- a/libraries/scaling/scale_planner.hpp
+++ b/libraries/scaling/scale_planner.hpp
@@ -2,6 +2,8 @@
 /// How many servers each hall is to have.
 #pragma once
 
+#include "capacity.hpp"
+
 #include <ingress/ingress_configuration.hpp>
 #include <map>
 
@@ -23,22 +25,21 @@
 /// Options of the plan.
 struct scale_options
 {
-    /// On-demand servers for each that is kept busy: they alone must do while
-    /// spot servers are taken away.
-    double on_demand_factor = 1.05;
-    /// All servers for each that is kept busy.
-    double total_factor = 2.6;
-    /// All servers for each that is kept busy, while spot is not to be had.
-    double dry_factor = 1.4;
+    /// On-demand servers that are there whatever is cheapest: when every spot
+    /// server is taken away, some serve until others have started.
     int least_on_demand = 2;
+    /// Halls whose spot servers may all be taken away at the same time, while
+    /// the need of the others is still met at its least.
+    int spare_halls = 1;
 };
 
-/// Plans one service: on-demand servers as a floor, the cheapest halls first,
-/// and spot servers in every hall beside them. See docs/design/platform.md.
+/// Plans one service: the mix of on-demand and spot servers that costs least,
+/// of those that meet the usual need, and the least need when the spot servers
+/// of some halls are taken away. See docs/design/engines.md.
 /// @param limits the service's limits and prices
-/// @param busy servers that requests keep busy
 /// @param spot_limit most spot servers of halls where no more are to be had
-[[nodiscard]] scale_plan plan_servers(const scaling_limits& limits, double busy,
+[[nodiscard]] scale_plan plan_servers(const scaling_limits& limits,
+                                      const server_need& need,
                                       const std::map<hall_id, int>& spot_limit,
                                       const scale_options& options);
 
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -8,6 +8,9 @@
 
 constexpr std::int64_t longest_time_ms = 86400000;
 constexpr std::int64_t most_retries = 1000000;
+constexpr std::int64_t most_servers = 100000;
+// The longest that clients are asked to wait for a quota.
+constexpr std::int64_t longest_quota_retry_ms = 5000;
 // Larger than any limit in use by a thousand times.
 constexpr std::int64_t most_quota_slack = 1000000000;
 
@@ -19,6 +22,8 @@
     const setting_limits time{0, longest_time_ms, {}};
     const setting_limits retries{0, most_retries, {}};
     const setting_limits quotas{0, most_quota_slack, {}};
+    const setting_limits part{0, 1, {}};
+    const setting_limits servers{0, most_servers, {}};
     return {
         {"host.id", &settings::host_id, "name of this host", required},
         {"host.hall", &settings::host_hall, "hall that this host is in",
@@ -62,6 +67,35 @@
          "length of a window of the usage report", optional, time},
         {"usage.late_ms", &settings::usage_late,
          "how long after its end a window is due", optional, time},
+        {"policy.routes_by_prompt", &settings::routes_by_prompt,
+         "prefer servers that have read parts of a prompt"},
+        {"policy.counts_peers", &settings::counts_peers,
+         "count what other gateways have in flight at a server"},
+        {"policy.passes_over_suspects", &settings::passes_over_suspects,
+         "pass over servers that have failed lately"},
+        {"policy.avoids_halls", &settings::avoids_halls,
+         "avoid the hall where an attempt of a request broke"},
+        {"policy.prefers_own_hall", &settings::prefers_own_hall,
+         "prefer servers of the own hall among equals"},
+        {"policy.retries", &settings::retries_failures,
+         "try another server after a failure"},
+        {"policy.resumes_streams", &settings::resumes_streams,
+         "go on with a broken stream at another server"},
+        {"policy.quota_retry_ms", &settings::quota_retry_ms,
+         "earliest return of a request beyond its quota", optional,
+         setting_limits{0, longest_quota_retry_ms, {}}},
+        {"policy.learns_engines", &settings::learns_engines,
+         "learn the speed of engines; otherwise priors are used"},
+        {"policy.orders_servers", &settings::orders_servers,
+         "order servers as load asks for them"},
+        {"policy.late_part", &settings::late_part,
+         "part of prompts that may miss their objective by waiting", optional,
+         part},
+        {"policy.least_on_demand", &settings::least_on_demand,
+         "servers on demand that a service has at least", optional, servers},
+        {"policy.spare_halls", &settings::spare_halls,
+         "halls whose spot servers may all be taken away at once", optional,
+         servers},
     };
 }
 
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <ingress/decision_policy.hpp>
 #include <settings/setting.hpp>
 #include <span>
 #include <string>
@@ -12,7 +13,7 @@
 {
 
 /// Values of the gateway's settings file; docs/SETTINGS.md lists the keys.
-struct gateway_settings
+struct gateway_settings : decision_policy
 {
     std::string host_id;
     std::string host_hall;
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -10,12 +10,15 @@
 #include <absl/random/random.h>
 
 #include <duties/usage_counter.hpp>
+#include <engines/engine_table.hpp>
+#include <engines/service_work.hpp>
 #include <ingress/retry_allowance.hpp>
 #include <ingress/route_table.hpp>
 #include <ingress/server_choice.hpp>
 #include <ingress/server_directory.hpp>
 #include <memory>
 #include <peers/time_estimate.hpp>
+#include <scaling/prompt_samples.hpp>
 #include <telemetry/metrics.hpp>
 
 namespace daleshelf
@@ -29,6 +32,13 @@
     follower, ///< it waits for what readers tell
 };
 
+/// What this host has sent to one service.
+struct service_load
+{
+    service_work work; ///< since this start
+    prompt_samples samples;
+};
+
 /// The state that requests are decided by.
 struct gateway_state
 {
@@ -65,7 +75,8 @@
     retry_allowance retries;
     usage_counter usage;
     absl::BitGen random;
-    double work_ms = 0; ///< of servers, asked for since this start
+    engine_table engines;
+    std::map<service_name, service_load> loads; ///< of engines
     bool has_servers = false;
     bool is_stopping = false;
     monotonic::time_point stopping_since{};
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -105,13 +105,24 @@
     return false;
 }
 
-std::map<host_id, double> peer_exchange::work_of_all() const
+std::map<host_id, service_work>
+peer_exchange::work_of_all(const service_name& service) const
 {
-    std::map<host_id, double> work;
-    work[m_state.self] = m_state.work_ms;
+    std::map<host_id, service_work> work;
+    const auto own = m_state.loads.find(service);
+    if (own != m_state.loads.end())
+    {
+        work[m_state.self] = own->second.work;
+    }
     for (const auto& [name, peer] : m_table.peers())
     {
-        work[name] = peer.state.work_ms;
+        for (const auto& told : peer.state.services)
+        {
+            if (told.service == service)
+            {
+                work[name] = told.work;
+            }
+        }
     }
     return work;
 }
@@ -142,12 +153,14 @@
         {
             log(events::peer_lost, {{"peer", peer.value()}});
             m_state.choice.drop_peer(peer);
+            m_state.engines.drop_peer(peer);
             m_state.clock.forget(peer);
         }
         m_state.clock.note(m_state.self, absl::Now(), now);
         m_state.quota.shared().set_join_time(m_table.send_pause() +
                                              join_margin);
         m_state.quota.tick();
+        m_state.engines.refresh();
         m_state.retries.set_machines(m_state.quota.shared().counted_hosts(now));
         m_state.change_pause =
             std::clamp(absl::ToChronoMilliseconds(m_table.send_pause() / 3),
@@ -249,6 +262,14 @@
         loads[load.server] = {load.active, load.unread_tokens};
     }
     m_state.choice.set_peer_load(state.self.name, std::move(loads));
+    for (const auto& told : state.services)
+    {
+        if (m_state.settings.learns_engines)
+        {
+            m_state.engines.of(told.service)
+                .set_peer(state.self.name, told.learned);
+        }
+    }
     for (const auto& server : state.leaving_servers)
     {
         if (m_state.servers.mark_leaving(server))
@@ -273,7 +294,11 @@
     state.servers_offset = m_topics.servers.next();
     state.is_stopping = m_state.is_stopping;
     state.reaches_store = m_topics.configuration.is_reached();
-    state.work_ms = m_state.work_ms;
+    for (const auto& [service, load] : m_state.loads)
+    {
+        state.services.push_back(
+            {service, load.work, m_state.engines.of(service).own()});
+    }
     for (const auto& [server, load] : m_state.choice.own_loads())
     {
         if (load.active > 0)
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -51,7 +51,8 @@
 
     /// @return work asked for through all machines since their starts, in
     /// milliseconds of servers
-    [[nodiscard]] std::map<host_id, double> work_of_all() const;
+    [[nodiscard]] std::map<host_id, service_work>
+    work_of_all(const service_name& service) const;
 
 private:
     awaitable<void> receive_all();
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <base/http_status.hpp>
 #include <platform/request_format.hpp>
-#include <scaling/work_estimate.hpp>
 #include <telemetry/log.hpp>
 #include <wire/message_writer.hpp>
 
@@ -23,10 +22,13 @@
 // When a client may come back, by why it was refused.
 constexpr milliseconds retry_when_unconfigured{1000};
 constexpr milliseconds retry_when_full{250};
-// A tenant beyond its quota is mostly so for seconds.
-constexpr milliseconds retry_when_over{500};
 constexpr milliseconds longest_retry{5000};
 
+double to_ms(monotonic::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 std::string_view kind_name(request_kind kind)
 {
     switch (kind)
@@ -143,8 +145,10 @@
             const auto wait =
                 absl::ToChronoMilliseconds(m_state.quota.shared().time_to_earn(
                     m_tenant->name, m_quota_cost));
-            co_await refuse(http_status::too_many_requests, "quota",
-                            std::clamp(wait, retry_when_over, longest_retry));
+            co_await refuse(
+                http_status::too_many_requests, "quota",
+                std::clamp(wait, milliseconds(m_state.settings.quota_retry_ms),
+                           longest_retry));
             co_return false;
         }
         if (m_is_cancelled)
@@ -167,6 +171,7 @@
         wanted.service = m_service->name;
         wanted.is_engine = m_service->is_engine;
         wanted.facts = &m_facts;
+        wanted.engine = m_state.engines.of(m_service->name).joint();
         wanted.excluded = m_tried;
         wanted.avoided_halls = m_broken_halls;
         const auto* server =
@@ -179,7 +184,7 @@
         const auto chosen = *server;
         m_tried.insert(chosen.id);
         m_server_hall = chosen.hall.value();
-        const auto end = co_await attempt(chosen);
+        const auto end = co_await attempt(chosen, wanted);
         log_attempt(chosen, end);
         if (end == attempt_end::broken || end == attempt_end::not_reached)
         {
@@ -199,7 +204,7 @@
 }
 
 awaitable<request_flow::attempt_end>
-request_flow::attempt(const server_entry& server)
+request_flow::attempt(const server_entry& server, const choice_request& wanted)
 {
     server_request sent;
     sent.server = server;
@@ -210,19 +215,16 @@
     sent.deadline = m_deadline;
     server_exchange exchange(m_state.pool, std::move(sent));
     m_exchange = &exchange;
-    const auto unread =
-        m_state.choice.start(server.id, m_facts, m_service->cache_tokens);
-    if (m_service->scaling.is_scalable)
-    {
-        m_state.work_ms += estimated_work_ms(m_facts, unread);
-    }
+    m_work = m_state.choice.start(server.id, wanted, m_service->cache_tokens);
+    count_work();
+    const auto sent_at = monotonic::now();
     auto end = attempt_end::abandoned;
     auto state = exchange_state::failed;
     if (!m_is_cancelled)
     {
         state = co_await exchange.start();
     }
-    m_state.choice.prompt_read(server.id, unread);
+    m_state.choice.prompt_read(server.id, m_work.tokens);
     if (exchange.known_verdict() != verdict::not_run)
     {
         ++m_attempts;
@@ -254,6 +256,7 @@
     else
     {
         m_may_have_run = true;
+        learn_reading(server, exchange.head(), monotonic::now() - sent_at);
         end = co_await relay(exchange);
         if (end == attempt_end::broken)
         {
@@ -293,11 +296,13 @@
     {
         return false;
     }
-    if (m_answer.has_begun() && !m_last_event)
+    if (m_answer.has_begun() &&
+        !(m_last_event && m_state.settings.resumes_streams))
     {
         return false;
     }
-    return m_state.retries.try_take(m_service->name);
+    return m_state.settings.retries_failures &&
+           m_state.retries.try_take(m_service->name);
 }
 
 // Step 7: the final answer, at once.
@@ -437,6 +442,59 @@
                                                     m_request.received);
 }
 
+// What the request asks of the service's engines, for whoever orders servers.
+void request_flow::count_work()
+{
+    if (!m_service->is_engine)
+    {
+        return;
+    }
+    const auto tokens = static_cast<double>(m_work.tokens);
+    auto& load = m_state.loads[m_service->name];
+    load.work += {1, tokens, tokens * tokens,
+                  static_cast<double>(m_facts.answer_tokens)};
+    load.samples.add({tokens, static_cast<double>(m_route->objective.count())});
+}
+
+// One that had to wait for a place, or that goes on elsewhere, tells nothing
+// of the time to read.
+void request_flow::learn_reading(const server_entry& server,
+                                 const response_head& head,
+                                 monotonic::duration time)
+{
+    if (!m_service->is_engine || !m_state.settings.learns_engines ||
+        head.status >= http_status::bad_request || m_answer.has_begun() ||
+        m_work.running >= server.slots)
+    {
+        return;
+    }
+    prompt_seen seen;
+    seen.certain_tokens = m_work.certain_tokens;
+    seen.doubtful_tokens = m_work.doubtful_tokens;
+    seen.ahead_tokens = m_work.ahead_tokens;
+    seen.peers_ahead_tokens = m_work.peers_ahead_tokens;
+    seen.first_event_ms = to_ms(time);
+    m_state.engines.of(m_service->name).note_prompt(seen, gateway_state::now());
+}
+
+// A stream that came whole from one server tells how fast that generates.
+void request_flow::learn_generating(std::int64_t events,
+                                    monotonic::duration time)
+{
+    if (!m_service->is_engine || !m_state.settings.learns_engines ||
+        m_attempts != 1)
+    {
+        return;
+    }
+    generation_seen seen;
+    seen.allowed_tokens = static_cast<double>(m_facts.answer_tokens);
+    seen.events = static_cast<double>(events);
+    seen.first_to_last_ms = to_ms(time);
+    seen.running = static_cast<double>(m_work.running + 1);
+    m_state.engines.of(m_service->name)
+        .note_generation(seen, gateway_state::now());
+}
+
 void request_flow::count_begun()
 {
     if (!m_was_counted && m_tenant != nullptr)
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -58,7 +58,8 @@
 
     awaitable<bool> admit();
     awaitable<void> try_servers();
-    awaitable<attempt_end> attempt(const server_entry& server);
+    awaitable<attempt_end> attempt(const server_entry& server,
+                                   const choice_request& wanted);
     awaitable<attempt_end> relay(server_exchange& exchange);
     awaitable<attempt_end> relay_whole(server_exchange& exchange);
     awaitable<attempt_end> relay_events(server_exchange& exchange);
@@ -78,6 +79,10 @@
     [[nodiscard]] bool is_too_late_to_begin() const;
     [[nodiscard]] milliseconds time_left() const;
     [[nodiscard]] milliseconds elapsed() const;
+    void count_work();
+    void learn_reading(const server_entry& server, const response_head& head,
+                       monotonic::duration time);
+    void learn_generating(std::int64_t events, monotonic::duration time);
     void count_begun();
     void log_attempt(const server_entry& server, attempt_end end) const;
     void log_end(std::string_view outcome);
@@ -98,7 +103,8 @@
     std::string m_server_hall;
     bool m_is_cancelled = false;
     bool m_may_have_run = false;
-    int m_attempts = 0; ///< that have reached a server
+    int m_attempts = 0;   ///< that have reached a server
+    expected_work m_work; ///< of the last attempt
     int m_failed_connects = 0;
     absl::flat_hash_set<upstream_id> m_tried;
     absl::flat_hash_set<hall_id> m_broken_halls;
--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -101,6 +101,8 @@
     }
     count_begun();
     event_splitter splitter;
+    const auto first_at = monotonic::now();
+    const auto before = m_last_event.value_or(0);
     while (true)
     {
         const auto until = std::min(m_deadline, monotonic::now() + longest_gap);
@@ -143,6 +145,8 @@
         {
             co_return attempt_end::broken;
         }
+        learn_generating(m_last_event.value_or(0) - before,
+                         monotonic::now() - first_at);
         const bool is_sent = co_await m_answer.finish();
         co_return is_sent ? attempt_end::answered : attempt_end::abandoned;
     }
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -1,6 +1,7 @@
 #include "scale_service.hpp"
 
 #include <base/http_status.hpp>
+#include <cmath>
 #include <platform/duty_calls.hpp>
 #include <telemetry/log.hpp>
 
@@ -17,11 +18,10 @@
 // Longer than a server takes to start.
 constexpr absl::Duration replace_time = absl::Seconds(7);
 constexpr absl::Duration dry_time = absl::Seconds(4);
-// Before any demand is known, this share of the servers that are there counts
-// as busy: the operator has sized them for more than the usual.
-constexpr double assumed_busy_share = 0.33;
-constexpr double least_busy = 1;
-constexpr double total_factor_while_cold = 3.2;
+// Before any demand is known the operator's fleet is taken for ample: these
+// parts of it count as needed.
+constexpr double assumed_usual_part = 0.5;
+constexpr double assumed_least_part = 0.33;
 // Demand is known once there has been some for this long.
 constexpr absl::Duration learning_time = absl::Seconds(8);
 // Longer than servers take to be listed one after the other.
@@ -35,13 +35,13 @@
     , m_peers(peers)
     , m_duties(duties)
     , m_platform(state.context, state.settings.duties_address)
-    , m_demand(demand_memory)
 {
 }
 
 void scale_service::start()
 {
-    if (m_state.settings.duties_address.empty())
+    if (m_state.settings.duties_address.empty() ||
+        !m_state.settings.orders_servers)
     {
         return;
     }
@@ -88,9 +88,11 @@
                 spot_limit[subject.hall] = std::max(0, known.count);
             }
         }
-        const auto plan =
-            plan_servers(service.scaling, busy_servers(service.name),
-                         spot_limit, options_now());
+        const scale_options options{
+            static_cast<int>(m_state.settings.least_on_demand),
+            static_cast<int>(m_state.settings.spare_halls)};
+        const auto plan = plan_servers(service.scaling, need_of(service),
+                                       spot_limit, options);
         for (const auto& [hall, target] : plan)
         {
             // Spot first: they come while the others still serve.
@@ -132,14 +134,40 @@
         known.ordered_at = gateway_state::now();
         known.lower_since = absl::InfiniteFuture();
     }
+    log_order(subject, count, status, answer->token);
+}
+
+void scale_service::log_order(const order_subject& subject, int count,
+                              int status, std::int64_t token) const
+{
+    const auto& service = *m_state.routes->find_service(subject.service);
+    const auto need = need_of(service);
+    const auto load = m_services.at(subject.service).meter.peak();
+    const auto& models = m_state.engines.all();
+    const auto model = models.find(subject.service);
+    const auto engine =
+        model == models.end() ? engine_estimate{} : model->second.joint();
     log(events::servers_ordered,
         {{"service", subject.service.value()},
          {"hall", subject.hall.value()},
          {"kind", subject.is_spot ? "spot" : "on_demand"},
          {"count", std::to_string(count)},
-         {"busy", std::to_string(m_demand.busy())},
+         {"usual", std::to_string(need.usual)},
+         {"least", std::to_string(need.least)},
+         {"prompts_per_s", std::to_string(load.prompts)},
+         {"read_tokens_per_s", std::to_string(load.read_tokens)},
+         {"read_ms_per_token", std::to_string(engine.read_ms_per_token)},
+         {"first_ms", std::to_string(engine.first_ms)},
+         {"generation_ms_per_token",
+          std::to_string(engine.generation_ms_per_token)},
+         {"gap_ms", std::to_string(engine.gap_ms)},
+         {"gap_ms_per_generation",
+          std::to_string(engine.gap_ms_per_generation)},
+         {"doubtful_part", std::to_string(engine.doubtful_part)},
+         {"peers_part", std::to_string(engine.peers_part)},
+         {"prompts_seen", std::to_string(engine.prompts)},
          {"status", std::to_string(status)},
-         {"token", std::to_string(answer->token)}});
+         {"token", std::to_string(token)}});
 }
 
 bool scale_service::is_due(order_state& known, int count, absl::Time now) const
@@ -180,61 +208,112 @@
     return present < known.count;
 }
 
-// While caches are cold, prompts are read whole: spot servers bear that.
-scale_options scale_service::options_now() const
-{
-    scale_options options;
-    if (m_demand_since + learning_time >= gateway_state::now())
-    {
-        options.total_factor = total_factor_while_cold;
-    }
-    return options;
-}
-
 void scale_service::note_demand()
 {
-    const auto now = gateway_state::now();
-    m_demand.note(m_peers.work_of_all(), now);
-    if (m_demand.busy() > 0)
-    {
-        m_demand_since = std::min(m_demand_since, now);
-    }
     if (m_state.routes == nullptr || !m_state.has_servers)
     {
         return;
     }
+    const auto now = gateway_state::now();
     for (const auto& service : m_state.routes->configuration().services)
     {
-        const auto present = m_state.servers.usable(service.name).size();
-        m_fleets.try_emplace(service.name, list_settle_time)
-            .first->second.note(static_cast<int>(present), now);
+        if (service.scaling.is_scalable)
+        {
+            note_demand(service, now);
+        }
     }
 }
 
-bool scale_service::is_demand_known() const
+void scale_service::note_demand(const ingress_service& service, absl::Time now)
 {
-    return m_demand_since + learning_time < gateway_state::now();
+    auto& known = m_services
+                      .try_emplace(service.name, demand_meter(demand_memory),
+                                   initial_fleet(list_settle_time))
+                      .first->second;
+    known.meter.note(m_peers.work_of_all(service.name), now);
+    if (known.meter.peak().prompts > 0)
+    {
+        known.since = std::min(known.since, now);
+    }
+    const auto present = m_state.servers.usable(service.name).size();
+    known.fleet.note(static_cast<int>(present), now);
+}
+
+bool scale_service::is_demand_known(const service_name& service) const
+{
+    const auto known = m_services.find(service);
+    return known != m_services.end() &&
+           known->second.since + learning_time < gateway_state::now();
 }
 
 // An order made while the list of servers is still filling would take away
 // servers that are not listed yet.
 bool scale_service::may_order(const service_name& service) const
 {
-    const auto fleet = m_fleets.find(service);
-    const bool has_settled = fleet != m_fleets.end() &&
-                             fleet->second.has_settled(gateway_state::now());
-    return has_settled || is_demand_known();
+    const auto known = m_services.find(service);
+    return known != m_services.end() &&
+           (known->second.fleet.has_settled(gateway_state::now()) ||
+            is_demand_known(service));
+}
+
+server_need scale_service::need_of(const ingress_service& service) const
+{
+    auto need = measured_need(service);
+    const auto known = m_services.find(service.name);
+    if (is_demand_known(service.name) || known == m_services.end())
+    {
+        return need;
+    }
+    const auto part_of_fleet = [&](double part) {
+        return static_cast<int>(
+            std::ceil(known->second.fleet.servers() * part));
+    };
+    need.usual = std::max(need.usual, part_of_fleet(assumed_usual_part));
+    need.least = std::max(need.least, part_of_fleet(assumed_least_part));
+    return need;
+}
+
+server_need scale_service::measured_need(const ingress_service& service) const
+{
+    const auto known = m_services.find(service.name);
+    if (known == m_services.end())
+    {
+        return {};
+    }
+    const auto& models = m_state.engines.all();
+    const auto model = models.find(service.name);
+    const auto load = m_state.loads.find(service.name);
+    capacity_options options;
+    options.slots = service.engine_slots;
+    options.gap_objective_ms = gap_objective_ms(service.name);
+    options.late_part = m_state.settings.late_part;
+    options.most = service.scaling.most *
+                   static_cast<int>(service.scaling.hall_prices.size());
+    return servers_needed(
+        known->second.meter.peak(),
+        model == models.end() ? engine_estimate{} : model->second.joint(),
+        load == m_state.loads.end() ? std::vector<prompt_sample>{}
+                                    : load->second.samples.all(),
+        options);
 }
 
-double scale_service::busy_servers(const service_name& service) const
+// The shortest pause that any route of the service asks for.
+double scale_service::gap_objective_ms(const service_name& service) const
 {
-    const auto measured = std::max(least_busy, m_demand.busy());
-    const auto fleet = m_fleets.find(service);
-    if (is_demand_known() || fleet == m_fleets.end())
+    double shortest = 0;
+    for (const auto& route : m_state.routes->configuration().routes)
     {
-        return measured;
+        const auto gap = static_cast<double>(route.gap_objective.count());
+        for (const auto& target : route.targets)
+        {
+            const bool is_shorter = shortest == 0 || gap < shortest;
+            if (target.service == service && gap > 0 && is_shorter)
+            {
+                shortest = gap;
+            }
+        }
     }
-    return std::max(measured, fleet->second.servers() * assumed_busy_share);
+    return shortest;
 }
 
 } // namespace daleshelf
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -45,6 +45,14 @@
         absl::Time dry_until = absl::InfinitePast();
     };
 
+    /// What is known of one service that can be scaled.
+    struct service_demand
+    {
+        demand_meter meter;
+        initial_fleet fleet;
+        absl::Time since = absl::InfiniteFuture(); ///< of the first demand
+    };
+
     awaitable<void> run();
     awaitable<void> order_all();
     awaitable<void> order(const order_subject& subject, int count);
@@ -53,19 +61,22 @@
     [[nodiscard]] bool has_lost_servers(const order_subject& subject,
                                         const order_state& known,
                                         absl::Time now) const;
-    [[nodiscard]] scale_options options_now() const;
-    [[nodiscard]] double busy_servers(const service_name& service) const;
+    [[nodiscard]] server_need need_of(const ingress_service& service) const;
+    [[nodiscard]] server_need
+    measured_need(const ingress_service& service) const;
+    [[nodiscard]] double gap_objective_ms(const service_name& service) const;
     [[nodiscard]] bool may_order(const service_name& service) const;
-    [[nodiscard]] bool is_demand_known() const;
+    [[nodiscard]] bool is_demand_known(const service_name& service) const;
     void note_demand();
+    void note_demand(const ingress_service& service, absl::Time now);
+    void log_order(const order_subject& subject, int count, int status,
+                   std::int64_t token) const;
 
     gateway_state& m_state;
     peer_exchange& m_peers;
     duty_service& m_duties;
     http_caller m_platform;
-    demand_meter m_demand;
-    absl::Time m_demand_since = absl::InfiniteFuture();
-    std::map<service_name, initial_fleet> m_fleets;
+    std::map<service_name, service_demand> m_services;
     std::map<order_subject, order_state> m_orders;
 };
 
