scaling: Count spot servers that are there, follow rises, buy on demand when dry

Change: halls where spot is dry count what is listed; a rise is followed within two seconds; without spot, half of the way to the usual need is bought on demand. Defaults: 0.005 late, two spare halls.

--- a/libraries/ingress/decision_policy.hpp
+++ b/libraries/ingress/decision_policy.hpp
@@ -25,12 +25,18 @@
     /// Earliest return of a request beyond its workspace's quota, in ms.
     std::int64_t quota_retry_ms = 500;
 
+    /// A prompt of the least urgent route is refused at once when its first
+    /// event is expected to take more than so many objectives, one of each more
+    /// urgent rank one objective later; 0: none is.
+    double late_objectives = 2;
+
     // Engines and their number.
     bool learns_engines = true; ///< otherwise the priors stay
     bool orders_servers = true;
-    double late_part = 0.03; ///< of prompts, that may miss by waiting
+    double late_part = 0.005; ///< of prompts, that may miss by waiting
     std::int64_t least_on_demand = 2;
-    std::int64_t spare_halls = 1; ///< whose spot servers may all be taken away
+    std::int64_t spare_halls = 2; ///< whose spot servers may all be taken away
+    double dry_part = 0.5; ///< of the usual need, bought on demand without spot
 };
 
 } // namespace daleshelf
--- a/libraries/scaling/demand_meter.cpp
+++ b/libraries/scaling/demand_meter.cpp
@@ -9,8 +9,24 @@
 {
 
 constexpr absl::Duration sample_time = absl::Seconds(1);
-// Weight of the newest sample: a smooth rate over about five seconds.
-constexpr double newest_weight = 0.2;
+// Weight of the newest sample: a smooth rate over about five seconds when it
+// falls, over two when it rises, since servers take seconds to start.
+constexpr double falling_weight = 0.2;
+constexpr double rising_weight = 0.5;
+
+double follow(double before, double newest)
+{
+    const auto weight = newest > before ? rising_weight : falling_weight;
+    return before + (newest - before) * weight;
+}
+
+service_work follow(const service_work& before, const service_work& newest)
+{
+    return {follow(before.prompts, newest.prompts),
+            follow(before.read_tokens, newest.read_tokens),
+            follow(before.read_tokens_squared, newest.read_tokens_squared),
+            follow(before.allowed_tokens, newest.allowed_tokens)};
+}
 
 } // namespace
 
@@ -40,8 +56,8 @@
         return;
     }
     const auto newest = m_sum * (1 / absl::ToDoubleSeconds(passed));
-    auto rate = m_rates.empty() ? newest : m_rates.back().rate;
-    rate += (newest - rate) * newest_weight;
+    const auto rate =
+        m_rates.empty() ? newest : follow(m_rates.back().rate, newest);
     m_rates.push_back({now, rate});
     m_sum = {};
     m_sampled_at = now;
--- a/libraries/scaling/scale_planner.cpp
+++ b/libraries/scaling/scale_planner.cpp
@@ -102,7 +102,9 @@
 server_mix cheapest_mix(int spot_halls, double spot_price,
                         const server_need& need, const scale_options& options)
 {
-    server_mix best{std::max(options.least_on_demand, need.least), 0};
+    const auto dry = need.least + static_cast<int>((need.usual - need.least) *
+                                                   options.dry_part);
+    server_mix best{std::max(options.least_on_demand, dry), 0};
     if (spot_halls == 0)
     {
         return best;
--- a/libraries/scaling/scale_planner.hpp
+++ b/libraries/scaling/scale_planner.hpp
@@ -31,6 +31,9 @@
     /// Halls whose spot servers may all be taken away at the same time, while
     /// the need of the others is still met at its least.
     int spare_halls = 1;
+    /// Where no spot server is to be had, so much of the way from the least to
+    /// the usual need is bought on demand.
+    double dry_part = 0.5;
 };
 
 /// Plans one service: the mix of on-demand and spot servers that costs least,
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -85,12 +85,14 @@
         {
             if (subject.service == service.name && now < known.dry_until)
             {
-                spot_limit[subject.hall] = std::max(0, known.count);
+                // Those that were taken away do not come back for now.
+                spot_limit[subject.hall] = present_servers(subject);
             }
         }
         const scale_options options{
             static_cast<int>(m_state.settings.least_on_demand),
-            static_cast<int>(m_state.settings.spare_halls)};
+            static_cast<int>(m_state.settings.spare_halls),
+            m_state.settings.dry_part};
         const auto plan = plan_servers(service.scaling, need_of(service),
                                        spot_limit, options);
         for (const auto& [hall, target] : plan)
@@ -197,6 +199,11 @@
     {
         return false;
     }
+    return present_servers(subject) < known.count;
+}
+
+int scale_service::present_servers(const order_subject& subject) const
+{
     int present = 0;
     for (const auto* server : m_state.servers.usable(subject.service))
     {
@@ -205,7 +212,7 @@
             ++present;
         }
     }
-    return present < known.count;
+    return present;
 }
 
 void scale_service::note_demand()
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -61,6 +61,8 @@
     [[nodiscard]] bool has_lost_servers(const order_subject& subject,
                                         const order_state& known,
                                         absl::Time now) const;
+    /// @return servers of that kind that are listed and do not leave
+    [[nodiscard]] int present_servers(const order_subject& subject) const;
     [[nodiscard]] server_need need_of(const ingress_service& service) const;
     [[nodiscard]] server_need
     measured_need(const ingress_service& service) const;
--- a/tests/experiment/experiment_test.py
+++ b/tests/experiment/experiment_test.py
@@ -148,10 +148,10 @@
         patch.start()
         self.addCleanup(patch.stop)
 
-    def run_tool(self, *variants, seeds="1,2"):
+    def run_tool(self, *variants, seeds="1,2", more=()):
         words = ["play", "--bench", str(self.bench), "--site", str(self.site),
                  "--seeds", seeds, "--out", str(self.root / "out"),
-                 "--why", "a hypothesis"]
+                 "--why", "a hypothesis", *more]
         for variant in variants:
             words += ["--variant", variant]
         output, errors = io.StringIO(), io.StringIO()
@@ -182,6 +182,11 @@
         self.assertEqual(before, self.calls())
         self.assertIn("+0.100", output)
 
+    def test_plays_without_processor_time_are_others(self):
+        self.run_tool("base")
+        self.run_tool("base", more=["--no-cpu"])
+        self.assertEqual(4, len(self.calls()))
+
     def test_a_changed_setting_is_played_anew(self):
         self.run_tool("base", "more=policy.factor:2")
         self.run_tool("base", "more=policy.factor:3")
--- a/tests/scaling/scaling_test.cpp
+++ b/tests/scaling/scaling_test.cpp
@@ -133,6 +133,19 @@
     EXPECT_GE(on_demand_of(plan), 5);
 }
 
+TEST(scale_planner, without_spot_a_part_of_the_way_to_the_usual_is_bought)
+{
+    const std::map<hall_id, int> none{{cheap, 0}, {middle, 0}, {dear, 0}};
+    scale_options options;
+    for (const auto& [part, expected] :
+         {std::pair(0.0, 5), std::pair(0.5, 8), std::pair(1.0, 11)})
+    {
+        options.dry_part = part;
+        EXPECT_EQ(total_of(plan_servers(make_limits(), {11, 5}, none, options)),
+                  expected);
+    }
+}
+
 TEST(scale_planner, a_dry_hall_is_made_up_for_in_the_others)
 {
     const auto plan = plan_servers(make_limits(), {9, 4}, {{dear, 1}}, {});
@@ -224,6 +237,20 @@
               servers_needed(load, slow, samples, options).least);
 }
 
+// Servers take seconds to start: a rise counts sooner than a fall.
+TEST(demand_meter, follows_a_rise_within_three_seconds)
+{
+    demand_meter meter(absl::Seconds(8));
+    std::map<host_id, service_work> work{{host_id("1"), {}}};
+    for (int second = 0; second <= 23; ++second)
+    {
+        const double rate = second <= 20 ? 100 : 200;
+        work[host_id("1")] += {rate, rate, rate, rate};
+        meter.note(work, absl::UnixEpoch() + absl::Seconds(second));
+    }
+    EXPECT_GT(meter.peak().prompts, 180);
+}
+
 TEST(demand_meter, follows_the_work_of_all_hosts_over_their_starts)
 {
     demand_meter meter(absl::Seconds(8));
--- a/utilities/experiment/__main__.py
+++ b/utilities/experiment/__main__.py
@@ -30,6 +30,8 @@
                       help="the first one is the base")
     play.add_argument("--out", required=True, help="folder for all results")
     play.add_argument("--jobs", type=int, default=4, help="plays at a time")
+    play.add_argument("--no-cpu", action="store_true",
+                      help="processor time is not charged: less noise")
     play.add_argument("--why", required=True, help="the hypothesis")
     old = verbs.add_parser("journal", help="a table of what the journal holds")
     old.add_argument("--folder", default=str(REPOSITORY / "journal"))
@@ -80,7 +82,9 @@
     check_folder(folder)
     plays = make_plays(arguments.site, arguments.days.split(","),
                        read_numbers(arguments.seeds))
-    workshop = Workshop(REPOSITORY, arguments.bench, folder, arguments.jobs)
+    extra = ["--no-cpu"] if arguments.no_cpu else []
+    workshop = Workshop(REPOSITORY, arguments.bench, folder, arguments.jobs,
+                        extra)
     commits = [resolve_commit(REPOSITORY, variant.commit)
                for variant in variants]
     for variant, commit_id in zip(variants, commits):
@@ -90,7 +94,7 @@
     for variant, commit_id in zip(variants, commits):
         results, failed = play_variant(
             workshop, variant, commit_id, plays,
-            folder / "plays" / variant.key(commit_id), arguments.why)
+            folder / "plays" / variant.key(commit_id, extra), arguments.why)
         outcomes[variant.name] = results
         problems += failed
     collected = workshop.collect_journal(REPOSITORY / "journal")
--- a/utilities/experiment/plan.py
+++ b/utilities/experiment/plan.py
@@ -19,9 +19,9 @@
     commit: str  # any revision; "." is the work tree with its changes
     settings: tuple[tuple[str, str], ...] = ()
 
-    def key(self, commit_id):
+    def key(self, commit_id, extra=()):
         """Returns a folder's name that changes with what is played."""
-        text = repr((commit_id, self.settings)).encode()
+        text = repr((commit_id, self.settings, tuple(extra))).encode()
         return f"{self.name}-{hashlib.sha256(text).hexdigest()[:10]}"
 
 
--- a/utilities/experiment/workshop.py
+++ b/utilities/experiment/workshop.py
@@ -59,7 +59,9 @@
 class Workshop:
     """Copies by commit; each is built once, and plays one variant at a time."""
 
-    def __init__(self, repository, bench, folder, jobs):
+    def __init__(self, repository, bench, folder, jobs, extra=()):
+        """`extra` are further words for the bench's verb `run`."""
+        self._extra = list(extra)
         self._repository = Path(repository)
         self._bench = Path(bench)
         self._folder = Path(folder)
@@ -139,7 +141,7 @@
         part.unlink(missing_ok=True)
         command = [str(self._bench), "run", str(play.site), play.day,
                    "--seed", str(play.seed), "--report", str(part),
-                   "--why", why, "--jobs", "1"]
+                   "--why", why, "--jobs", "1", *self._extra]
         process = subprocess.Popen(command, cwd=copy, text=True,
                                    stdout=subprocess.PIPE,
                                    stderr=subprocess.STDOUT,
