gateway: Refuse at once what would come too late

A prompt whose first event is expected beyond two objectives (three and four for more urgent ranks), or beyond its deadline, is refused at once with the time after which places will be free, in place of waiting for its deadline. The time follows from the learned model: places, prompts ahead, its own prompt. A prompt that is late on an idle engine is tried all the same when nobody is before it.

--- a/libraries/engines/engine_estimate.hpp
+++ b/libraries/engines/engine_estimate.hpp
@@ -29,6 +29,9 @@
     /// for, in ms.
     double generation_ms_per_token = 10;
 
+    /// From the first event to the last, of the mean answer, in ms.
+    double answer_ms = 2000;
+
     /// Prompts and generations that the values rest on; 0: on priors.
     double prompts = 0;
     double generations = 0;
--- a/libraries/engines/engine_model.cpp
+++ b/libraries/engines/engine_model.cpp
@@ -24,6 +24,10 @@
 // Prior of generations in tokens, and of what is in doubt in thousands.
 constexpr double trusted_tokens = 500;
 constexpr double trusted_doubtful = 5;
+// As many answers of the prior's length as its tokens come to.
+constexpr double trusted_answers = trusted_tokens *
+                                   engine_estimate{}.generation_ms_per_token /
+                                   engine_estimate{}.answer_ms;
 // Times vary in proportion to their length, so errors are taken against the
 // longer of the expected and the seen time, which is brought to this size: one
 // that is far off weighs little, whichever of the two is wrong.
@@ -159,6 +163,7 @@
     estimate.gap_ms = std::max(0.0, gaps[0]);
     estimate.gap_ms_per_generation = std::max(0.0, gaps[1] / ten);
     estimate.generation_ms_per_token = m_generating_ms / m_allowed_tokens;
+    estimate.answer_ms = m_generating_ms / (trusted_answers + m_generations);
     estimate.prompts = m_reading.observations();
     estimate.generations = m_generations;
     estimate.first_error = m_reading.mean_error() / typical_ms;
@@ -190,6 +195,7 @@
     join(&estimate::gap_ms, &estimate::generations);
     join(&estimate::gap_ms_per_generation, &estimate::generations);
     join(&estimate::generation_ms_per_token, &estimate::generations);
+    join(&estimate::answer_ms, &estimate::generations);
     for (const auto& [peer, learned] : m_peers)
     {
         joint.prompts += learned.prompts;
--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -83,6 +83,25 @@
     return best;
 }
 
+double server_choice::expected_first_ms(const server_entry& server,
+                                        const choice_request& request) const
+{
+    const auto work = expect(server.id, request, home_of(request));
+    const auto& engine = request.engine;
+    const auto slots = static_cast<double>(std::max(1, server.slots));
+    // 1. With all places taken, one is free each time that an answer ends.
+    const auto before =
+        std::max(0.0, static_cast<double>(work.running) + 1 - slots);
+    const auto for_place_ms = before * engine.answer_ms / slots;
+    // 2. What is read meanwhile is no longer ahead then.
+    const auto tokens_ahead =
+        work.ahead_tokens + work.peers_ahead_tokens * engine.peers_part;
+    const auto for_others_ms =
+        std::max(for_place_ms, tokens_ahead * engine.read_ms_per_token);
+    return for_others_ms +
+           engine.first_event_ms(static_cast<double>(work.tokens));
+}
+
 expected_work server_choice::start(const upstream_id& server,
                                    const choice_request& request,
                                    std::int64_t cache_tokens)
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -74,6 +74,11 @@
     [[nodiscard]] const server_entry* choose(const choice_request& request,
                                              absl::Time now);
 
+    /// @return how long the request's first event would take at the server: a
+    /// place there, what is read before it, and its own prompt; in ms
+    [[nodiscard]] double expected_first_ms(const server_entry& server,
+                                           const choice_request& request) const;
+
     /// Notes that a request is sent to the server.
     /// @param cache_tokens tokens that the server keeps
     /// @return what the server probably has to do
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -45,6 +45,7 @@
         static_cast<float>(learned.gap_ms_per_generation));
     message.set_generation_ms_per_token(
         static_cast<float>(learned.generation_ms_per_token));
+    message.set_answer_ms(static_cast<float>(learned.answer_ms));
     message.set_learned_prompts(static_cast<float>(learned.prompts));
     message.set_learned_generations(static_cast<float>(learned.generations));
     message.set_first_error(static_cast<float>(learned.first_error));
@@ -64,6 +65,7 @@
     learned.gap_ms = message.gap_ms();
     learned.gap_ms_per_generation = message.gap_ms_per_generation();
     learned.generation_ms_per_token = message.generation_ms_per_token();
+    learned.answer_ms = message.answer_ms();
     learned.prompts = message.learned_prompts();
     learned.generations = message.learned_generations();
     learned.first_error = message.first_error();
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -153,7 +153,7 @@
         }
         if (m_is_cancelled)
         {
-            m_state.quota.shared().refund(m_tenant->name, m_quota_cost);
+            refund_quota();
             log_end("client_left");
             co_return false;
         }
@@ -182,6 +182,14 @@
             co_return;
         }
         const auto chosen = *server;
+        if (const auto late_ms = hopeless_ms(chosen, wanted))
+        {
+            refund_quota();
+            co_await refuse(http_status::unavailable, "too_late",
+                            std::clamp(milliseconds(*late_ms), retry_when_full,
+                                       longest_retry));
+            co_return;
+        }
         m_tried.insert(chosen.id);
         m_server_hall = chosen.hall.value();
         const auto end = co_await attempt(chosen, wanted);
@@ -277,6 +285,43 @@
     co_return end;
 }
 
+// Whether the request would be served too late to be of use, while others
+// could still be in time in its place: the least urgent give way first.
+// @return how much later than wanted its first event would come, in ms
+std::optional<std::int64_t>
+request_flow::hopeless_ms(const server_entry& server,
+                          const choice_request& wanted) const
+{
+    if (!m_service->is_engine || m_may_have_run ||
+        m_state.settings.late_objectives <= 0)
+    {
+        return std::nullopt;
+    }
+    const auto expected = m_state.choice.expected_first_ms(server, wanted);
+    const auto objective = static_cast<double>(m_route->objective.count());
+    const auto ranks =
+        m_routes->lowest_rank(m_service->name) - m_route->priority;
+    const auto longest =
+        std::min(objective * (m_state.settings.late_objectives + ranks),
+                 static_cast<double>(time_left().count()));
+    // A prompt that is late on an idle engine waits for nobody.
+    const auto alone = wanted.engine.first_event_ms(
+        static_cast<double>(m_facts.prompt_tokens));
+    if (expected <= std::max(longest, alone))
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::int64_t>(expected - objective);
+}
+
+void request_flow::refund_quota()
+{
+    if (m_tenant != nullptr)
+    {
+        m_state.quota.shared().refund(m_tenant->name, m_quota_cost);
+    }
+}
+
 // Step 6: whether another server may get the request.
 bool request_flow::may_try_again(attempt_end end)
 {
@@ -316,10 +361,7 @@
     }
     if (!m_may_have_run)
     {
-        if (m_tenant != nullptr)
-        {
-            m_state.quota.shared().refund(m_tenant->name, m_quota_cost);
-        }
+        refund_quota();
         co_await refuse(http_status::unavailable,
                         end == attempt_end::not_reached ? "no_server_reached"
                                                         : "servers_full",
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -223,6 +223,19 @@
         });
 }
 
+void gateway_fixture::make_engines()
+{
+    on_loop(
+        [&]
+        {
+            auto configuration = m_state.routes->configuration();
+            configuration.services.front().is_engine = true;
+            configuration.services.front().engine_slots = 1;
+            m_state.routes =
+                std::make_shared<const route_table>(std::move(configuration));
+        });
+}
+
 void gateway_fixture::limit_tenant(const tenant_limit& limit)
 {
     on_loop(
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -103,6 +103,9 @@
     /// stream that cannot be resumed) of one service.
     void configure();
 
+    /// Makes the service one of engines.
+    void make_engines();
+
     /// Adds the route `/own/`, of one tenant with a limit in requests.
     void limit_tenant(const tenant_limit& limit);
 
--- a/tests/ingress/server_choice_test.cpp
+++ b/tests/ingress/server_choice_test.cpp
@@ -200,6 +200,34 @@
     EXPECT_EQ(second.running, 1);
 }
 
+TEST_F(server_choice_test, expects_a_first_event_by_places_and_by_prompts)
+{
+    m_directory.set(make_server("a", engines));
+    const auto& server = *m_directory.find(upstream_id("a"));
+    const auto facts = make_facts("shared", "own");
+    choice_request request;
+    request.service = engines;
+    request.is_engine = true;
+    request.facts = &facts;
+    request.engine.first_ms = 30;
+    request.engine.read_ms_per_token = 0.01;
+    request.engine.doubtful_part = 0.5;
+    request.engine.peers_part = 0.5;
+    request.engine.answer_ms = 800;
+    // 1. Idle: its own part and half of the shared one.
+    EXPECT_NEAR(m_choice.expected_first_ms(server, request), 30 + 35, 1e-9);
+    // 2. Half of what a peer has told is still ahead.
+    m_choice.set_peer_load(host_id("peer"),
+                           {{upstream_id("a"), server_load{1, 4000}}});
+    EXPECT_NEAR(m_choice.expected_first_ms(server, request), 30 + 35 + 20,
+                1e-9);
+    // 3. Six run or wait in four places: three answers have to end first.
+    m_choice.set_peer_load(host_id("peer"),
+                           {{upstream_id("a"), server_load{6, 4000}}});
+    EXPECT_NEAR(m_choice.expected_first_ms(server, request), 30 + 35 + 600,
+                1e-9);
+}
+
 TEST_F(server_choice_test, sums_over_peers_follow_each_peer)
 {
     const upstream_id a("a");
