experiment: End what was started when told to end

A SIGTERM left the plays running, and a shell's background job ignores SIGINT. Both now end the plays, with exit code 130; a further call goes on.

--- a/tests/experiment/experiment_test.py
+++ b/tests/experiment/experiment_test.py
@@ -11,6 +11,7 @@
 import stat
 import subprocess
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -22,6 +23,7 @@
 from experiment.plan import make_plays, parse_variant
 from experiment.results import read_result
 
+UTILITIES = Path(__file__).resolve().parents[2] / "utilities"
 SITE = '[[day]]\nname = "quiet-1"\n[[day]]\nname = "trouble-1"\n'
 
 # Writes a report whose worth follows from the seed and the policy's setting.
@@ -231,12 +233,33 @@
         self.assertNotIn("NEW", workshop.run_git(
             self.repository, "diff", "--cached"))
 
-    def test_ends_what_it_started_when_it_is_interrupted(self):
-        shop = workshop.Workshop(self.repository, self.bench, self.root, 1)
-        process = subprocess.Popen(["sleep", "60"], start_new_session=True)
-        shop._running.add(process)
-        shop._end_running()
-        self.assertNotEqual(0, process.wait(timeout=20))
+    def test_ends_what_it_started_when_it_is_told_to_end(self):
+        started = self.root / "started"
+        self.bench.write_text(
+            "#!/usr/bin/env bash\n"
+            f"[ $1 = build ] || {{ echo $$ >{started}; exec sleep 600; }}\n")
+        launcher = (f"import sys; sys.path.insert(0, {str(UTILITIES)!r})\n"
+                    "from pathlib import Path\n"
+                    "from experiment import __main__ as program\n"
+                    f"program.REPOSITORY = Path({str(self.repository)!r})\n"
+                    "sys.exit(program.main(sys.argv[1:]))")
+        process = subprocess.Popen(
+            ["/usr/bin/python3", "-c", launcher, "play", "--bench",
+             str(self.bench), "--site", str(self.site), "--seeds", "1",
+             "--out", str(self.root / "out"), "--why", "w", "--variant",
+             "base"], stderr=subprocess.DEVNULL)
+        self.wait_until(lambda: started.exists() and started.read_text())
+        play = int(started.read_text())
+        process.terminate()
+        self.assertEqual(130, process.wait(timeout=60))
+        self.wait_until(lambda: not Path(f"/proc/{play}").exists())
+
+    def wait_until(self, is_met):
+        for _ in range(1200):  # a minute; bounds a hang
+            if is_met():
+                return
+            time.sleep(0.05)
+        self.fail("it did not come")
 
 
 if __name__ == "__main__":
--- a/utilities/experiment/__main__.py
+++ b/utilities/experiment/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import signal
 import sys
 from pathlib import Path
 
@@ -113,8 +114,17 @@
     return 1 if problems else 0
 
 
+def interrupt(_number, _frame):
+    raise KeyboardInterrupt
+
+
 def main(arguments=None):
-    """Returns the exit code: 1 if a play failed, 2 for bad input."""
+    """Returns the exit code: 1 if a play failed, 2 for bad input.
+
+    Told to end, it ends the plays that it started: exit code 130.
+    """
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, interrupt)
     options = make_parser().parse_args(arguments)
     try:
         if options.verb == "journal":
@@ -124,6 +134,9 @@
     except ExperimentError as error:
         print(f"experiment: {error}", file=sys.stderr)
         return 2
+    except KeyboardInterrupt:
+        print("experiment: ended; a further call goes on", file=sys.stderr)
+        return 130
 
 
 if __name__ == "__main__":
