--- a/libraries/ingress/decision_policy.hpp
+++ b/libraries/ingress/decision_policy.hpp
@@ -25,10 +25,8 @@
     /// Earliest return of a request beyond its workspace's quota, in ms.
     std::int64_t quota_retry_ms = 500;
 
-    /// A prompt of the least urgent route is refused at once when its first
-    /// event is expected to take more than so many objectives, one of each more
-    /// urgent rank one objective later; 0: none is.
-    double late_objectives = 2;
+    /// Refuse at once what is expected to begin after its deadline.
+    bool refuses_hopeless = true;
 
     // Engines and their number.
     bool learns_engines = true; ///< otherwise the priors stay
--- a/libraries/ingress/route_table.cpp
+++ b/libraries/ingress/route_table.cpp
@@ -27,11 +27,6 @@
     for (const auto& route : m_configuration.routes)
     {
         m_by_host[to_lower(route.host)].push_back(&route);
-        for (const auto& target : route.targets)
-        {
-            auto& lowest = m_lowest_ranks[target.service];
-            lowest = std::max(lowest, route.priority);
-        }
     }
     for (auto& [host, routes] : m_by_host)
     {
@@ -84,12 +79,6 @@
     return found == m_by_service.end() ? nullptr : found->second;
 }
 
-int route_table::lowest_rank(const service_name& service) const
-{
-    const auto found = m_lowest_ranks.find(service);
-    return found == m_lowest_ranks.end() ? 0 : found->second;
-}
-
 const service_name& route_table::pick_target(const ingress_route& route,
                                              double draw)
 {
--- a/libraries/ingress/route_table.hpp
+++ b/libraries/ingress/route_table.hpp
@@ -39,9 +39,6 @@
     [[nodiscard]] const ingress_service*
     find_service(const service_name& name) const;
 
-    /// @return the largest number of a rank among the routes of a service
-    [[nodiscard]] int lowest_rank(const service_name& service) const;
-
     /// Picks a target of the route by weight.
     /// @param draw an even random number in [0, 1)
     [[nodiscard]] static const service_name&
@@ -53,7 +50,6 @@
         m_by_host; ///< longest prefix first
     std::unordered_map<std::string, const ingress_tenant*> m_by_key;
     absl::flat_hash_map<service_name, const ingress_service*> m_by_service;
-    absl::flat_hash_map<service_name, int> m_lowest_ranks;
 };
 
 } // namespace daleshelf
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -9,7 +9,6 @@
 constexpr std::int64_t longest_time_ms = 86400000;
 constexpr std::int64_t most_retries = 1000000;
 constexpr std::int64_t most_servers = 100000;
-constexpr std::int64_t most_objectives = 1000;
 // The longest that clients are asked to wait for a quota.
 constexpr std::int64_t longest_quota_retry_ms = 5000;
 // Larger than any limit in use by a thousand times.
@@ -85,10 +84,9 @@
         {"policy.quota_retry_ms", &settings::quota_retry_ms,
          "earliest return of a request beyond its quota", optional,
          setting_limits{0, longest_quota_retry_ms, {}}},
-        {"policy.late_objectives", &settings::late_objectives,
-         "objectives after which the first event of the least urgent prompts "
-         "is too late for them to be tried; 0: they always are",
-         optional, setting_limits{0, most_objectives, {}}},
+        {"policy.refuses_hopeless", &settings::refuses_hopeless,
+         "refuse at once prompts that are expected to begin after their "
+         "deadline"},
         {"policy.learns_engines", &settings::learns_engines,
          "learn the speed of engines; otherwise priors are used"},
         {"policy.orders_servers", &settings::orders_servers,
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -182,12 +182,11 @@
             co_return;
         }
         const auto chosen = *server;
-        if (const auto late_ms = hopeless_ms(chosen, wanted))
+        if (const auto wait = hopeless_for(chosen, wanted))
         {
             refund_quota();
             co_await refuse(http_status::unavailable, "too_late",
-                            std::clamp(milliseconds(*late_ms), retry_when_full,
-                                       longest_retry));
+                            std::clamp(*wait, retry_when_full, longest_retry));
             co_return;
         }
         m_tried.insert(chosen.id);
@@ -285,33 +284,25 @@
     co_return end;
 }
 
-// Whether the request would be served too late to be of use, while others
-// could still be in time in its place: the least urgent give way first.
-// @return how much later than wanted its first event would come, in ms
-std::optional<std::int64_t>
-request_flow::hopeless_ms(const server_entry& server,
-                          const choice_request& wanted) const
+// Whether the request cannot begin in time even at the best server: waiting
+// would only cost its client the time.
+// @return after how long places are expected to be free, in ms
+std::optional<milliseconds>
+request_flow::hopeless_for(const server_entry& server,
+                           const choice_request& wanted) const
 {
     if (!m_service->is_engine || m_may_have_run ||
-        m_state.settings.late_objectives <= 0)
+        !m_state.settings.refuses_hopeless)
     {
         return std::nullopt;
     }
-    const auto expected = m_state.choice.expected_first_ms(server, wanted);
-    const auto objective = static_cast<double>(m_route->objective.count());
-    const auto ranks =
-        m_routes->lowest_rank(m_service->name) - m_route->priority;
-    const auto longest =
-        std::min(objective * (m_state.settings.late_objectives + ranks),
-                 static_cast<double>(time_left().count()));
-    // A prompt that is late on an idle engine waits for nobody.
-    const auto alone = wanted.engine.first_event_ms(
-        static_cast<double>(m_facts.prompt_tokens));
-    if (expected <= std::max(longest, alone))
+    const milliseconds expected(static_cast<std::int64_t>(
+        m_state.choice.expected_first_ms(server, wanted)));
+    if (expected <= time_left())
     {
         return std::nullopt;
     }
-    return static_cast<std::int64_t>(expected - objective);
+    return expected - m_route->objective;
 }
 
 void request_flow::refund_quota()
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -67,8 +67,9 @@
                                    const response_head& head, bool& is_sound);
     awaitable<bool> send_piece(const response_head& head,
                                std::string_view bytes);
-    [[nodiscard]] std::optional<std::int64_t>
-    hopeless_ms(const server_entry& server, const choice_request& wanted) const;
+    [[nodiscard]] std::optional<milliseconds>
+    hopeless_for(const server_entry& server,
+                 const choice_request& wanted) const;
     void refund_quota();
     bool may_try_again(attempt_end end);
     awaitable<void> give_up(attempt_end end);
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -233,10 +233,9 @@
 
 void scale_service::note_demand(const ingress_service& service, absl::Time now)
 {
-    auto& known = m_services
-                      .try_emplace(service.name, demand_meter(demand_memory),
-                                   initial_fleet(list_settle_time))
-                      .first->second;
+    const service_demand fresh{demand_meter(demand_memory),
+                               initial_fleet(list_settle_time)};
+    auto& known = m_services.try_emplace(service.name, fresh).first->second;
     known.meter.note(m_peers.work_of_all(service.name), now);
     if (known.meter.peak().prompts > 0)
     {
