gateway: Split what a request's flow logs and learns from its steps

A pure move: request_flow.cpp had grown to 585 lines. request_engines.cpp has what is told and expected of engines, request_log.cpp what is logged of an end.

--- /dev/null
+++ b/services/gateway/request_engines.cpp
@@ -0,0 +1,93 @@
+// What a request's flow tells of engines, and expects of them.
+#include "request_flow.hpp"
+
+#include <base/http_status.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+double to_ms(monotonic::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace
+
+// Whether the request cannot begin in time even at the best server: waiting
+// would only cost its client the time.
+// @return after how long places are expected to be free, in ms
+std::optional<milliseconds>
+request_flow::hopeless_for(const server_entry& server,
+                           const choice_request& wanted) const
+{
+    if (!m_service->is_engine || m_may_have_run ||
+        !m_state.settings.refuses_hopeless)
+    {
+        return std::nullopt;
+    }
+    const milliseconds expected(static_cast<std::int64_t>(
+        m_state.choice.expected_first_ms(server, wanted)));
+    if (expected <= time_left())
+    {
+        return std::nullopt;
+    }
+    return expected - m_route->objective;
+}
+
+// What the request asks of the service's engines, for whoever orders servers.
+void request_flow::count_work()
+{
+    if (!m_service->is_engine)
+    {
+        return;
+    }
+    const auto tokens = static_cast<double>(m_work.tokens);
+    auto& load = m_state.loads[m_service->name];
+    load.work += {1, tokens, tokens * tokens,
+                  static_cast<double>(m_facts.answer_tokens)};
+    load.samples.add({tokens, static_cast<double>(m_route->objective.count())});
+}
+
+// One that had to wait for a place, or that goes on elsewhere, tells nothing
+// of the time to read.
+void request_flow::learn_reading(const server_entry& server,
+                                 const response_head& head,
+                                 monotonic::duration time)
+{
+    if (!m_service->is_engine || !m_state.settings.learns_engines ||
+        head.status >= http_status::bad_request || m_answer.has_begun() ||
+        m_work.running >= server.slots)
+    {
+        return;
+    }
+    prompt_seen seen;
+    seen.certain_tokens = m_work.certain_tokens;
+    seen.doubtful_tokens = m_work.doubtful_tokens;
+    seen.ahead_tokens = m_work.ahead_tokens;
+    seen.peers_ahead_tokens = m_work.peers_ahead_tokens;
+    seen.first_event_ms = to_ms(time);
+    m_state.engines.of(m_service->name).note_prompt(seen, gateway_state::now());
+}
+
+// A stream that came whole from one server tells how fast that generates.
+void request_flow::learn_generating(std::int64_t events,
+                                    monotonic::duration time)
+{
+    if (!m_service->is_engine || !m_state.settings.learns_engines ||
+        m_attempts != 1)
+    {
+        return;
+    }
+    generation_seen seen;
+    seen.allowed_tokens = static_cast<double>(m_facts.answer_tokens);
+    seen.events = static_cast<double>(events);
+    seen.first_to_last_ms = to_ms(time);
+    seen.running = static_cast<double>(m_work.running + 1);
+    m_state.engines.of(m_service->name)
+        .note_generation(seen, gateway_state::now());
+}
+
+} // namespace daleshelf
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -24,25 +24,6 @@
 constexpr milliseconds retry_when_full{250};
 constexpr milliseconds longest_retry{5000};
 
-double to_ms(monotonic::duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
-std::string_view kind_name(request_kind kind)
-{
-    switch (kind)
-    {
-    case request_kind::safe:
-        return "safe";
-    case request_kind::unsafe:
-        return "unsafe";
-    case request_kind::streaming:
-        break;
-    }
-    return "streaming";
-}
-
 } // namespace
 
 request_flow::request_flow(gateway_state& state, client_answer& answer,
@@ -284,27 +265,6 @@
     co_return end;
 }
 
-// Whether the request cannot begin in time even at the best server: waiting
-// would only cost its client the time.
-// @return after how long places are expected to be free, in ms
-std::optional<milliseconds>
-request_flow::hopeless_for(const server_entry& server,
-                           const choice_request& wanted) const
-{
-    if (!m_service->is_engine || m_may_have_run ||
-        !m_state.settings.refuses_hopeless)
-    {
-        return std::nullopt;
-    }
-    const milliseconds expected(static_cast<std::int64_t>(
-        m_state.choice.expected_first_ms(server, wanted)));
-    if (expected <= time_left())
-    {
-        return std::nullopt;
-    }
-    return expected - m_route->objective;
-}
-
 void request_flow::refund_quota()
 {
     if (m_tenant != nullptr)
@@ -475,59 +435,6 @@
                                                     m_request.received);
 }
 
-// What the request asks of the service's engines, for whoever orders servers.
-void request_flow::count_work()
-{
-    if (!m_service->is_engine)
-    {
-        return;
-    }
-    const auto tokens = static_cast<double>(m_work.tokens);
-    auto& load = m_state.loads[m_service->name];
-    load.work += {1, tokens, tokens * tokens,
-                  static_cast<double>(m_facts.answer_tokens)};
-    load.samples.add({tokens, static_cast<double>(m_route->objective.count())});
-}
-
-// One that had to wait for a place, or that goes on elsewhere, tells nothing
-// of the time to read.
-void request_flow::learn_reading(const server_entry& server,
-                                 const response_head& head,
-                                 monotonic::duration time)
-{
-    if (!m_service->is_engine || !m_state.settings.learns_engines ||
-        head.status >= http_status::bad_request || m_answer.has_begun() ||
-        m_work.running >= server.slots)
-    {
-        return;
-    }
-    prompt_seen seen;
-    seen.certain_tokens = m_work.certain_tokens;
-    seen.doubtful_tokens = m_work.doubtful_tokens;
-    seen.ahead_tokens = m_work.ahead_tokens;
-    seen.peers_ahead_tokens = m_work.peers_ahead_tokens;
-    seen.first_event_ms = to_ms(time);
-    m_state.engines.of(m_service->name).note_prompt(seen, gateway_state::now());
-}
-
-// A stream that came whole from one server tells how fast that generates.
-void request_flow::learn_generating(std::int64_t events,
-                                    monotonic::duration time)
-{
-    if (!m_service->is_engine || !m_state.settings.learns_engines ||
-        m_attempts != 1)
-    {
-        return;
-    }
-    generation_seen seen;
-    seen.allowed_tokens = static_cast<double>(m_facts.answer_tokens);
-    seen.events = static_cast<double>(events);
-    seen.first_to_last_ms = to_ms(time);
-    seen.running = static_cast<double>(m_work.running + 1);
-    m_state.engines.of(m_service->name)
-        .note_generation(seen, gateway_state::now());
-}
-
 void request_flow::count_begun()
 {
     if (!m_was_counted && m_tenant != nullptr)
@@ -537,49 +444,4 @@
     }
 }
 
-void request_flow::log_attempt(const server_entry& server,
-                               attempt_end end) const
-{
-    if (end == attempt_end::answered || end == attempt_end::abandoned)
-    {
-        return;
-    }
-    static constexpr std::array<std::string_view, 7> names{
-        "answered", "not_run", "not_reached", "server_error",
-        "broken",   "late",    "abandoned"};
-    m_state.meter.count_failed_attempt(names.at(static_cast<std::size_t>(end)));
-    log(events::upstream_failed,
-        {{"id", m_facts.id.value()},
-         {"server", server.id.value()},
-         {"end", std::string(names.at(static_cast<std::size_t>(end)))},
-         {"attempts", std::to_string(m_attempts)},
-         {"ms", std::to_string(elapsed().count())}});
-}
-
-void request_flow::count_end(std::string_view outcome)
-{
-    using seconds = std::chrono::duration<double>;
-    request_summary summary;
-    summary.route = m_route;
-    summary.outcome = outcome;
-    summary.hall = m_server_hall;
-    summary.attempts = m_attempts;
-    summary.seconds = seconds(monotonic::now() - m_request.received).count();
-    m_state.meter.count(summary);
-}
-
-void request_flow::log_end(std::string_view outcome)
-{
-    count_end(outcome);
-    log(events::request_ended,
-        {{"id", m_facts.id.value()},
-         {"outcome", std::string(outcome)},
-         {"kind", std::string(kind_name(m_route->kind))},
-         {"tenant", m_tenant == nullptr ? "" : m_tenant->name.value()},
-         {"cost", std::to_string(static_cast<std::int64_t>(m_quota_cost))},
-         {"status", std::to_string(m_answer.status())},
-         {"attempts", std::to_string(m_attempts)},
-         {"ms", std::to_string(elapsed().count())}});
-}
-
 } // namespace daleshelf
--- /dev/null
+++ b/services/gateway/request_log.cpp
@@ -0,0 +1,74 @@
+// What a request's flow logs and counts of its end.
+#include "request_flow.hpp"
+
+#include <array>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+std::string_view kind_name(request_kind kind)
+{
+    switch (kind)
+    {
+    case request_kind::safe:
+        return "safe";
+    case request_kind::unsafe:
+        return "unsafe";
+    case request_kind::streaming:
+        break;
+    }
+    return "streaming";
+}
+
+} // namespace
+
+void request_flow::log_attempt(const server_entry& server,
+                               attempt_end end) const
+{
+    if (end == attempt_end::answered || end == attempt_end::abandoned)
+    {
+        return;
+    }
+    static constexpr std::array<std::string_view, 7> names{
+        "answered", "not_run", "not_reached", "server_error",
+        "broken",   "late",    "abandoned"};
+    m_state.meter.count_failed_attempt(names.at(static_cast<std::size_t>(end)));
+    log(events::upstream_failed,
+        {{"id", m_facts.id.value()},
+         {"server", server.id.value()},
+         {"end", std::string(names.at(static_cast<std::size_t>(end)))},
+         {"attempts", std::to_string(m_attempts)},
+         {"ms", std::to_string(elapsed().count())}});
+}
+
+void request_flow::count_end(std::string_view outcome)
+{
+    using seconds = std::chrono::duration<double>;
+    request_summary summary;
+    summary.route = m_route;
+    summary.outcome = outcome;
+    summary.hall = m_server_hall;
+    summary.attempts = m_attempts;
+    summary.seconds = seconds(monotonic::now() - m_request.received).count();
+    m_state.meter.count(summary);
+}
+
+void request_flow::log_end(std::string_view outcome)
+{
+    count_end(outcome);
+    log(events::request_ended,
+        {{"id", m_facts.id.value()},
+         {"outcome", std::string(outcome)},
+         {"kind", std::string(kind_name(m_route->kind))},
+         {"tenant", m_tenant == nullptr ? "" : m_tenant->name.value()},
+         {"cost", std::to_string(static_cast<std::int64_t>(m_quota_cost))},
+         {"status", std::to_string(m_answer.status())},
+         {"attempts", std::to_string(m_attempts)},
+         {"ms", std::to_string(elapsed().count())}});
+}
+
+} // namespace daleshelf
