scaling: Ask for no more servers where a generation alone pauses too long

Like prompts that cannot meet their objective, pauses that no number of servers shortens ask for capacity alone; before, each generation was given a server of its own.

--- a/libraries/scaling/capacity.cpp
+++ b/libraries/scaling/capacity.cpp
@@ -54,6 +54,11 @@
         return slots;
     }
     const auto spare = options.gap_objective_ms * gap_part - engine.gap_ms;
+    if (spare <= 0)
+    {
+        // A generation alone pauses for too long: fewer would not help it.
+        return slots;
+    }
     return std::clamp(1 + spare / engine.gap_ms_per_generation, 1.0, slots);
 }
 
--- a/tests/scaling/scaling_test.cpp
+++ b/tests/scaling/scaling_test.cpp
@@ -219,6 +219,20 @@
     EXPECT_GT(bound.least, 2 * free.least);
 }
 
+TEST(capacity, pauses_that_no_number_of_servers_shortens_ask_for_no_more)
+{
+    auto engine = fast_engine();
+    engine.gap_ms = 60;
+    engine.gap_ms_per_generation = 2;
+    capacity_options options;
+    options.slots = 64;
+    options.most = 100;
+    const auto load = load_of(50, 10, 200);
+    const auto free = servers_needed(load, engine, {}, options);
+    options.gap_objective_ms = 50;
+    EXPECT_EQ(servers_needed(load, engine, {}, options).least, free.least);
+}
+
 RC_GTEST_PROP(capacity, faster_engines_never_need_more_servers, ())
 {
     capacity_options options;
