tests: Send the server's bytes before the client of a test may leave

Cause: the test's server sent after the client was let go; a send that meets the reset takes its error, so that the read after it looks closed in order.

--- a/tests/gateway/request_path_test.cpp
+++ b/tests/gateway/request_path_test.cpp
@@ -287,8 +287,11 @@
     const scripted_server server(
         [&](test_connection& connection)
         {
-            begun.add(connection.read_message());
+            const auto request = connection.read_message();
+            // Sent before the client is let go: a send that meets the reset
+            // takes its error, and what is read then looks closed in order.
             connection.send(stream_head("1") + event_chunk(1, "a"));
+            begun.add(request);
             connection.read_all();
             // A reset drops bytes that a cut would hold up and deliver late.
             ended.add(connection.was_reset() ? "reset" : "closed");
