scaling: Keep the service that an order is for while the order is on its way

The line of an order read the service from the configuration in force after the answer; a configuration without it that came meanwhile would have ended the process. Found by reading; no play has shown it.

--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -99,14 +99,17 @@
         {
             // Spot first: they come while the others still serve.
             const order_subject spot{service.name, hall, true};
-            co_await order(spot, target.spot);
+            co_await order(service, spot, target.spot);
             const order_subject on_demand{service.name, hall, false};
-            co_await order(on_demand, target.on_demand);
+            co_await order(service, on_demand, target.on_demand);
         }
     }
 }
 
-awaitable<void> scale_service::order(const order_subject& subject, int count)
+// @param service as the plan was made for it; a newer configuration may come
+// while an order is on its way
+awaitable<void> scale_service::order(const ingress_service& service,
+                                     const order_subject& subject, int count)
 {
     auto& known = m_orders[subject];
     const auto now = gateway_state::now();
@@ -136,13 +139,13 @@
         known.ordered_at = gateway_state::now();
         known.lower_since = absl::InfiniteFuture();
     }
-    log_order(subject, count, status, answer->token);
+    log_order(service, {subject, count, status, answer->token});
 }
 
-void scale_service::log_order(const order_subject& subject, int count,
-                              int status, std::int64_t token) const
+void scale_service::log_order(const ingress_service& service,
+                              const order_sent& sent) const
 {
-    const auto& service = *m_state.routes->find_service(subject.service);
+    const auto& subject = sent.subject;
     const auto need = need_of(service);
     const auto load = m_services.at(subject.service).meter.peak();
     const auto& models = m_state.engines.all();
@@ -153,7 +156,7 @@
         {{"service", subject.service.value()},
          {"hall", subject.hall.value()},
          {"kind", subject.is_spot ? "spot" : "on_demand"},
-         {"count", std::to_string(count)},
+         {"count", std::to_string(sent.count)},
          {"usual", std::to_string(need.usual)},
          {"least", std::to_string(need.least)},
          {"prompts_per_s", std::to_string(load.prompts)},
@@ -168,8 +171,8 @@
          {"doubtful_part", std::to_string(engine.doubtful_part)},
          {"peers_part", std::to_string(engine.peers_part)},
          {"prompts_seen", std::to_string(engine.prompts)},
-         {"status", std::to_string(status)},
-         {"token", std::to_string(token)}});
+         {"status", std::to_string(sent.status)},
+         {"token", std::to_string(sent.token)}});
 }
 
 bool scale_service::is_due(order_state& known, int count, absl::Time now) const
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -45,6 +45,15 @@
         absl::Time dry_until = absl::InfinitePast();
     };
 
+    /// One order and how the platform has answered it.
+    struct order_sent
+    {
+        order_subject subject;
+        int count = 0;
+        int status = 0;
+        std::int64_t token = 0; ///< the fence that it went with
+    };
+
     /// What is known of one service that can be scaled.
     struct service_demand
     {
@@ -55,7 +64,8 @@
 
     awaitable<void> run();
     awaitable<void> order_all();
-    awaitable<void> order(const order_subject& subject, int count);
+    awaitable<void> order(const ingress_service& service,
+                          const order_subject& subject, int count);
     [[nodiscard]] bool is_due(order_state& known, int count,
                               absl::Time now) const;
     [[nodiscard]] bool has_lost_servers(const order_subject& subject,
@@ -71,8 +81,8 @@
     [[nodiscard]] bool is_demand_known(const service_name& service) const;
     void note_demand();
     void note_demand(const ingress_service& service, absl::Time now);
-    void log_order(const order_subject& subject, int count, int status,
-                   std::int64_t token) const;
+    void log_order(const ingress_service& service,
+                   const order_sent& sent) const;
 
     gateway_state& m_state;
     peer_exchange& m_peers;
