--- a/utilities/experiment/page.py
+++ b/utilities/experiment/page.py
@@ -9,6 +9,7 @@
 DEAREST = 8  # prices that are told apart
 BAR_SPACE = 0.8  # of a group's width that its bars fill
 TEXT_ROWS = 12  # rows of names of troubles, before they begin again
+LABEL_SIGNS = 16  # of a site's name below the plot
 LOST = ("refused", "failed", "late")
 
 
@@ -36,7 +37,8 @@
             for one in worth:
                 chart.dot(left + width / 2, one)
     for at, (site, day) in enumerate(days):
-        chart.label_x(at, f"{site[:12]} {day}")
+        chart.label_x(at, day)
+        chart.label_x(at, site[:LABEL_SIGNS], 1 + at % 2)
     return chart.render()
 
 
--- a/utilities/experiment/svg.py
+++ b/utilities/experiment/svg.py
@@ -47,8 +47,9 @@
         self._pieces.append(f'<text x="{x:.1f}" y="{y:.1f}" font-size="{size}">'
                             f"{html.escape(str(words))}</text>")
 
-    def label_x(self, value, words):
-        self.text(self.x(value), self._height - MARGIN + 14, words)
+    def label_x(self, value, words, row=0):
+        """Writes below the plot; labels that would meet go on other rows."""
+        self.text(self.x(value), self._height - MARGIN + 14 + 12 * row, words)
 
     def legend(self, words, fill):
         at = 10 + self._legend * LEGEND_STEP
