scaling: Let a new holder of the duties take servers away only after a while

Cause: a new holder knows neither earlier orders nor which halls have no spot servers. Change: what is there counts as ordered when the first plan wants fewer, so that the usual eight seconds pass.

--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -111,11 +111,16 @@
 awaitable<void> scale_service::order(const ingress_service& service,
                                      const order_subject& subject, int count)
 {
-    auto& known = m_orders[subject];
+    const auto [entry, is_new] = m_orders.try_emplace(subject);
+    auto& known = entry->second;
     const auto now = gateway_state::now();
+    if (is_new && is_demand_known(service.name))
+    {
+        known.count = taken_as_ordered(present_servers(subject), count);
+    }
     if (has_lost_servers(subject, known, now))
     {
-        known.count = -1;
+        known.count = nothing_ordered;
     }
     if (!is_due(known, count, now))
     {
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <scaling/demand_meter.hpp>
+#include <scaling/first_order.hpp>
 #include <scaling/initial_fleet.hpp>
 #include <scaling/scale_planner.hpp>
 
@@ -39,7 +40,7 @@
 
     struct order_state
     {
-        int count = -1; ///< as ordered; -1: not by this machine
+        int count = nothing_ordered;
         absl::Time ordered_at = absl::InfinitePast();
         absl::Time lower_since = absl::InfiniteFuture();
         absl::Time dry_until = absl::InfinitePast();
--- a/tests/scaling/scaling_test.cpp
+++ b/tests/scaling/scaling_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <scaling/capacity.hpp>
 #include <scaling/demand_meter.hpp>
+#include <scaling/first_order.hpp>
 #include <scaling/initial_fleet.hpp>
 #include <scaling/scale_planner.hpp>
 
@@ -284,6 +285,16 @@
     EXPECT_NEAR(meter.peak().prompts, 20, 2);
 }
 
+// After the holder of the duties was cut off, the next one took five on-demand
+// servers away while no spot server was to be had, and ordered them again 0.5 s
+// later; they took 4 s to start.
+TEST(first_order, a_new_holder_orders_more_at_once_and_fewer_later)
+{
+    EXPECT_EQ(taken_as_ordered(3, 5), nothing_ordered);
+    EXPECT_EQ(taken_as_ordered(3, 3), nothing_ordered);
+    EXPECT_EQ(taken_as_ordered(5, 0), 5);
+}
+
 TEST(initial_fleet, a_list_that_is_still_filling_has_not_settled)
 {
     initial_fleet fleet(absl::Seconds(2.5));
