scaling: Count servers as lost by the service's boot time; take the need once

Cause: what was ordered counted as lost after 7 s, whatever the service's boot time; each line of an order worked the need out again for its log. Change: lost_after follows from the boot time (7 s where that is 4 s, as before); the need that the plan was made with is handed on.

--- a/libraries/scaling/first_order.hpp
+++ b/libraries/scaling/first_order.hpp
@@ -1,7 +1,9 @@
 /// @file
-/// What a new holder of the duties takes as ordered before it.
+/// What a holder of the duties may take as ordered, and as lost.
 #pragma once
 
+#include <absl/time/time.h>
+
 namespace daleshelf
 {
 
@@ -20,4 +22,17 @@
     return wanted < present ? present : nothing_ordered;
 }
 
+/// Servers that were taken away, or are lost for good, do not come back by
+/// themselves.
+/// @param boot_time of the service's servers
+/// @return how long after an order whoever is not there counts as lost
+[[nodiscard]] inline absl::Duration lost_after(absl::Duration boot_time)
+{
+    // A server lists itself by a heartbeat, mostly every 1.2 s, and changes of
+    // the list are read every 0.8 s at the latest; the rest is for a slow
+    // store.
+    constexpr absl::Duration listing_time = absl::Seconds(3);
+    return boot_time + listing_time;
+}
+
 } // namespace daleshelf
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -15,8 +15,6 @@
 constexpr absl::Duration demand_memory = absl::Seconds(8);
 // Fewer servers are ordered only after the need has been lower for this long.
 constexpr absl::Duration patience = absl::Seconds(8);
-// Longer than a server takes to start.
-constexpr absl::Duration replace_time = absl::Seconds(7);
 constexpr absl::Duration dry_time = absl::Seconds(4);
 // Before any demand is known the operator's fleet is taken for ample: these
 // parts of it count as needed.
@@ -93,15 +91,17 @@
             static_cast<int>(m_state.settings.least_on_demand),
             static_cast<int>(m_state.settings.spare_halls),
             m_state.settings.dry_part};
-        const auto plan = plan_servers(service.scaling, need_of(service),
-                                       spot_limit, options);
+        const auto need = need_of(service);
+        const auto plan =
+            plan_servers(service.scaling, need, spot_limit, options);
         for (const auto& [hall, target] : plan)
         {
             // Spot first: they come while the others still serve.
-            const order_subject spot{service.name, hall, true};
-            co_await order(service, spot, target.spot);
-            const order_subject on_demand{service.name, hall, false};
-            co_await order(service, on_demand, target.on_demand);
+            const order_wanted spot{{service.name, hall, true}, target.spot};
+            co_await order(service, need, spot);
+            const order_wanted on_demand{{service.name, hall, false},
+                                         target.on_demand};
+            co_await order(service, need, on_demand);
         }
     }
 }
@@ -109,8 +109,11 @@
 // @param service as the plan was made for it; a newer configuration may come
 // while an order is on its way
 awaitable<void> scale_service::order(const ingress_service& service,
-                                     const order_subject& subject, int count)
+                                     const server_need& need,
+                                     const order_wanted& wanted)
 {
+    const auto& subject = wanted.subject;
+    const auto count = wanted.count;
     const auto [entry, is_new] = m_orders.try_emplace(subject);
     auto& known = entry->second;
     const auto now = gateway_state::now();
@@ -118,7 +121,8 @@
     {
         known.count = taken_as_ordered(present_servers(subject), count);
     }
-    if (has_lost_servers(subject, known, now))
+    const auto boot_time = absl::FromChrono(service.scaling.boot_time);
+    if (has_lost_servers(subject, known, now - lost_after(boot_time)))
     {
         known.count = nothing_ordered;
     }
@@ -144,14 +148,13 @@
         known.ordered_at = gateway_state::now();
         known.lower_since = absl::InfiniteFuture();
     }
-    log_order(service, {subject, count, status, answer->token});
+    log_order(need, {subject, count, status, answer->token});
 }
 
-void scale_service::log_order(const ingress_service& service,
+void scale_service::log_order(const server_need& need,
                               const order_sent& sent) const
 {
     const auto& subject = sent.subject;
-    const auto need = need_of(service);
     const auto load = m_services.at(subject.service).meter.peak();
     const auto& models = m_state.engines.all();
     const auto model = models.find(subject.service);
@@ -195,15 +198,13 @@
     return now - known.lower_since >= patience;
 }
 
-// Servers that were taken away, or are lost for good, do not come back by
-// themselves.
-// @return whether fewer are there than were ordered, though they have had the
-// time to start
+// @param started_by servers ordered before this have had the time to start
+// @return whether fewer are there than were ordered by then
 bool scale_service::has_lost_servers(const order_subject& subject,
                                      const order_state& known,
-                                     absl::Time now) const
+                                     absl::Time started_by) const
 {
-    if (known.count <= 0 || now - known.ordered_at < replace_time)
+    if (known.count <= 0 || known.ordered_at > started_by)
     {
         return false;
     }
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -46,6 +46,13 @@
         absl::Time dry_until = absl::InfinitePast();
     };
 
+    /// How many servers a subject is to have.
+    struct order_wanted
+    {
+        order_subject subject;
+        int count = 0;
+    };
+
     /// One order and how the platform has answered it.
     struct order_sent
     {
@@ -66,12 +73,12 @@
     awaitable<void> run();
     awaitable<void> order_all();
     awaitable<void> order(const ingress_service& service,
-                          const order_subject& subject, int count);
+                          const server_need& need, const order_wanted& wanted);
     [[nodiscard]] bool is_due(order_state& known, int count,
                               absl::Time now) const;
     [[nodiscard]] bool has_lost_servers(const order_subject& subject,
                                         const order_state& known,
-                                        absl::Time now) const;
+                                        absl::Time started_by) const;
     /// @return servers of that kind that are listed and do not leave
     [[nodiscard]] int present_servers(const order_subject& subject) const;
     [[nodiscard]] server_need need_of(const ingress_service& service) const;
@@ -82,8 +89,7 @@
     [[nodiscard]] bool is_demand_known(const service_name& service) const;
     void note_demand();
     void note_demand(const ingress_service& service, absl::Time now);
-    void log_order(const ingress_service& service,
-                   const order_sent& sent) const;
+    void log_order(const server_need& need, const order_sent& sent) const;
 
     gateway_state& m_state;
     peer_exchange& m_peers;
--- a/tests/scaling/scaling_test.cpp
+++ b/tests/scaling/scaling_test.cpp
@@ -288,6 +288,12 @@
 // After the holder of the duties was cut off, the next one took five on-demand
 // servers away while no spot server was to be had, and ordered them again 0.5 s
 // later; they took 4 s to start.
+TEST(first_order, servers_that_start_slowly_count_as_lost_later)
+{
+    EXPECT_EQ(lost_after(absl::Seconds(4)), absl::Seconds(7));
+    EXPECT_GT(lost_after(absl::Seconds(9)), absl::Seconds(9 + 1.2 + 0.8));
+}
+
 TEST(first_order, a_new_holder_orders_more_at_once_and_fewer_later)
 {
     EXPECT_EQ(taken_as_ordered(3, 5), nothing_ordered);
