quotas: Keep the rank of each host

Cause: keepers are looked for at each request, and hashed each host's name twice for that: at 295 hosts 590 hashes a request. Change: the rank is kept with the host. The choice is the same, by tests/quotas as they stand.

--- a/libraries/quotas/fleet_roster.cpp
+++ b/libraries/quotas/fleet_roster.cpp
@@ -48,12 +48,23 @@
     {
         return;
     }
+    auto& listed = member_of(host);
+    if (listed.listed_at == absl::InfinitePast() &&
+        listed.heard_at == absl::InfinitePast())
+    {
+        listed.hall = hall;
+        listed.listed_at = now;
+    }
+}
+
+fleet_roster::member& fleet_roster::member_of(const host_id& host)
+{
     const auto [at, is_new] = m_members.try_emplace(host);
     if (is_new)
     {
-        at->second.hall = hall;
-        at->second.listed_at = now;
+        at->second.rank = rank_of(host);
     }
+    return at->second;
 }
 
 void fleet_roster::hear(const host_id& host, const hall_id& hall,
@@ -63,7 +74,7 @@
     {
         return;
     }
-    auto& heard = m_members[host];
+    auto& heard = member_of(host);
     if (started < heard.started)
     {
         return;
@@ -124,40 +135,49 @@
 
 std::vector<host_id> fleet_roster::keepers(absl::Time now) const
 {
-    std::map<hall_id, host_id> by_hall;
+    struct first_host
+    {
+        std::uint64_t rank;
+        const host_id* name;
+    };
+    std::map<hall_id, first_host> by_hall;
     if (!m_is_stopping)
     {
-        by_hall[m_hall] = m_self;
+        by_hall[m_hall] = {rank_of(m_self), &m_self};
     }
     for (const auto& [name, of] : m_members)
     {
-        const auto hall_away = m_hall_away_until.find(of.hall);
-        const bool is_hall_away =
-            hall_away != m_hall_away_until.end() && now < hall_away->second;
-        if (of.is_stopping || now < of.away_until || is_hall_away ||
-            of.hall.value().empty())
+        if (of.is_stopping || now < of.away_until || of.hall.value().empty() ||
+            is_hall_away(of.hall, now))
         {
             continue;
         }
-        auto& keeper = by_hall[of.hall];
-        if (keeper.value().empty() || rank_of(name) < rank_of(keeper))
+        auto& keeper = by_hall.try_emplace(of.hall, first_host{of.rank, &name})
+                           .first->second;
+        if (of.rank < keeper.rank)
         {
-            keeper = name;
+            keeper = {of.rank, &name};
         }
     }
     std::vector<host_id> keepers;
     const auto own = by_hall.find(m_hall);
-    keepers.push_back(own == by_hall.end() ? m_self : own->second);
+    keepers.push_back(own == by_hall.end() ? m_self : *own->second.name);
     for (const auto& [hall, keeper] : by_hall)
     {
         if (hall != m_hall)
         {
-            keepers.push_back(keeper);
+            keepers.push_back(*keeper.name);
         }
     }
     return keepers;
 }
 
+bool fleet_roster::is_hall_away(const hall_id& hall, absl::Time now) const
+{
+    const auto away = m_hall_away_until.find(hall);
+    return away != m_hall_away_until.end() && now < away->second;
+}
+
 bool fleet_roster::is_gone(const member& of, absl::Time now) const
 {
     return now - std::max(of.heard_at, of.listed_at) >
--- a/libraries/quotas/fleet_roster.hpp
+++ b/libraries/quotas/fleet_roster.hpp
@@ -5,6 +5,7 @@
 #include <absl/time/time.h>
 
 #include <base/identifiers.hpp>
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -62,6 +63,8 @@
 private:
     struct member
     {
+        /// By a hash of the name, kept: keepers are looked for at each request.
+        std::uint64_t rank = 0;
         hall_id hall;
         incarnation started;
         bool is_stopping = false;
@@ -72,7 +75,9 @@
         absl::Time away_until = absl::InfinitePast();
     };
 
+    member& member_of(const host_id& host);
     [[nodiscard]] bool is_gone(const member& of, absl::Time now) const;
+    [[nodiscard]] bool is_hall_away(const hall_id& hall, absl::Time now) const;
     [[nodiscard]] bool is_heard(const member& of, absl::Time now) const;
     [[nodiscard]] bool hears_most(absl::Time now) const;
     [[nodiscard]] bool hears_hall(const hall_id& hall, absl::Time now) const;
