duties: Ask for the counts of usage windows; release a lease that cannot be renewed

And a holder that the store turned away left its lease to lapse: nobody ordered for 3.6 s. In a large fleet a holder that was gone counted as heard for 32 s. Change: the holder asks all hosts for the counts of a window that has ended, 64 at a time, and settles it when all in reach have told or at half of the time due. A holder that the store has refused twice in a row, while it answered a peer, gives its lease up once no call is open; so does one that is told to stop; others take it at once. Candidates of a large fleet hear one another each quarter second. Datagrams are decoded once, by their format.

--- a/libraries/duties/duty_ledger.cpp
+++ b/libraries/duties/duty_ledger.cpp
@@ -59,15 +59,29 @@
         const bool is_time = now - m_read_at >= quiet_read_pause;
         return is_time ? ledger_action(ledger_read{m_next}) : ledger_action();
     }
-    // 5. Take over once the lease has lapsed, by what this machine has seen.
-    const bool was_never_held = m_holder.empty() && m_next == log_offset(0);
-    if (was_never_held || now - m_seen_at >= m_options.lease + m_options.margin)
+    // 5. Take over what is free.
+    if (may_grant(now))
     {
         return ledger_append{m_next, lease_record(grant_kind), std::nullopt};
     }
     return is_due ? ledger_action(ledger_read{m_next}) : ledger_action();
 }
 
+// A lease is free if it was never held, was given up, or has lapsed by what
+// this machine has seen.
+bool duty_ledger::may_grant(absl::Time now) const
+{
+    const auto wait = m_options.lease + m_options.margin;
+    if (now - m_released_at < wait)
+    {
+        return false;
+    }
+    const bool was_never_held = m_holder.empty() && m_next == log_offset(0);
+    const released_lease newest{m_holder, m_holder_started, m_token};
+    const bool was_released = m_token >= 0 && m_heard_release == newest;
+    return was_never_held || was_released || now - m_seen_at >= wait;
+}
+
 std::optional<ledger_append> duty_ledger::settle(std::int64_t window,
                                                  const tenant_counts& counts,
                                                  absl::Time now) const
@@ -87,6 +101,8 @@
                              absl::Time now)
 {
     m_read_at = now;
+    m_refusals = 0;
+    m_refused_since = absl::InfiniteFuture();
     auto offset = std::max(from, first);
     for (const auto& record : records)
     {
@@ -119,6 +135,8 @@
     apply(append.at, append.record, sent_at);
     m_next = append.at.next();
     m_renewed_at = sent_at;
+    m_refusals = 0;
+    m_refused_since = absl::InfiniteFuture();
     if (is_own())
     {
         m_valid_until = sent_at + m_options.lease;
@@ -130,6 +148,43 @@
     m_is_current = false;
 }
 
+void duty_ledger::on_refused(absl::Time sent_at)
+{
+    ++m_refusals;
+    m_refused_since = std::min(m_refused_since, sent_at);
+}
+
+bool duty_ledger::should_release(absl::Time others_answered_at,
+                                 absl::Time now) const
+{
+    // One call without an answer is an answer that was lost, now and then.
+    constexpr int refusals_in_a_row = 2;
+    return token(now) && m_refusals >= refusals_in_a_row &&
+           others_answered_at > m_refused_since;
+}
+
+void duty_ledger::release(absl::Time now)
+{
+    if (!is_own())
+    {
+        return;
+    }
+    m_released_token = m_token;
+    m_released_at = now;
+    m_valid_until = absl::InfinitePast();
+}
+
+void duty_ledger::on_released(const released_lease& lease)
+{
+    if (lease == m_heard_release)
+    {
+        return;
+    }
+    m_heard_release = lease;
+    // What comes after it in the log is read at once.
+    m_read_at = absl::InfinitePast();
+}
+
 std::optional<std::int64_t> duty_ledger::token(absl::Time now,
                                                absl::Duration needed) const
 {
@@ -183,7 +238,8 @@
 
 bool duty_ledger::is_own() const
 {
-    return m_holder == m_self && m_holder_started == m_started;
+    return m_holder == m_self && m_holder_started == m_started &&
+           m_token != m_released_token;
 }
 
 boost::json::object duty_ledger::new_record(std::string_view kind) const
--- a/libraries/duties/duty_ledger.hpp
+++ b/libraries/duties/duty_ledger.hpp
@@ -20,7 +20,9 @@
 struct duty_options
 {
     absl::Duration lease = absl::Seconds(3);
-    absl::Duration renewal = absl::Seconds(1);
+    /// Two renewals in a row may fail, each after 0.7 s without an answer, and
+    /// the lease can still be released 0.7 s before it lapses.
+    absl::Duration renewal = absl::Milliseconds(750);
     /// Others wait this much longer than the lease lasts.
     absl::Duration margin = absl::Seconds(1);
 };
@@ -39,6 +41,18 @@
     log_offset from;
 };
 
+/// A lease that its holder has given up: the holder's start acts under its
+/// token no more.
+struct released_lease
+{
+    host_id holder;
+    incarnation started;
+    std::int64_t token = -1;
+
+    friend bool operator==(const released_lease&,
+                           const released_lease&) = default;
+};
+
 using ledger_action = std::variant<std::monostate, ledger_read, ledger_append>;
 
 /// Follows a log that grants and renews one lease and settles the counts of
@@ -73,6 +87,29 @@
     /// The append was not done, or may have been.
     void on_uncertain();
 
+    /// The store did not answer a call, or refused it.
+    /// @param sent_at when the call was sent
+    void on_refused(absl::Time sent_at);
+
+    /// @param others_answered_at when the store last answered another machine
+    /// @return whether the holder should give its lease up: the store has let
+    /// it do nothing twice in a row, and has answered another machine since
+    [[nodiscard]] bool should_release(absl::Time others_answered_at,
+                                      absl::Time now) const;
+
+    /// Gives the lease up for good, and leaves it to others for as long as
+    /// they would have waited for it. No call under its token may be open.
+    void release(absl::Time now);
+
+    /// The holder of a lease has given it up: others need not wait it out.
+    void on_released(const released_lease& lease);
+
+    /// @return the token that this start gave up last; -1: none
+    [[nodiscard]] std::int64_t released_token() const
+    {
+        return m_released_token;
+    }
+
     /// @param is_candidate whether this machine takes the lease if it lapses;
     /// one that does not reads the log once and leaves it alone then
     void set_candidate(bool is_candidate)
@@ -105,6 +142,7 @@
 private:
     void apply(log_offset offset, const std::string& record, absl::Time now);
     [[nodiscard]] bool is_own() const;
+    [[nodiscard]] bool may_grant(absl::Time now) const;
     [[nodiscard]] boost::json::object new_record(std::string_view kind) const;
     [[nodiscard]] std::string lease_record(std::string_view kind) const;
 
@@ -123,6 +161,11 @@
     absl::Time m_valid_until = absl::InfinitePast(); ///< this machine's lease
     absl::Time m_renewed_at = absl::InfinitePast();
     absl::Time m_read_at = absl::InfinitePast();
+    std::int64_t m_released_token = -1; ///< of this start
+    absl::Time m_released_at = absl::InfinitePast();
+    released_lease m_heard_release;
+    int m_refusals = 0; ///< of the store, in a row
+    absl::Time m_refused_since = absl::InfiniteFuture();
     counts_by_window m_settled;
 };
 
--- a/libraries/duties/forward.hpp
+++ b/libraries/duties/forward.hpp
@@ -5,6 +5,7 @@
 namespace daleshelf
 {
 
+class count_collection;
 class duty_ledger;
 class usage_counter;
 
--- /dev/null
+++ b/libraries/peers/datagram_format.hpp
@@ -0,0 +1,42 @@
+/// @file
+/// What a datagram between gateways holds.
+#pragma once
+
+#include <string_view>
+
+namespace daleshelf
+{
+
+/// The formats that share one socket, by their number on the wire.
+enum class datagram_format : unsigned char
+{
+    none = 0,   ///< records of a topic, which carry no number
+    state = 1,  ///< `machine_state`
+    quota = 2,  ///< `quota_message`
+    counts = 3, ///< `window_counts`
+};
+
+/// Tells formats apart by their first field, so that a datagram is decoded
+/// once.
+/// @return its format; `none` for any other bytes
+[[nodiscard]] inline datagram_format format_of(std::string_view bytes)
+{
+    // The tag of field 1, a number, and the number itself.
+    constexpr char number_tag = 0x08;
+    if (bytes.size() < 2 || bytes[0] != number_tag)
+    {
+        return datagram_format::none;
+    }
+    switch (static_cast<datagram_format>(bytes[1]))
+    {
+    case datagram_format::state:
+    case datagram_format::quota:
+    case datagram_format::counts:
+        return static_cast<datagram_format>(bytes[1]);
+    case datagram_format::none:
+        break;
+    }
+    return datagram_format::none;
+}
+
+} // namespace daleshelf
--- a/libraries/peers/forward.hpp
+++ b/libraries/peers/forward.hpp
@@ -5,8 +5,10 @@
 namespace daleshelf
 {
 
+enum class datagram_format : unsigned char;
 class peer_table;
 class time_estimate;
 struct machine_state;
+struct window_counts;
 
 } // namespace daleshelf
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -153,6 +153,8 @@
     message.set_fleet_size(state.fleet_size);
     message.set_duty_holder(state.duty_holder.value());
     message.set_duty_token(state.duty_token);
+    message.set_released_token(state.released_token);
+    message.set_store_answer_age_ms(state.store_answer_age_ms);
     add_lists(message, state);
     return message.SerializeAsString();
 }
@@ -178,6 +180,8 @@
     state.fleet_size = message.fleet_size();
     state.duty_holder = host_id(message.duty_holder());
     state.duty_token = message.duty_token();
+    state.released_token = message.released_token();
+    state.store_answer_age_ms = message.store_answer_age_ms();
     read_lists(message, state);
     return state;
 }
--- a/libraries/peers/machine_state.hpp
+++ b/libraries/peers/machine_state.hpp
@@ -62,6 +62,9 @@
     std::int64_t fleet_size = 0; ///< machines that it counts, with itself
     host_id duty_holder;
     std::int64_t duty_token = -1;
+    std::int64_t released_token = -1; ///< of the lease that it gave up last
+    /// Since the store last answered it; -1: it has not yet.
+    std::int64_t store_answer_age_ms = -1;
 };
 
 /// @return the bytes of a datagram
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr std::size_t most_ended_told = 8;
+// Of one window, told by each machine that is asked: a start that has ended is
+// told by many of them.
+constexpr std::size_t most_ended_answered = 4;
 constexpr std::size_t readers_a_hall = 2;
 
 std::uint64_t reader_rank(const host_id& machine)
@@ -19,6 +22,16 @@
     return XXH3_64bits(machine.value().data(), machine.value().size());
 }
 
+// By a hash: names in order would let the first machines of a hall read for
+// good.
+void keep_first_readers(std::vector<host_id>& able)
+{
+    std::sort(able.begin(), able.end(),
+              [](const host_id& left, const host_id& right)
+              { return reader_rank(left) < reader_rank(right); });
+    able.resize(std::min(able.size(), readers_a_hall));
+}
+
 } // namespace
 
 peer_table::peer_table(machine_address self, incarnation started,
@@ -71,6 +84,9 @@
     peer.address = state.self.address;
     peer.state = std::move(state);
     peer.heard_at = now;
+    const auto age = peer.state.store_answer_age_ms;
+    peer.store_answered_at =
+        age < 0 ? absl::InfinitePast() : now - absl::Milliseconds(age);
     drop_seed(peer.address);
     return change;
 }
@@ -93,7 +109,7 @@
         const auto last = std::max(peer.heard_at, peer.listed_at);
         const bool has_left =
             peer.state.is_stopping && now - last > reach_time();
-        if (has_left || now - last > m_options.forget_time)
+        if (has_left || now - last > forget_time())
         {
             forgotten.push_back(name);
         }
@@ -127,27 +143,70 @@
     }
     for (const auto& [name, peer] : m_peers)
     {
-        if (peer.state.hall == own_hall && peer.state.reaches_store &&
-            !peer.state.is_stopping && is_in_reach(name, now))
+        if (peer.state.hall == own_hall && may_read(name, now))
         {
             able.push_back(name);
         }
     }
-    // By a hash: names in order would let the first machines of a hall do it
-    // for good.
-    std::sort(able.begin(), able.end(),
-              [](const host_id& left, const host_id& right)
-              { return reader_rank(left) < reader_rank(right); });
-    able.resize(std::min(able.size(), readers_a_hall));
+    keep_first_readers(able);
     return able;
 }
 
+std::vector<host_id> peer_table::readers_elsewhere(absl::Time now) const
+{
+    std::map<hall_id, std::vector<host_id>> able;
+    for (const auto& [name, peer] : m_peers)
+    {
+        if (may_read(name, now))
+        {
+            able[peer.state.hall].push_back(name);
+        }
+    }
+    std::vector<host_id> readers;
+    for (auto& [hall, machines] : able)
+    {
+        keep_first_readers(machines);
+        readers.insert(readers.end(), machines.begin(), machines.end());
+    }
+    return readers;
+}
+
+bool peer_table::may_read(const host_id& peer, absl::Time now) const
+{
+    const auto& state = m_peers.at(peer).state;
+    return state.reaches_store && !state.is_stopping && is_in_reach(peer, now);
+}
+
+absl::Time peer_table::store_answered_at() const
+{
+    auto newest = absl::InfinitePast();
+    for (const auto& [name, peer] : m_peers)
+    {
+        newest = std::max(newest, peer.store_answered_at);
+    }
+    return newest;
+}
+
+bool peer_table::is_heard_lately(const host_id& peer, absl::Time now) const
+{
+    const auto found = m_peers.find(peer);
+    return found != m_peers.end() &&
+           now - found->second.heard_at <= m_options.reach_time;
+}
+
 absl::Duration peer_table::reach_time() const
 {
     constexpr double datagrams_missed = 3.5;
     return std::max(m_options.reach_time, send_pause() * datagrams_missed);
 }
 
+// In a fleet of 580 a peer's state comes every 18 s: it is not forgotten
+// between two of them, nor for one that is lost.
+absl::Duration peer_table::forget_time() const
+{
+    return std::max(m_options.forget_time, reach_time());
+}
+
 std::size_t peer_table::reached(absl::Time now) const
 {
     std::size_t in_reach = 1;
@@ -193,8 +252,9 @@
     return text;
 }
 
-std::map<counting_start, counts_by_window>
-peer_table::ended_counts(incarnation own_start) const
+// Starts that do not tell their counts by themselves any more.
+std::vector<counting_start>
+peer_table::ended_starts(incarnation own_start) const
 {
     std::vector<counting_start> ended;
     for (const auto& [start, counts] : m_counts.entries())
@@ -209,6 +269,13 @@
             ended.push_back(start);
         }
     }
+    return ended;
+}
+
+std::map<counting_start, counts_by_window>
+peer_table::ended_counts(incarnation own_start) const
+{
+    const auto ended = ended_starts(own_start);
     // A datagram holds some of them; the others follow with the next ones.
     std::map<counting_start, counts_by_window> told;
     const auto size = std::min(ended.size(), most_ended_told);
@@ -221,6 +288,43 @@
     return told;
 }
 
+void peer_table::note_told_counts(const window_counts& told)
+{
+    for (const auto& [start, counts] : told.counts)
+    {
+        m_counts.merge(start, {{told.window, counts}});
+    }
+}
+
+std::map<counting_start, tenant_counts>
+peer_table::told_counts(std::int64_t window) const
+{
+    std::map<counting_start, tenant_counts> told;
+    const auto tell = [&](const counting_start& start)
+    {
+        const auto& entries = m_counts.entries();
+        const auto windows = entries.find(start);
+        if (windows == entries.end())
+        {
+            return;
+        }
+        const auto counts = windows->second.find(window);
+        if (counts != windows->second.end())
+        {
+            told[start] = counts->second;
+        }
+    };
+    tell({m_self.name, m_started});
+    const auto ended = ended_starts(m_started);
+    const auto size = std::min(ended.size(), most_ended_answered);
+    for (std::size_t index = 0; index < size; ++index)
+    {
+        tell(ended[(m_next_ended + index) % ended.size()]);
+    }
+    m_next_ended += size;
+    return told;
+}
+
 bool peer_table::is_in_reach(const host_id& peer, absl::Time now) const
 {
     const auto found = m_peers.find(peer);
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "machine_state.hpp"
+#include "window_counts.hpp"
 
 #include <absl/time/time.h>
 
@@ -20,6 +21,7 @@
     absl::Time heard_at = absl::InfinitePast();
     absl::Time listed_at = absl::InfinitePast(); ///< named by someone
     std::string address;
+    absl::Time store_answered_at = absl::InfinitePast(); ///< by its own word
 };
 
 /// Times after which a silent peer counts as out of reach, and as gone.
@@ -74,6 +76,16 @@
                                                   bool reaches_store,
                                                   absl::Time now) const;
 
+    /// @return the readers of all halls, without this machine
+    [[nodiscard]] std::vector<host_id> readers_elsewhere(absl::Time now) const;
+
+    /// @return when the store last answered a peer, as far as they have told
+    [[nodiscard]] absl::Time store_answered_at() const;
+
+    /// @return whether a peer was heard so lately that it was alive just now
+    [[nodiscard]] bool is_heard_lately(const host_id& peer,
+                                       absl::Time now) const;
+
     /// @return machines that are in reach, with this one
     [[nodiscard]] std::size_t reached(absl::Time now) const;
 
@@ -86,6 +98,14 @@
         return m_counts.sum(window);
     }
 
+    /// Notes counts of one window, told when they were asked for.
+    void note_told_counts(const window_counts& told);
+
+    /// @return counts of a window: this machine's own, and those of some
+    /// starts that no longer tell them, others at each call
+    [[nodiscard]] std::map<counting_start, tenant_counts>
+    told_counts(std::int64_t window) const;
+
     /// @return how many requests each start has begun within a window, as a
     /// text for logs
     [[nodiscard]] std::string describe_counts(std::int64_t window) const;
@@ -110,6 +130,10 @@
 
 private:
     [[nodiscard]] absl::Duration reach_time() const;
+    [[nodiscard]] absl::Duration forget_time() const;
+    [[nodiscard]] std::vector<counting_start>
+    ended_starts(incarnation own_start) const;
+    [[nodiscard]] bool may_read(const host_id& peer, absl::Time now) const;
     void drop_seed(const std::string& address);
 
     machine_address m_self;
--- a/libraries/telemetry/forward.hpp
+++ b/libraries/telemetry/forward.hpp
@@ -9,6 +9,7 @@
 class distribution;
 class gauge;
 class metric_registry;
+class name_batch;
 class span_exporter;
 enum class log_format;
 enum class log_severity;
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -45,6 +45,7 @@
         events::usage_reported,
         events::duty_call_failed,
         events::servers_ordered,
+        events::lease_released,
     };
     return catalogue;
 }
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -78,7 +78,8 @@
     "Records were trimmed before this host read them."};
 inline constexpr log_event servers_changed{
     207, log_severity::info, "servers_changed",
-    "The list of servers has changed; the fields give its offset."};
+    "The list of servers has changed; the fields give how many, the first of "
+    "them, and its offset."};
 inline constexpr log_event records_from_peer{
     208, log_severity::info, "records_from_peer",
     "The store does not answer; a peer has given its newer records."};
@@ -89,9 +90,10 @@
 inline constexpr log_event peer_version_unknown{
     301, log_severity::error, "peer_version_unknown",
     "A peer speaks another version of the protocol; it is not heard."};
-inline constexpr log_event peer_joined{302, log_severity::info, "peer_joined",
-                                       "A peer is heard for the first time, "
-                                       "or again after a start."};
+inline constexpr log_event peer_joined{
+    302, log_severity::info, "peer_joined",
+    "Peers are heard for the first time, or again after a start; the fields "
+    "give how many, and the first of them."};
 inline constexpr log_event peer_lost{303, log_severity::warning, "peer_lost",
                                      "A peer has been silent for long and is "
                                      "forgotten."};
@@ -146,6 +148,10 @@
     "This host holds the duties; the field gives its fencing token."};
 inline constexpr log_event lease_lost{702, log_severity::warning, "lease_lost",
                                       "This host no longer holds the duties."};
+inline constexpr log_event lease_released{
+    707, log_severity::info, "lease_released",
+    "This host has given the duties up before its lease lapsed, so that "
+    "another need not wait it out; the field gives the reason."};
 inline constexpr log_event usage_settled{
     703, log_severity::info, "usage_settled",
     "The counts of a usage window are settled in the log."};
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -12,11 +12,24 @@
 
 constexpr milliseconds tick{200};
 constexpr milliseconds store_time{1200};
+// While a lease is held: two calls without an answer leave the time to release
+// it before it lapses. A store 60 times as slow as usual answers in 240 ms.
+constexpr milliseconds renewal_time{700};
 constexpr milliseconds call_time{800};
 constexpr milliseconds retry_pause{300};
-// The counts of peers arrive within this time of a window's end, and the pause
-// between two datagrams.
+constexpr milliseconds collect_tick{250};
+// What began within a window is counted, and clocks agree, within this time of
+// its end.
 constexpr absl::Duration settle_delay = absl::Milliseconds(850);
+// Of the time in which a window is due: after it, whoever has not told its
+// counts is not waited for. The other half is for the log and the call.
+constexpr double collect_part = 0.5;
+// A new holder asks for at least this long; a window's last quarter is kept
+// for the log and the call.
+constexpr absl::Duration least_collect_time = absl::Milliseconds(1500);
+constexpr double last_collect_part = 0.75;
+// A call that was given up may still reach the platform for this long.
+constexpr absl::Duration doubt_time = absl::Seconds(1);
 constexpr std::size_t most_reported = 64;
 // How long the readers of the list may leave the lease to nobody.
 constexpr absl::Duration readers_time = absl::Seconds(3);
@@ -31,6 +44,9 @@
     , m_platform(state.context, state.settings.duties_address)
     , m_settled(state.context.get_executor())
 {
+    peers.set_counts_listener(
+        [this](std::int64_t window, const host_id& machine)
+        { m_collection.note_told(window, machine); });
 }
 
 void duty_service::start()
@@ -39,13 +55,27 @@
         m_state.context, [this] { return keep_ledger(); }, asio::detached);
     asio::co_spawn(
         m_state.context, [this] { return report_usage(); }, asio::detached);
+    asio::co_spawn(
+        m_state.context, [this] { return collect_counts(); }, asio::detached);
 }
 
 std::optional<std::int64_t> duty_service::token() const
 {
+    if (is_leaving())
+    {
+        return std::nullopt;
+    }
     return m_ledger.token(gateway_state::now(), absl::FromChrono(call_time));
 }
 
+// No call is begun any more by a holder that is about to release its lease.
+bool duty_service::is_leaving() const
+{
+    return m_is_stopping ||
+           m_ledger.should_release(m_peers.table().store_answered_at(),
+                                   gateway_state::now());
+}
+
 awaitable<std::optional<duty_answer>>
 duty_service::call(http_caller& caller, platform::store_call call)
 {
@@ -56,8 +86,14 @@
     }
     std::string extra;
     platform::write_duty_fields(extra, m_state.self, *holding);
+    ++m_open_calls;
     const auto answer =
         co_await caller.call(std::move(call), call_time, std::move(extra));
+    --m_open_calls;
+    if (!answer)
+    {
+        m_unanswered_at = gateway_state::now();
+    }
     co_return duty_answer{answer ? answer->status : 0, *holding};
 }
 
@@ -68,6 +104,7 @@
     {
         const bool is_holder_heard = m_peers.hears_duty_holder();
         note_candidacy(is_holder_heard);
+        note_releases();
         const auto action =
             m_ledger.next_action(is_holder_heard, gateway_state::now());
         if (const auto* wanted = std::get_if<ledger_read>(&action))
@@ -82,6 +119,7 @@
         {
             co_await append(std::move(*settlement));
         }
+        release_if_due();
         note_lease();
         timer.expires_after(tick +
                             milliseconds(absl::Uniform(m_state.random, 0, 60)));
@@ -102,6 +140,64 @@
                            now - m_holder_heard_at > readers_time);
 }
 
+// What peers have given up need not be waited out.
+void duty_service::note_releases()
+{
+    for (const auto& [name, peer] : m_peers.table().peers())
+    {
+        const auto token = peer.state.released_token;
+        if (token >= 0 && name == m_ledger.holder())
+        {
+            m_ledger.on_released({name, peer.state.started, token});
+        }
+    }
+}
+
+void duty_service::release_if_due()
+{
+    const auto now = gateway_state::now();
+    const bool is_in_doubt = now - m_unanswered_at < doubt_time;
+    if (!is_leaving() || m_open_calls > 0 || is_in_doubt ||
+        !m_ledger.token(now))
+    {
+        return;
+    }
+    const auto token = m_ledger.token(now).value();
+    m_ledger.release(now);
+    log(events::lease_released, {{"token", std::to_string(token)},
+                                 {"reason", m_is_stopping ? "stop" : "store"}});
+}
+
+// Asks all machines for the counts of the window that is due.
+awaitable<void> duty_service::collect_counts()
+{
+    asio::steady_timer timer(m_state.context);
+    while (true)
+    {
+        timer.expires_after(collect_tick);
+        co_await timer.async_wait(use_result);
+        const auto now = gateway_state::now();
+        const auto window = due_window();
+        if (!window || !m_ledger.token(now))
+        {
+            m_collecting.reset();
+            continue;
+        }
+        if (m_collecting != window)
+        {
+            m_collecting = window;
+            m_collecting_since = now;
+            m_collection.begin(*window);
+        }
+        if (m_collection.is_complete(m_peers.machines(true)))
+        {
+            continue;
+        }
+        m_peers.ask_counts(*window,
+                           m_collection.to_ask(m_peers.machines(false), now));
+    }
+}
+
 awaitable<void> duty_service::report_usage()
 {
     while (true)
@@ -127,11 +223,14 @@
 {
     auto call =
         platform::read_call(platform::duty_topic, from, milliseconds(0));
-    const auto answer = co_await m_store.call(std::move(call), store_time);
+    const auto sent_at = gateway_state::now();
+    const auto answer =
+        co_await m_store.call(std::move(call), time_for_store());
     const auto now = gateway_state::now();
     if (!answer)
     {
         m_ledger.on_uncertain();
+        m_ledger.on_refused(sent_at);
         co_return false;
     }
     try
@@ -145,6 +244,7 @@
         }
         if (answer->status != http_status::ok)
         {
+            m_ledger.on_refused(sent_at);
             co_return false;
         }
         const auto page = platform::read_page(answer->body);
@@ -162,13 +262,18 @@
     const auto sent_at = gateway_state::now();
     auto call =
         platform::append_call(platform::duty_topic, {append.record}, append.at);
-    const auto answer = co_await m_store.call(std::move(call), store_time);
+    const auto answer =
+        co_await m_store.call(std::move(call), time_for_store());
     const auto result =
         answer ? platform::read_append(answer->status, answer->body)
                : platform::append_answer();
     if (result.state != platform::append_answer::outcome::appended)
     {
         m_ledger.on_uncertain();
+        if (result.state != platform::append_answer::outcome::wrong_end)
+        {
+            m_ledger.on_refused(sent_at);
+        }
         co_return;
     }
     m_ledger.on_appended(append, sent_at);
@@ -218,32 +323,68 @@
     log(events::usage_reported, {{"window", std::to_string(window)}});
 }
 
-// @return the oldest window that ended lately and is not settled
+milliseconds duty_service::time_for_store() const
+{
+    return m_was_holder ? renewal_time : store_time;
+}
+
+// @return a record that settles the window that is due, once its counts have
+// been collected
 std::optional<ledger_append> duty_service::next_settlement()
 {
     const auto now = gateway_state::now();
-    if (m_state.settings.duties_address.empty() || !m_ledger.token(now))
+    const auto window = due_window();
+    if (!window || !m_ledger.token(now) || !is_collected(*window))
+    {
+        return std::nullopt;
+    }
+    const auto counts = m_peers.table().counts_of(*window);
+    if (counts.empty())
+    {
+        m_newest_empty = *window;
+        return std::nullopt;
+    }
+    return m_ledger.settle(*window, counts, now);
+}
+
+// @return the oldest window that ended lately and is not settled
+std::optional<std::int64_t> duty_service::due_window() const
+{
+    if (m_state.settings.duties_address.empty())
     {
         return std::nullopt;
     }
     const auto time = m_state.time_of_day();
-    const auto pause = m_peers.table().send_pause();
     for (auto window = oldest_window();
-         m_state.usage.end_of(window) + settle_delay + pause <= time; ++window)
+         m_state.usage.end_of(window) + settle_delay <= time; ++window)
     {
-        if (m_ledger.settled().contains(window))
+        if (window > m_newest_empty && !m_ledger.settled().contains(window))
         {
-            continue;
-        }
-        const auto counts = m_peers.table().counts_of(window);
-        if (!counts.empty())
-        {
-            return m_ledger.settle(window, counts, now);
+            return window;
         }
     }
     return std::nullopt;
 }
 
+// @return whether all machines in reach have told their counts of the window,
+// or the time for that is over
+bool duty_service::is_collected(std::int64_t window) const
+{
+    if (m_collecting != window)
+    {
+        return false;
+    }
+    if (m_collection.is_complete(m_peers.machines(true)))
+    {
+        return true;
+    }
+    const auto late = absl::FromChrono(m_state.settings.usage_late);
+    const auto age = m_state.time_of_day() - m_state.usage.end_of(window);
+    const auto asked_for = gateway_state::now() - m_collecting_since;
+    return age >= late * last_collect_part ||
+           (age >= late * collect_part && asked_for >= least_collect_time);
+}
+
 std::int64_t duty_service::oldest_window() const
 {
     const auto lateness = absl::FromChrono(m_state.settings.usage_late);
@@ -261,7 +402,8 @@
         log(m_was_holder ? events::lease_held : events::lease_lost,
             {{"token", std::to_string(holding.value_or(-1))}});
     }
-    m_peers.set_duty({m_ledger.holder(), holding.value_or(-1)});
+    m_peers.set_duty(
+        {m_ledger.holder(), holding.value_or(-1), m_ledger.released_token()});
 }
 
 } // namespace daleshelf
--- a/services/gateway/duty_service.hpp
+++ b/services/gateway/duty_service.hpp
@@ -6,6 +6,7 @@
 #include "http_call.hpp"
 #include "peer_exchange.hpp"
 
+#include <duties/count_collection.hpp>
 #include <duties/duty_ledger.hpp>
 #include <platform/duty_calls.hpp>
 #include <set>
@@ -29,10 +30,11 @@
 
     void start();
 
-    /// Lets another machine take over.
+    /// Lets another machine take over as soon as no call is open.
     void stop()
     {
         m_ledger.stop();
+        m_is_stopping = true;
     }
 
     /// Makes a call that only the holder may make. The lease is judged right
@@ -48,13 +50,20 @@
 
 private:
     awaitable<void> keep_ledger();
+    awaitable<void> collect_counts();
     void note_candidacy(bool is_holder_heard);
+    void note_releases();
+    void release_if_due();
+    [[nodiscard]] bool is_leaving() const;
     awaitable<void> report_usage();
     awaitable<bool> read(log_offset from);
     awaitable<void> append(ledger_append append);
     awaitable<void> report(std::int64_t window);
     [[nodiscard]] std::optional<ledger_append> next_settlement();
+    [[nodiscard]] std::optional<std::int64_t> due_window() const;
+    [[nodiscard]] bool is_collected(std::int64_t window) const;
     [[nodiscard]] std::int64_t oldest_window() const;
+    [[nodiscard]] milliseconds time_for_store() const;
     void note_lease();
 
     gateway_state& m_state;
@@ -64,6 +73,13 @@
     http_caller m_platform;
     async_event m_settled;
     std::set<std::int64_t> m_reported;
+    count_collection m_collection{collection_options()};
+    std::optional<std::int64_t> m_collecting; ///< the window that is asked for
+    absl::Time m_collecting_since = absl::InfinitePast();
+    std::int64_t m_newest_empty = -1; ///< a window in which nothing began
+    int m_open_calls = 0;
+    absl::Time m_unanswered_at = absl::InfinitePast(); ///< a call of duties
+    bool m_is_stopping = false;
     bool m_was_holder = false;
     absl::Time m_holder_heard_at = absl::InfinitePast();
 };
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <base/http_status.hpp>
 #include <base/json.hpp>
+#include <base/text.hpp>
 #include <platform/configuration_format.hpp>
 #include <platform/request_format.hpp>
 #include <settings/settings_document.hpp>
@@ -165,6 +166,7 @@
         {
             reload_settings();
         }
+        log_server_changes();
         m_state.pool.sweep(now);
         m_state.choice.drop_unlisted();
         for (const auto& session : m_sessions)
@@ -271,10 +273,7 @@
         if (m_state.servers.remove(id))
         {
             m_state.pool.drop(id);
-            log(events::servers_changed,
-                {{"server", record.key},
-                 {"state", "gone"},
-                 {"offset", std::to_string(record.offset.value())}});
+            note_change(record, "gone");
         }
         return;
     }
@@ -283,13 +282,8 @@
         const auto entry = platform::read_server(record.key, *record.value);
         if (m_state.servers.set(entry))
         {
-            log(events::servers_changed,
-                {{"server", record.key},
-                 {"state", entry.is_draining ? "draining" : "ready"},
-                 {"address", entry.address},
-                 {"hall", entry.hall.value()},
-                 {"spot", entry.is_spot ? "yes" : "no"},
-                 {"offset", std::to_string(record.offset.value())}});
+            note_change(record, concat(entry.is_draining ? "draining" : "ready",
+                                       "@", entry.hall.value()));
         }
     }
     catch (const json_error& error)
@@ -301,6 +295,27 @@
     }
 }
 
+void gateway::note_change(const platform::keyed_record& record,
+                          std::string_view state)
+{
+    m_server_changes.add(concat(record.key, "=", state));
+    m_newest_change = record.offset;
+}
+
+// One line for all changes of half a second.
+void gateway::log_server_changes()
+{
+    if (m_server_changes.is_empty())
+    {
+        return;
+    }
+    log(events::servers_changed,
+        {{"count", std::to_string(m_server_changes.count())},
+         {"servers", m_server_changes.names()},
+         {"offset", std::to_string(m_newest_change.value())}});
+    m_server_changes.clear();
+}
+
 void gateway::take_server_list(
     const std::map<std::string, platform::keyed_record>& records)
 {
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <settings/file_watch.hpp>
+#include <telemetry/name_batch.hpp>
 
 namespace daleshelf
 {
@@ -29,6 +30,9 @@
     void run();
 
 private:
+    // A line of 64 is 2 KB; more change at once at the start alone.
+    static constexpr std::size_t most_changes_named = 64;
+
     void start();
     awaitable<void> accept_clients();
     awaitable<void> serve_client(std::shared_ptr<client_session> session);
@@ -40,6 +44,9 @@
     void take_server_record(const platform::keyed_record& record);
     void take_server_list(
         const std::map<std::string, platform::keyed_record>& records);
+    void note_change(const platform::keyed_record& record,
+                     std::string_view state);
+    void log_server_changes();
     [[nodiscard]] short_answer answer_readiness() const;
     void set_gauges();
     [[nodiscard]] short_answer answer_metrics();
@@ -58,6 +65,9 @@
     std::unique_ptr<small_server> m_metrics;
     asio::signal_set m_signals;
     std::set<std::shared_ptr<client_session>> m_sessions;
+    /// Since the last log line of them.
+    name_batch m_server_changes{most_changes_named};
+    log_offset m_newest_change;
 };
 
 } // namespace daleshelf
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -5,6 +5,7 @@
 #include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <base/text.hpp>
+#include <peers/datagram_format.hpp>
 #include <telemetry/log.hpp>
 
 namespace daleshelf
@@ -94,9 +95,13 @@
 bool peer_exchange::hears_duty_holder() const
 {
     const auto now = gateway_state::now();
+    // The candidates hear a holder each tick, whatever the size of the fleet.
+    const bool is_follower = m_state.role == list_role::follower;
     for (const auto& [name, peer] : m_table.peers())
     {
-        if (m_table.is_in_reach(name, now) && peer.state.duty_token >= 0 &&
+        const bool is_heard = is_follower ? m_table.is_in_reach(name, now)
+                                          : m_table.is_heard_lately(name, now);
+        if (is_heard && peer.state.duty_token >= 0 &&
             peer.state.duty_holder == name)
         {
             return true;
@@ -105,6 +110,38 @@
     return false;
 }
 
+void peer_exchange::ask_counts(std::int64_t window,
+                               const std::vector<host_id>& machines)
+{
+    window_counts question;
+    question.from = {m_state.self, m_state.started};
+    question.window = window;
+    question.is_question = true;
+    const auto bytes = encode(question);
+    for (const auto& machine : machines)
+    {
+        const auto peer = m_table.peers().find(machine);
+        if (peer != m_table.peers().end())
+        {
+            send_datagram(udp_endpoint(peer->second.address), bytes);
+        }
+    }
+}
+
+std::vector<host_id> peer_exchange::machines(bool is_in_reach) const
+{
+    const auto now = gateway_state::now();
+    std::vector<host_id> machines;
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        if (!is_in_reach || m_table.is_in_reach(name, now))
+        {
+            machines.push_back(name);
+        }
+    }
+    return machines;
+}
+
 std::map<host_id, service_work>
 peer_exchange::work_of_all(const service_name& service) const
 {
@@ -156,6 +193,7 @@
             m_state.engines.drop_peer(peer);
             m_state.clock.forget(peer);
         }
+        log_joined();
         m_state.clock.note(m_state.self, absl::Now(), now);
         m_state.quota.shared().set_join_time(m_table.send_pause() +
                                              join_margin);
@@ -168,7 +206,9 @@
                        m_state.role == list_role::reader ? readers_change_pause
                                                          : most_change_pause);
         m_sharing.choose_role();
-        send_to_some(encode(own_state()));
+        const auto bytes = encode(own_state());
+        send_to_some(bytes);
+        send_to_candidates(bytes);
         m_sharing.fetch_news();
         timer.expires_after(tick +
                             milliseconds(absl::Uniform(m_state.random, 0, 20)));
@@ -176,6 +216,18 @@
     }
 }
 
+// One line for all that were heard first since the last tick.
+void peer_exchange::log_joined()
+{
+    if (m_joined.is_empty())
+    {
+        return;
+    }
+    log(events::peer_joined, {{"count", std::to_string(m_joined.count())},
+                              {"peers", m_joined.names()}});
+    m_joined.clear();
+}
+
 // A datagram that cannot be sent is one that is lost: others follow.
 void peer_exchange::send_datagram(const asio::ip::udp::endpoint& to,
                                   const std::string& bytes)
@@ -205,27 +257,89 @@
     }
 }
 
+// Those that may take the duties over hear the holder, and one another, each
+// tick: the lease of a holder that is gone is missed within 1.5 s.
+void peer_exchange::send_to_candidates(const std::string& bytes)
+{
+    const bool has_word = m_duty.token >= 0 || m_duty.released_token >= 0;
+    if (m_table.tells_all_at_once() ||
+        (m_state.role != list_role::reader && !has_word))
+    {
+        return;
+    }
+    for (const auto& name : m_table.readers_elsewhere(gateway_state::now()))
+    {
+        send_datagram(udp_endpoint(m_table.peers().at(name).address), bytes);
+    }
+}
+
 void peer_exchange::receive(std::string_view bytes,
                             const asio::ip::udp::endpoint& sender)
 {
-    if (const auto message = decode_quota_message(bytes))
+    switch (format_of(bytes))
     {
-        const auto reply = m_state.quota.receive(*message);
-        if (!reply.empty())
+    case datagram_format::state:
+        receive_state(bytes);
+        return;
+    case datagram_format::quota:
+        if (const auto message = decode_quota_message(bytes))
         {
-            send_datagram(sender, reply);
+            const auto reply = m_state.quota.receive(*message);
+            if (!reply.empty())
+            {
+                send_datagram(sender, reply);
+            }
         }
         return;
-    }
-    auto state = decode_machine_state(bytes);
-    if (!state)
-    {
+    case datagram_format::counts:
+        receive_counts(bytes, sender);
+        return;
+    case datagram_format::none:
         if (const auto read = decode_shared_records(bytes))
         {
             m_sharing.take_read(*read);
         }
         return;
     }
+}
+
+void peer_exchange::receive_counts(std::string_view bytes,
+                                   const asio::ip::udp::endpoint& sender)
+{
+    const auto told = decode_window_counts(bytes);
+    if (!told)
+    {
+        return;
+    }
+    if (!told->is_question)
+    {
+        m_table.note_told_counts(*told);
+        if (m_on_counts_told)
+        {
+            m_on_counts_told(told->window, told->from.machine);
+        }
+        return;
+    }
+    if (m_state.usage.end_of(told->window) > m_state.time_of_day())
+    {
+        // The asker's clock is ahead: it asks again.
+        return;
+    }
+    m_table.note_own_counts(m_state.usage.counts(), m_state.started);
+    window_counts answer;
+    answer.from = {m_state.self, m_state.started};
+    answer.window = told->window;
+    answer.counts = m_table.told_counts(told->window);
+    send_datagram(sender, encode(answer));
+}
+
+void peer_exchange::receive_state(std::string_view bytes)
+{
+    auto state = decode_machine_state(bytes);
+    if (!state)
+    {
+        return;
+    }
     const auto now = gateway_state::now();
     const auto name = state->self.name;
     const auto change = m_table.receive(std::move(*state), now);
@@ -236,8 +350,7 @@
     const auto& newest = m_table.peers().at(name).state;
     if (change.is_start)
     {
-        log(events::peer_joined,
-            {{"peer", name.value()}, {"address", newest.self.address}});
+        m_joined.add(concat(name.value(), "=", newest.self.address));
     }
     apply(newest);
 }
@@ -318,9 +431,19 @@
         static_cast<std::int64_t>(m_state.quota.shared().fleet_size());
     state.duty_holder = m_duty.holder;
     state.duty_token = m_duty.token;
+    state.released_token = m_duty.released_token;
+    state.store_answer_age_ms = store_answer_age_ms();
     return state;
 }
 
+std::int64_t peer_exchange::store_answer_age_ms() const
+{
+    const auto seconds = std::min(m_topics.configuration.answer_age_seconds(),
+                                  m_topics.servers.answer_age_seconds());
+    constexpr double ms_a_second = 1000;
+    return static_cast<std::int64_t>(seconds * ms_a_second);
+}
+
 // Others at each call, so that all are named in turn.
 std::vector<machine_address> peer_exchange::some_machines()
 {
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -7,7 +7,9 @@
 #include "small_server.hpp"
 #include "topic_sharing.hpp"
 
+#include <functional>
 #include <peers/peer_table.hpp>
+#include <telemetry/name_batch.hpp>
 
 namespace daleshelf
 {
@@ -17,6 +19,7 @@
 {
     host_id holder;
     std::int64_t token = -1;
+    std::int64_t released_token = -1; ///< that this host gave up last
 };
 
 /// Sends this machine's state to every peer a few times a second, by
@@ -49,20 +52,41 @@
     /// @return whether a peer in reach says that it holds the duties
     [[nodiscard]] bool hears_duty_holder() const;
 
+    /// Asks machines for their counts of a usage window.
+    void ask_counts(std::int64_t window, const std::vector<host_id>& machines);
+
+    /// Sets who is told that a machine has told its counts of a window.
+    void set_counts_listener(
+        std::function<void(std::int64_t window, const host_id& machine)> told)
+    {
+        m_on_counts_told = std::move(told);
+    }
+
+    /// @return machines that may be asked; those in reach alone, or all
+    [[nodiscard]] std::vector<host_id> machines(bool is_in_reach) const;
+
     /// @return work asked for through all machines since their starts, in
     /// milliseconds of servers
     [[nodiscard]] std::map<host_id, service_work>
     work_of_all(const service_name& service) const;
 
 private:
+    static constexpr std::size_t most_joined_named = 8;
+
     awaitable<void> receive_all();
     awaitable<void> send_all();
     void receive(std::string_view bytes, const asio::ip::udp::endpoint& sender);
+    void log_joined();
+    void receive_state(std::string_view bytes);
+    void receive_counts(std::string_view bytes,
+                        const asio::ip::udp::endpoint& sender);
     void apply(const machine_state& state);
     void send_datagram(const asio::ip::udp::endpoint& to,
                        const std::string& bytes);
     void send_to_some(const std::string& bytes);
+    void send_to_candidates(const std::string& bytes);
     [[nodiscard]] machine_state own_state();
+    [[nodiscard]] std::int64_t store_answer_age_ms() const;
     [[nodiscard]] std::vector<machine_address> some_machines();
 
     gateway_state& m_state;
@@ -72,7 +96,10 @@
     asio::ip::udp::socket m_socket;
     small_server m_server;
     topic_sharing m_sharing;
+    std::function<void(std::int64_t, const host_id&)> m_on_counts_told;
     duty_state m_duty;
+    /// Peers heard first since the last tick.
+    name_batch m_joined{most_joined_named};
     std::int64_t m_sequence = 0;
     host_id m_last_told;
     host_id m_last_named;
--- a/tests/duties/duty_ledger_test.cpp
+++ b/tests/duties/duty_ledger_test.cpp
@@ -1,7 +1,9 @@
+#include "log_machine.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <duties/duty_ledger.hpp>
+#include <duties/usage_counter.hpp>
 #include <memory>
 
 namespace daleshelf
@@ -11,73 +13,6 @@
 
 const workspace_id studio("studio");
 
-absl::Time at(double seconds)
-{
-    return absl::UnixEpoch() + absl::Seconds(seconds);
-}
-
-/// The platform's log: an append is done only if the log ends where it says.
-struct shared_log
-{
-    std::vector<std::string> records;
-
-    bool append(const ledger_append& wanted)
-    {
-        if (wanted.at.value() != static_cast<std::int64_t>(records.size()))
-        {
-            return false;
-        }
-        records.push_back(wanted.record);
-        return true;
-    }
-};
-
-/// One machine; its calls may lose their answers, or it stands still.
-class machine
-{
-public:
-    machine(shared_log& log, const std::string& name)
-        : ledger(host_id(name), incarnation(1), duty_options()), m_log(log)
-    {
-    }
-
-    void tick(absl::Time now, bool is_holder_heard, bool loses_answers = false)
-    {
-        const auto action = ledger.next_action(is_holder_heard, now);
-        if (const auto* read = std::get_if<ledger_read>(&action))
-        {
-            const auto from = static_cast<std::size_t>(read->from.value());
-            ledger.on_records(
-                read->from, log_offset(0),
-                log_offset(static_cast<std::int64_t>(m_log.records.size())),
-                {m_log.records.begin() + static_cast<std::ptrdiff_t>(from),
-                 m_log.records.end()},
-                now);
-        }
-        else if (const auto* append = std::get_if<ledger_append>(&action))
-        {
-            perform(*append, now, loses_answers);
-        }
-    }
-
-    void perform(const ledger_append& append, absl::Time now,
-                 bool loses_answers)
-    {
-        const bool is_done = m_log.append(append);
-        if (is_done && !loses_answers)
-        {
-            ledger.on_appended(append, now);
-            return;
-        }
-        ledger.on_uncertain();
-    }
-
-    duty_ledger ledger;
-
-private:
-    shared_log& m_log;
-};
-
 TEST(duty_ledger, the_first_start_grants_the_lease_at_once)
 {
     shared_log log;
--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -47,6 +47,19 @@
     EXPECT_TRUE(story.cause.starts_with("broken off: its time was over"));
 }
 
+TEST(explain, finds_a_server_in_a_line_that_tells_of_several)
+{
+    const auto story = explain_request(
+        "r",
+        read(
+            R"({"time":"1","name":"servers_changed","count":"2","servers":"a=ready@north b=gone"}
+{"time":"2","name":"upstream_failed","id":"r","server":"b","end":"broken"}
+{"time":"3","name":"request_failed","id":"r","reason":"may_have_run"})"));
+    ASSERT_EQ(story.events.size(), 3);
+    EXPECT_EQ(story.events[0].fields.at("server"), "b");
+    EXPECT_EQ(story.events[0].fields.at("state"), "gone");
+}
+
 TEST(explain, tells_requests_apart)
 {
     EXPECT_EQ(explain_request("q", read(example)).cause,
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -2,6 +2,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <peers/datagram_format.hpp>
 #include <peers/peer_table.hpp>
 #include <peers/time_estimate.hpp>
 #include <peers/topic_records.hpp>
@@ -57,6 +58,8 @@
     state.machines = {{host_id("3"), "10.0.0.3:7", hall_id("north")}};
     state.duty_holder = host_id("2");
     state.duty_token = 17;
+    state.released_token = 11;
+    state.store_answer_age_ms = 250;
     const auto read = decode_machine_state(encode(state));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->self.address, state.self.address);
@@ -68,6 +71,8 @@
     EXPECT_EQ(read->leaving_servers, state.leaving_servers);
     EXPECT_EQ(read->loads.front().unread_tokens, 300);
     EXPECT_EQ(read->duty_token, 17);
+    EXPECT_EQ(read->released_token, 11);
+    EXPECT_EQ(read->store_answer_age_ms, 250);
     ASSERT_EQ(read->services.size(), 1);
     const auto& heard = read->services.front();
     EXPECT_EQ(heard.service, service_name("engines"));
@@ -290,5 +295,125 @@
     EXPECT_EQ(clock.at(at(12)), at(1002.02));
 }
 
+TEST(window_counts, survive_their_encoding)
+{
+    window_counts told;
+    told.from = {host_id("2"), incarnation(5)};
+    told.window = 7;
+    told.counts = {{{host_id("2"), incarnation(5)}, {{studio, 3}}},
+                   {{host_id("3"), incarnation(1)}, {{studio, 9}}}};
+    const auto bytes = encode(told);
+    EXPECT_EQ(format_of(bytes), datagram_format::counts);
+    const auto read = decode_window_counts(bytes);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->from, told.from);
+    EXPECT_EQ(read->window, 7);
+    EXPECT_FALSE(read->is_question);
+    EXPECT_EQ(read->counts, told.counts);
+}
+
+// A host that begins 14 requests a second, of 30 tenants within a window, after
+// as many starts have ended as an answer tells: 64 answers at a time are 0.24 s
+// of a link of 5 Mbit/s.
+TEST(window_counts, an_answer_is_small)
+{
+    window_counts told;
+    told.from = {host_id("edge-sala-palermo-12"), incarnation(1791000000000)};
+    told.window = 358200000;
+    for (int start = 0; start < 5; ++start)
+    {
+        auto& counts = told.counts[{host_id("edge-sala-palermo-12"),
+                                    incarnation(1791000000000 + start)}];
+        for (int tenant = 0; tenant < 30; ++tenant)
+        {
+            counts[workspace_id("tenant" + std::to_string(tenant))] = 3;
+        }
+    }
+    constexpr std::size_t most_bytes = 2300;
+    EXPECT_LT(encode(told).size(), most_bytes);
+}
+
+TEST(datagram_format, tells_what_shares_the_socket_apart)
+{
+    EXPECT_EQ(format_of(encode(make_state("2", 5, 6))), datagram_format::state);
+    shared_records records;
+    records.topic = "servers";
+    EXPECT_EQ(format_of(encode(records)), datagram_format::none);
+    EXPECT_EQ(format_of(""), datagram_format::none);
+    EXPECT_EQ(format_of("\x08\x09"), datagram_format::none);
+}
+
+// Of 580 hosts each one's state comes every 18 s, and one may be lost.
+TEST(peer_table, forgets_nobody_between_two_states_of_a_large_fleet)
+{
+    auto table = make_table();
+    constexpr int hosts = 580;
+    for (int number = 2; number <= hosts; ++number)
+    {
+        (void)table.receive(make_state(std::to_string(number), 5, 6), at(1));
+    }
+    const auto turn = absl::ToDoubleSeconds(table.send_pause());
+    EXPECT_TRUE(table.forget_silent(at(1 + 2 * turn)).empty());
+    EXPECT_EQ(table.forget_silent(at(1 + 4 * turn)).size(), hosts - 1U);
+}
+
+// The holder of the duties asks each machine; whoever is asked tells its own
+// counts, and some of those of starts that are gone.
+TEST(peer_table, tells_the_counts_of_a_window_that_it_is_asked_for)
+{
+    auto table = make_table();
+    table.note_own_counts({{6, {{studio, 1}}}, {7, {{studio, 2}}}},
+                          incarnation(100000));
+    auto dead = make_state("3", 5, 6);
+    dead.counts = {{7, {{studio, 4}}}};
+    (void)table.receive(dead, at(1));
+    EXPECT_EQ(table.told_counts(7).size(), 1U) << "it tells them itself";
+    (void)table.forget_silent(at(100));
+    const std::map<counting_start, tenant_counts> expected{
+        {{host_id("1"), incarnation(100000)}, {{studio, 2}}},
+        {{host_id("3"), incarnation(5)}, {{studio, 4}}}};
+    EXPECT_EQ(table.told_counts(7), expected);
+
+    auto asker = peer_table({host_id("4"), "10.0.0.4:7"}, incarnation(1),
+                            peer_options());
+    window_counts told;
+    told.window = 7;
+    told.counts = expected;
+    asker.note_told_counts(told);
+    asker.note_told_counts(told);
+    EXPECT_EQ(asker.counts_of(7).at(studio), 6);
+}
+
+TEST(peer_table, names_two_readers_of_each_hall)
+{
+    auto table = make_table();
+    int number = 10;
+    for (const auto* hall : {"north", "north", "north", "south"})
+    {
+        auto state = make_state(std::to_string(++number), 5, 6);
+        state.hall = hall_id(hall);
+        state.reaches_store = true;
+        (void)table.receive(state, at(1));
+    }
+    auto cut_off = make_state("9", 5, 6);
+    cut_off.hall = hall_id("south");
+    (void)table.receive(cut_off, at(1));
+    EXPECT_EQ(table.readers_elsewhere(at(1)).size(), 3U);
+    EXPECT_TRUE(table.readers_elsewhere(at(100)).empty());
+}
+
+TEST(peer_table, knows_when_the_store_last_answered_a_peer)
+{
+    auto table = make_table();
+    EXPECT_EQ(table.store_answered_at(), absl::InfinitePast());
+    auto state = make_state("2", 5, 6);
+    state.store_answer_age_ms = 400;
+    (void)table.receive(state, at(10));
+    auto silent = make_state("3", 5, 6);
+    silent.store_answer_age_ms = -1;
+    (void)table.receive(silent, at(11));
+    EXPECT_EQ(table.store_answered_at(), at(9.6));
+}
+
 } // namespace
 } // namespace daleshelf
--- a/utilities/daleshelf/explain.cpp
+++ b/utilities/daleshelf/explain.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <sstream>
 
 namespace daleshelf
 {
@@ -100,6 +101,28 @@
     return cause;
 }
 
+// A line that tells of several servers, as `ID=STATE@HALL` with blanks between,
+// becomes one event for each of them.
+void add_each_server(const logged_event& line, std::vector<logged_event>& into)
+{
+    std::istringstream changes(text_of(line.fields, "servers"));
+    std::string change;
+    while (changes >> change)
+    {
+        const auto equals = change.find('=');
+        if (equals == std::string::npos)
+        {
+            continue;
+        }
+        auto event = line;
+        event.fields.erase("servers");
+        event.fields.erase("count");
+        event.fields["server"] = change.substr(0, equals);
+        event.fields["state"] = change.substr(equals + 1);
+        into.push_back(std::move(event));
+    }
+}
+
 bool is_before(const logged_event& left, const logged_event& right)
 {
     return left.time < right.time;
@@ -130,6 +153,11 @@
         event.time = text_of(event.fields, "time");
         const auto word = last_word(std::string_view(line).substr(0, begin));
         event.source = word.empty() ? source : word;
+        if (event.fields.contains("servers"))
+        {
+            add_each_server(event, into);
+            continue;
+        }
         into.push_back(std::move(event));
     }
 }
