base: Ask the system for the time of day each time

Cause: absl::Now() goes on by the processor's cycle counter between looks at the system's clock. Change: wall_time() asks the system; a source rule keeps absl::Now() out of the gateway and what it tells.

--- a/libraries/telemetry/log.cpp
+++ b/libraries/telemetry/log.cpp
@@ -2,7 +2,6 @@
 
 #include "bounded_writer.hpp"
 
-#include <absl/time/clock.h>
 #include <absl/time/time.h>
 #include <boost/core/null_deleter.hpp>
 #include <boost/json.hpp>
@@ -15,6 +14,7 @@
 #include <boost/make_shared.hpp>
 
 #include <atomic>
+#include <base/wall_clock.hpp>
 #include <iostream>
 #include <unistd.h>
 
@@ -71,7 +71,7 @@
 {
     boost::json::object line;
     line["time"] =
-        absl::FormatTime(absl::RFC3339_full, absl::Now(), absl::UTCTimeZone());
+        absl::FormatTime(absl::RFC3339_full, wall_time(), absl::UTCTimeZone());
     line["severity"] = std::string(severity_name(event.severity));
     line["program"] = options().program;
     line["event"] = event.number;
@@ -87,7 +87,7 @@
                          const std::vector<log_field>& fields)
 {
     std::string line =
-        absl::FormatTime("%H:%M:%E3S", absl::Now(), absl::UTCTimeZone());
+        absl::FormatTime("%H:%M:%E3S", wall_time(), absl::UTCTimeZone());
     line += " " + std::string(severity_name(event.severity));
     line += " [" + std::to_string(event.number) + "] ";
     line += event.name;
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -1,6 +1,6 @@
 #include "gateway_state.hpp"
 
-#include <absl/time/clock.h>
+#include <base/wall_clock.hpp>
 
 namespace daleshelf
 {
@@ -28,7 +28,7 @@
 std::uint64_t seed_of(const gateway_settings& settings)
 {
     return std::hash<std::string>()(settings.host_id) ^
-           static_cast<std::uint64_t>(absl::GetCurrentTimeNanos());
+           static_cast<std::uint64_t>(absl::ToUnixNanos(wall_time()));
 }
 
 } // namespace
@@ -38,14 +38,14 @@
     , settings(std::move(values))
     , self(settings.host_id)
     , hall(settings.host_hall)
-    , started(absl::ToUnixMillis(absl::Now()))
+    , started(absl::ToUnixMillis(wall_time()))
     , choice(servers, hall, seed_of(settings), settings)
     , pool(loop)
     , quota(loop, shared_quota(self, hall, started, bound_of_quotas(settings)))
     , retries(retry_options(settings))
     , usage(absl::FromChrono(settings.usage_window))
 {
-    clock.note(self, absl::Now(), now());
+    clock.note(self, wall_time(), now());
 }
 
 absl::Time gateway_state::now()
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -1,10 +1,9 @@
 #include "peer_exchange.hpp"
 
-#include <absl/time/clock.h>
-
 #include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <base/text.hpp>
+#include <base/wall_clock.hpp>
 #include <peers/datagram_format.hpp>
 #include <telemetry/log.hpp>
 
@@ -194,7 +193,7 @@
             m_state.clock.forget(peer);
         }
         log_joined();
-        m_state.clock.note(m_state.self, absl::Now(), now);
+        m_state.clock.note(m_state.self, wall_time(), now);
         m_state.quota.shared().set_join_time(m_table.send_pause() +
                                              join_margin);
         m_state.quota.tick();
@@ -401,7 +400,7 @@
     state.started = m_state.started;
     state.sequence = ++m_sequence;
     state.hall = m_state.hall;
-    state.wall_time_ms = absl::ToUnixMillis(absl::Now());
+    state.wall_time_ms = absl::ToUnixMillis(wall_time());
     state.configuration_version =
         m_state.routes ? m_state.routes->configuration().version : 0;
     state.servers_offset = m_topics.servers.next();
--- a/tests/platform/source_rules_test.cpp
+++ b/tests/platform/source_rules_test.cpp
@@ -90,5 +90,21 @@
         });
 }
 
+// absl::Now() goes on by the cycle counter: what is told to others, and counted
+// by windows of the time of day, asks the system's clock.
+TEST(source_rules, the_gateway_asks_the_system_for_the_time_of_day)
+{
+    const std::regex by_counter("absl::Now|GetCurrentTimeNanos");
+    const auto check = [&](const files::path& path, const std::string& text)
+    {
+        std::smatch found;
+        EXPECT_FALSE(std::regex_search(text, found, by_counter))
+            << path << ": " << found.str();
+    };
+    for_each_source({"services/gateway", "libraries/peers", "libraries/duties",
+                     "libraries/telemetry"},
+                    check);
+}
+
 } // namespace
 } // namespace daleshelf
