gateway: Let hosts that start agree on their readers; read the configuration by them too

Change: a host lists the others once they are listed too, and asks for no changes before it knows its role; readers are chosen among those listed, heard or not. The configuration is told by the readers as the servers are. What is told goes in parts, at the pace of a small link, and a gap is left to the next words before the store is asked.

--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -16,6 +16,8 @@
 // told by many of them.
 constexpr std::size_t most_ended_answered = 4;
 constexpr std::size_t readers_a_hall = 2;
+// A host that is listed and lives has told its state within one turn of it.
+constexpr double expected_turns = 1.5;
 
 std::uint64_t reader_rank(const host_id& machine)
 {
@@ -50,6 +52,7 @@
     if (peer.heard_at == absl::InfinitePast())
     {
         peer.address = machine.address;
+        peer.state.hall = machine.hall;
         if (peer.listed_at == absl::InfinitePast())
         {
             peer.listed_at = now;
@@ -173,7 +176,15 @@
 
 bool peer_table::may_read(const host_id& peer, absl::Time now) const
 {
-    const auto& state = m_peers.at(peer).state;
+    const auto& known = m_peers.at(peer);
+    if (known.heard_at == absl::InfinitePast())
+    {
+        // Hosts that start together choose alike from the first list on: 176
+        // of 295 read for their halls otherwise, until they had heard others.
+        return !known.state.hall.value().empty() &&
+               now - known.listed_at <= send_pause() * expected_turns;
+    }
+    const auto& state = known.state;
     return state.reaches_store && !state.is_stopping && is_in_reach(peer, now);
 }
 
@@ -233,7 +244,8 @@
 
 std::string peer_table::describe_counts(std::int64_t window) const
 {
-    std::string text;
+    std::int64_t total = 0;
+    std::size_t starts = 0;
     for (const auto& [start, windows] : m_counts.entries())
     {
         const auto found = windows.find(window);
@@ -241,15 +253,13 @@
         {
             continue;
         }
-        std::int64_t total = 0;
+        ++starts;
         for (const auto& [tenant, count] : found->second)
         {
             total += count;
         }
-        append_text(text, text.empty() ? "" : " ", start.machine.value(), "@",
-                    start.started.value(), "=", total);
     }
-    return text;
+    return concat(total, " requests, told of by ", starts, " starts");
 }
 
 // Starts that do not tell their counts by themselves any more.
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -106,8 +106,8 @@
     [[nodiscard]] std::map<counting_start, tenant_counts>
     told_counts(std::int64_t window) const;
 
-    /// @return how many requests each start has begun within a window, as a
-    /// text for logs
+    /// @return how many requests have begun within a window, and how many
+    /// starts told of them, as a text for logs
     [[nodiscard]] std::string describe_counts(std::int64_t window) const;
 
     /// @return counts of some starts that no longer tell them by themselves,
--- a/libraries/peers/topic_records.cpp
+++ b/libraries/peers/topic_records.cpp
@@ -5,6 +5,27 @@
 namespace daleshelf
 {
 
+std::vector<shared_records>
+split_records(const std::string& topic, log_offset from,
+              const std::vector<shared_record>& records, std::size_t part_bytes)
+{
+    std::vector<shared_records> parts{{topic, from, from, {}}};
+    std::size_t bytes = 0;
+    for (const auto& record : records)
+    {
+        const auto size = record.key.size() + record.value.size();
+        if (bytes > 0 && bytes + size > part_bytes)
+        {
+            parts.push_back({topic, record.offset, record.offset, {}});
+            bytes = 0;
+        }
+        bytes += size;
+        parts.back().records.push_back(record);
+        parts.back().next = record.offset.next();
+    }
+    return parts;
+}
+
 std::string encode(const shared_records& records)
 {
     wire::TopicRecords message;
--- a/libraries/peers/topic_records.hpp
+++ b/libraries/peers/topic_records.hpp
@@ -28,6 +28,15 @@
     std::vector<shared_record> records;
 };
 
+/// Splits what was read into parts, so that no datagram fills a link for long.
+/// @param from offset of the first of `records`, which follow one another
+/// @param part_bytes keys and values of a part, unless one record has more
+/// @return at least one part; one without records says that there are none
+[[nodiscard]] std::vector<shared_records>
+split_records(const std::string& topic, log_offset from,
+              const std::vector<shared_record>& records,
+              std::size_t part_bytes);
+
 [[nodiscard]] std::string encode(const shared_records& records);
 
 /// @return the records, or nothing if the bytes are none
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -136,8 +136,12 @@
     {
         m_holder_heard_at = now;
     }
-    m_ledger.set_candidate(m_state.role != list_role::follower ||
-                           now - m_holder_heard_at > readers_time);
+    const bool is_watching = m_state.role == list_role::alone ||
+                             m_state.role == list_role::reader ||
+                             now - m_holder_heard_at > readers_time;
+    // Of 295 hosts that started together all tried to take the lease, and
+    // read it 3,800 times, before they knew of one another.
+    m_ledger.set_candidate(m_state.knows_hosts && is_watching);
 }
 
 // What peers have given up need not be waited out.
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -31,10 +31,14 @@
     , m_settings_path(std::move(settings_path))
     , m_settings_file(m_settings_path)
     , m_state(context, std::move(settings))
-    , m_configuration(m_state, std::string(platform::operator_topic),
-                      {[this](const auto& record)
-                       { take_operator_record(record); },
-                       [](const auto&) {}})
+    , m_configuration(
+          m_state, std::string(platform::operator_topic),
+          {[this](const auto& record) { take_operator_record(record); },
+           [](const auto&) {},
+           [this](log_offset from, const auto& records) {
+               m_peers.tell_read(std::string(platform::operator_topic), from,
+                                 records);
+           }})
     , m_servers(m_state, std::string(platform::server_topic),
                 {[this](const auto& record) { take_server_record(record); },
                  [this](const auto& records) { take_server_list(records); },
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -24,9 +24,10 @@
 namespace daleshelf
 {
 
-/// How this machine learns of changes in the list of servers.
+/// How this machine learns of changes in what the store holds.
 enum class list_role
 {
+    starting, ///< it does not know the others yet
     alone,    ///< it asks the store; nobody waits for what it reads
     reader,   ///< it asks the store and tells the other machines of its hall
     follower, ///< it waits for what readers tell
@@ -78,9 +79,11 @@
     engine_table engines;
     std::map<service_name, service_load> loads; ///< of engines
     bool has_servers = false;
+    bool knows_hosts = false; ///< the list of hosts was read, with those that
+                              ///< started together with this one
     bool is_stopping = false;
     monotonic::time_point stopping_since{};
-    list_role role = list_role::alone;
+    list_role role = list_role::starting;
     /// Changes that come within this time of one another are read together.
     milliseconds change_pause{100};
     std::int64_t requests_in_flight = 0;
--- a/services/gateway/host_list.cpp
+++ b/services/gateway/host_list.cpp
@@ -16,6 +16,9 @@
 constexpr int most_quick_attempts = 20;
 constexpr milliseconds quick_publish_pause{700};
 constexpr milliseconds publish_pause{5000};
+// Hosts of a fleet that starts are all in the list after this time: they start
+// within 0.3 s of one another.
+constexpr milliseconds fleet_start_time{1500};
 
 } // namespace
 
@@ -26,8 +29,8 @@
 
 // Learns from the store where the others are, and tells it where this host
 // is. A list that holds this host is from before its start: the others count
-// it already. The list that counts is read after this host was added: of two
-// that start together, one at least then sees the other.
+// it already. The list that counts is read after this host was added, and, in
+// a fleet that starts, after the others were.
 awaitable<void> host_list::publish_self()
 {
     http_caller caller(m_state.context, m_state.settings.store_address);
@@ -48,11 +51,18 @@
         }
         if (is_published)
         {
+            if (!was_listed)
+            {
+                // Others that start with this one are to be in the list too.
+                asio::steady_timer start(m_state.context, fleet_start_time);
+                co_await start.async_wait(use_result);
+            }
             const auto listed = co_await list_hosts(caller);
             if (listed)
             {
                 m_state.quota.shared().note_fleet(was_listed,
                                                   gateway_state::now());
+                m_state.knows_hosts = true;
                 co_return;
             }
         }
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -18,8 +18,12 @@
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{1000};
 constexpr std::chrono::seconds reached_time{3};
+constexpr milliseconds role_look{100};
 // A machine that others read for asks the store itself after this silence.
 constexpr milliseconds told_time{1400};
+// What one datagram lacks another brings: two readers tell the same, each four
+// times a second.
+constexpr milliseconds gap_time{300};
 
 } // namespace
 
@@ -40,6 +44,7 @@
         bool was_answered = false;
         if (m_has_listed)
         {
+            co_await wait_for_role();
             co_await wait_for_readers();
             was_answered = co_await tail();
         }
@@ -83,47 +88,72 @@
     return news;
 }
 
-void topic_follower::take_read(
-    log_offset from, const std::vector<platform::keyed_record>& records)
+bool topic_follower::take_read(
+    log_offset from, const std::vector<platform::keyed_record>& records,
+    monotonic::time_point now)
 {
     if (!m_has_listed)
     {
-        return;
+        return false;
     }
     if (from > m_next)
     {
-        // Something was missed: the store has it.
-        m_told_at = {};
-        m_wake.notify();
-        return;
+        if (!m_gap_since)
+        {
+            m_gap_since = now;
+        }
+        const bool is_missed = now - *m_gap_since >= gap_time;
+        if (is_missed)
+        {
+            m_gap_since.reset();
+            m_told_at = {};
+            m_wake.notify();
+        }
+        return is_missed;
     }
+    m_gap_since.reset();
     take_page(from, records);
     const auto end = from.value() + static_cast<std::int64_t>(records.size());
     if (m_next == log_offset(end))
     {
-        m_told_at = monotonic::now();
+        m_told_at = now;
+    }
+    return false;
+}
+
+// A host that starts has just listed all that there is; who tells it of changes
+// it knows when it has read the list of hosts. Before, 295 hosts that started
+// together asked 2,500 times for the servers that were starting too.
+awaitable<void> topic_follower::wait_for_role()
+{
+    while (m_state.role == list_role::starting)
+    {
+        co_await m_wake.wait_for(role_look);
     }
 }
 
 // While others read what the store tells, it need not be asked.
 awaitable<void> topic_follower::wait_for_readers()
 {
-    while (m_events.on_read && m_state.role == list_role::follower)
+    while (is_told())
     {
-        const auto until = m_told_at + told_time;
-        if (monotonic::now() >= until)
-        {
-            co_return;
-        }
-        co_await m_wake.wait_until(until);
+        co_await m_wake.wait_until(m_told_at + told_time);
     }
 }
 
+// @return whether others read for this machine, and have said so lately
+bool topic_follower::is_told() const
+{
+    return m_events.on_read && m_state.role == list_role::follower &&
+           monotonic::now() < m_told_at + told_time;
+}
+
 milliseconds topic_follower::longest_tail() const
 {
     // What only this machine asks for, or others rely on, is asked for often.
     const bool is_shared =
         m_state.role != list_role::alone &&
+        m_state.role != list_role::starting &&
         !(m_events.on_read && m_state.role == list_role::reader);
     return is_shared ? large_fleets_tail_wait : tail_wait;
 }
@@ -142,6 +172,11 @@
         // A held call is no silence before its time is over.
         return now - m_asked_at < longest_tail() + tail_answer_time;
     }
+    if (is_told())
+    {
+        // It does not ask while others read for it.
+        return m_was_reached;
+    }
     return now - m_answered_at < reached_time;
 }
 
@@ -196,6 +231,8 @@
         co_return false;
     }
     apply_list(listed, *end);
+    // A host whose hall has readers waits for their word from now on.
+    m_told_at = monotonic::now();
     co_return true;
 }
 
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -54,8 +54,11 @@
 
     /// Takes what a peer has just read, if it follows on what is known; no
     /// records at all say that there are none after `from`.
-    void take_read(log_offset from,
-                   const std::vector<platform::keyed_record>& records);
+    /// @return whether the store is asked for what was missed: the next words
+    /// of the readers did not bring it
+    bool take_read(log_offset from,
+                   const std::vector<platform::keyed_record>& records,
+                   monotonic::time_point now);
 
     /// @return the offset up to which all records are known
     [[nodiscard]] log_offset next() const
@@ -82,7 +85,9 @@
 private:
     awaitable<bool> list();
     awaitable<bool> tail();
+    awaitable<void> wait_for_role();
     awaitable<void> wait_for_readers();
+    [[nodiscard]] bool is_told() const;
     [[nodiscard]] milliseconds longest_tail() const;
     void take_page(log_offset from,
                    const std::vector<platform::keyed_record>& records);
@@ -105,6 +110,8 @@
     monotonic::time_point m_answered_at{};
     monotonic::time_point m_asked_at{};
     monotonic::time_point m_told_at{}; ///< by a peer that reads for others
+    /// Since when something is missing of what they told.
+    std::optional<monotonic::time_point> m_gap_since;
 };
 
 } // namespace daleshelf
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -12,8 +12,19 @@
 namespace
 {
 
-// Larger news are left to the store.
-constexpr std::size_t largest_news = 8192;
+// What is read goes in parts of about this size: 32 servers that leave at once
+// are 10 KB.
+constexpr std::size_t largest_part = 4096;
+// A larger record is left to the store: to 57 hosts of a hall it would fill a
+// link of 20 Mbit/s for longer than the store takes to answer them all.
+constexpr std::size_t largest_record = 16384;
+// Whoever does not know the others after this time goes on without them; a host
+// that is new in the list knows them after 1.6 s.
+constexpr absl::Duration most_start_time = absl::Milliseconds(2500);
+// What is told goes out at 20 Mbit/s, the link of a small host: a socket takes
+// 0.2 MB at once and drops the rest, and 57 hosts were told 0.7 MB.
+constexpr std::size_t bytes_at_once = 65536;
+constexpr milliseconds pause_between{25};
 // How long a peer may know more before it is asked: the store is faster.
 constexpr milliseconds patience{350};
 constexpr milliseconds fetch_time{1000};
@@ -24,6 +35,18 @@
     return {record.offset, record.key, record.value.value_or("")};
 }
 
+std::vector<shared_record>
+to_shared(const std::vector<platform::keyed_record>& records)
+{
+    std::vector<shared_record> shared;
+    shared.reserve(records.size());
+    for (const auto& record : records)
+    {
+        shared.push_back(to_shared(record));
+    }
+    return shared;
+}
+
 // A record without a value says that its key is dropped.
 std::vector<platform::keyed_record>
 from_shared(const std::vector<shared_record>& records)
@@ -50,26 +73,39 @@
 
 void topic_sharing::choose_role()
 {
-    if (m_table.tells_all_at_once())
+    const auto now = gateway_state::now();
+    m_first_chosen_at = std::min(m_first_chosen_at, now);
+    const bool is_starting =
+        !m_state.knows_hosts && now - m_first_chosen_at < most_start_time;
+    if (is_starting || m_table.tells_all_at_once())
     {
-        m_state.role = list_role::alone;
+        m_state.role = is_starting ? list_role::starting : list_role::alone;
         return;
     }
     m_state.role = list_role::follower;
     const bool reaches_store = m_topics.configuration.is_reached();
     for (const auto& reader :
-         m_table.readers_of(m_state.hall, reaches_store, gateway_state::now()))
+         m_table.readers_of(m_state.hall, reaches_store, now))
     {
         if (reader == m_state.self)
         {
             m_state.role = list_role::reader;
         }
     }
-    if (m_topics.servers.is_fresh())
+    tell_nothing_newer();
+}
+
+// One topic at a time: two readers each tell of both twice a second.
+void topic_sharing::tell_nothing_newer()
+{
+    m_tells_of_servers = !m_tells_of_servers;
+    const auto& follower =
+        m_tells_of_servers ? m_topics.servers : m_topics.configuration;
+    const auto topic =
+        m_tells_of_servers ? platform::server_topic : platform::operator_topic;
+    if (follower.is_fresh())
     {
-        // Says that there is nothing newer.
-        tell_read(std::string(platform::server_topic), m_topics.servers.next(),
-                  {});
+        tell_read(std::string(topic), follower.next(), {});
     }
 }
 
@@ -81,27 +117,50 @@
     {
         return;
     }
-    shared_records read;
-    read.topic = topic;
-    read.from = from;
-    read.next = records.empty() ? from : records.back().offset.next();
-    for (const auto& record : records)
-    {
-        read.records.push_back(to_shared(record));
-    }
-    const auto bytes = encode(read);
-    if (bytes.size() > largest_news)
+    auto parts = split_records(topic, from, to_shared(records), largest_part);
+    asio::co_spawn(
+        m_state.context,
+        [this, parts = std::move(parts)]() mutable
+        { return tell_parts(std::move(parts)); },
+        asio::detached);
+}
+
+awaitable<void> topic_sharing::tell_parts(std::vector<shared_records> parts)
+{
+    std::size_t sent_bytes = 0;
+    for (const auto& part : parts)
     {
-        return;
+        const auto bytes = encode(part);
+        if (bytes.size() > largest_record)
+        {
+            // What follows shows those that wait that something is missing.
+            continue;
+        }
+        for (const auto& address : addresses_in_hall())
+        {
+            m_send(address, bytes);
+            sent_bytes += bytes.size();
+            if (sent_bytes >= bytes_at_once)
+            {
+                sent_bytes = 0;
+                asio::steady_timer timer(m_state.context, pause_between);
+                co_await timer.async_wait(use_result);
+            }
+        }
     }
+}
+
+std::vector<std::string> topic_sharing::addresses_in_hall() const
+{
+    std::vector<std::string> addresses;
     for (const auto& [name, peer] : m_table.peers())
     {
-        if (peer.state.hall != m_state.hall)
+        if (peer.state.hall == m_state.hall)
         {
-            continue;
+            addresses.push_back(peer.address);
         }
-        m_send(peer.address, bytes);
     }
+    return addresses;
 }
 
 void topic_sharing::take_read(const shared_records& read)
@@ -111,7 +170,7 @@
     {
         return;
     }
-    follower->take_read(read.from, from_shared(read.records));
+    follower->take_read(read.from, from_shared(read.records), monotonic::now());
 }
 
 awaitable<void> topic_sharing::fetch_from(std::string address,
--- a/services/gateway/topic_sharing.hpp
+++ b/services/gateway/topic_sharing.hpp
@@ -48,6 +48,9 @@
     [[nodiscard]] short_answer answer(const std::string& target);
 
 private:
+    void tell_nothing_newer();
+    awaitable<void> tell_parts(std::vector<shared_records> parts);
+    [[nodiscard]] std::vector<std::string> addresses_in_hall() const;
     awaitable<void> fetch_from(std::string address, std::string topic);
     [[nodiscard]] topic_follower* topic_named(const std::string& name);
 
@@ -56,7 +59,9 @@
     const peer_table& m_table;
     sender m_send;
     std::map<std::string, monotonic::time_point> m_behind_since;
+    absl::Time m_first_chosen_at = absl::InfiniteFuture();
     bool m_is_fetching = false;
+    bool m_tells_of_servers = false; ///< last; else of the configuration
 };
 
 } // namespace daleshelf
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -1,3 +1,5 @@
+#include "gateway_fixture.hpp"
+
 #include <gtest/gtest.h>
 
 #include <gateway/topic_follower.hpp>
@@ -22,6 +24,11 @@
     return {log_offset(offset), key, std::move(value)};
 }
 
+monotonic::time_point at(int ms)
+{
+    return monotonic::time_point(milliseconds(100000 + ms));
+}
+
 // What a follower takes from peers; the store is never asked.
 class topic_follower_test : public testing::Test
 {
@@ -53,8 +60,9 @@
 
 TEST_F(topic_follower_test, takes_what_follows_on_what_it_knows)
 {
-    m_follower.take_read(log_offset(4), {record_at(4, "b", "2"),
-                                         record_at(5, "a", std::nullopt)});
+    m_follower.take_read(
+        log_offset(4),
+        {record_at(4, "b", "2"), record_at(5, "a", std::nullopt)}, at(0));
     EXPECT_EQ(m_taken, (std::vector<std::string>{"b", "a"}));
     EXPECT_EQ(m_follower.next(), log_offset(6));
     EXPECT_FALSE(m_follower.records().contains("a"));
@@ -62,29 +70,110 @@
 
 TEST_F(topic_follower_test, takes_only_the_newer_part_of_what_overlaps)
 {
-    m_follower.take_read(log_offset(3),
-                         {record_at(3, "a", "1"), record_at(4, "b", "2")});
+    m_follower.take_read(
+        log_offset(3), {record_at(3, "a", "1"), record_at(4, "b", "2")}, at(0));
     EXPECT_EQ(m_taken, std::vector<std::string>{"b"});
     EXPECT_EQ(m_follower.next(), log_offset(5));
 }
 
 TEST_F(topic_follower_test, takes_nothing_after_a_gap)
 {
-    m_follower.take_read(log_offset(5), {record_at(5, "b", "2")});
+    m_follower.take_read(log_offset(5), {record_at(5, "b", "2")}, at(0));
     EXPECT_TRUE(m_taken.empty());
     EXPECT_EQ(m_follower.next(), log_offset(4));
 }
 
+// Two readers tell the same four times a second: what one datagram lost, or was
+// overtaken by, is no reason for 285 hosts to ask the store.
+TEST_F(topic_follower_test, asks_the_store_for_what_the_next_words_do_not_bring)
+{
+    EXPECT_FALSE(m_follower.take_read(log_offset(6), {}, at(0)));
+    EXPECT_FALSE(m_follower.take_read(log_offset(6), {}, at(200)));
+    EXPECT_TRUE(m_follower.take_read(log_offset(6), {}, at(300)));
+    // Asked once for each gap that lasts.
+    EXPECT_FALSE(m_follower.take_read(log_offset(6), {}, at(400)));
+    EXPECT_TRUE(m_follower.take_read(log_offset(6), {}, at(700)));
+}
+
+TEST_F(topic_follower_test,
+       does_not_ask_the_store_for_what_comes_a_little_later)
+{
+    EXPECT_FALSE(
+        m_follower.take_read(log_offset(5), {record_at(5, "c", "3")}, at(0)));
+    EXPECT_FALSE(m_follower.take_read(
+        log_offset(4), {record_at(4, "b", "2"), record_at(5, "c", "3")},
+        at(200)));
+    EXPECT_EQ(m_follower.next(), log_offset(6));
+    EXPECT_FALSE(m_follower.take_read(log_offset(7), {}, at(900)));
+}
+
+/// A follower that runs, before a store that counts who comes.
+class running_follower_test : public testing::Test
+{
+protected:
+    running_follower_test()
+        : m_store([](test_connection& connection) { connection.read_all(); })
+        , m_state(m_context, settings_for(m_store))
+        , m_follower(m_state, "topic",
+                     {[](const auto&) {}, [](const auto&) {},
+                      [](log_offset, const auto&) {}})
+    {
+        m_follower.merge({record_at(3, "a", "1")}, log_offset(4));
+        asio::co_spawn(
+            m_context, [this] { return m_follower.run(); }, asio::detached);
+    }
+
+    static gateway_settings settings_for(const scripted_server& store)
+    {
+        auto settings = make_settings();
+        settings.store_address = store.address();
+        return settings;
+    }
+
+    bool comes_to_the_store()
+    {
+        for (int step = 0; step < 2000 && m_store.connections() == 0; ++step)
+        {
+            m_context.run_for(milliseconds(10));
+        }
+        return m_store.connections() > 0;
+    }
+
+    scripted_server m_store;
+    asio::io_context m_context{1};
+    gateway_state m_state;
+    topic_follower m_follower;
+};
+
+TEST_F(running_follower_test, asks_the_store_only_when_it_knows_its_role)
+{
+    m_context.run_for(milliseconds(250));
+    EXPECT_EQ(m_store.connections(), 0);
+    m_state.role = list_role::alone;
+    EXPECT_TRUE(comes_to_the_store());
+}
+
+TEST_F(running_follower_test, asks_nothing_while_readers_tell_it)
+{
+    m_state.role = list_role::follower;
+    EXPECT_FALSE(m_follower.is_reached());
+    m_follower.take_read(log_offset(4), {}, monotonic::now());
+    m_context.run_for(milliseconds(250));
+    EXPECT_EQ(m_store.connections(), 0);
+    // Nobody tells it any more.
+    EXPECT_TRUE(comes_to_the_store());
+}
+
 TEST_F(topic_follower_test, word_that_there_is_nothing_newer_changes_nothing)
 {
-    m_follower.take_read(log_offset(4), {});
+    EXPECT_FALSE(m_follower.take_read(log_offset(4), {}, at(0)));
     EXPECT_TRUE(m_taken.empty());
     EXPECT_EQ(m_follower.next(), log_offset(4));
 }
 
 TEST_F(topic_follower_test, takes_nothing_older)
 {
-    m_follower.take_read(log_offset(1), {record_at(1, "z", "0")});
+    m_follower.take_read(log_offset(1), {record_at(1, "z", "0")}, at(0));
     EXPECT_TRUE(m_taken.empty());
     EXPECT_EQ(m_follower.next(), log_offset(4));
 }
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -295,6 +295,78 @@
     EXPECT_EQ(clock.at(at(12)), at(1002.02));
 }
 
+// 32 servers that leave at once are 10 KB.
+TEST(topic_records, are_told_in_parts_that_follow_one_another)
+{
+    std::vector<shared_record> records;
+    for (int index = 0; index < 32; ++index)
+    {
+        records.push_back(
+            {log_offset(40 + index), "key", std::string(300, 'v')});
+    }
+    const auto parts = split_records("servers", log_offset(40), records, 4096);
+    EXPECT_EQ(parts.size(), 3U);
+    auto next = log_offset(40);
+    std::size_t told = 0;
+    for (const auto& part : parts)
+    {
+        EXPECT_EQ(part.from, next);
+        EXPECT_LE(encode(part).size(), 4500U);
+        next = part.next;
+        told += part.records.size();
+    }
+    EXPECT_EQ(next, log_offset(72));
+    EXPECT_EQ(told, records.size());
+}
+
+TEST(topic_records, one_that_is_larger_than_a_part_is_a_part)
+{
+    const std::vector<shared_record> records{
+        {log_offset(1), "a", std::string(9000, 'v')},
+        {log_offset(2), "b", "v"}};
+    EXPECT_EQ(split_records("servers", log_offset(1), records, 4096).size(),
+              2U);
+    const auto none = split_records("servers", log_offset(3), {}, 4096);
+    ASSERT_EQ(none.size(), 1U);
+    EXPECT_EQ(none.front().from, log_offset(3));
+    EXPECT_EQ(none.front().next, log_offset(3));
+}
+
+// All hosts of a fleet that starts have read the same list: they name the same
+// readers before they have heard one another.
+TEST(peer_table, hosts_that_start_together_name_the_same_readers)
+{
+    std::vector<machine_address> listed;
+    for (int number = 1; number <= 60; ++number)
+    {
+        const auto name = std::to_string(number);
+        listed.push_back(
+            {host_id(name), "10.0.0." + name + ":7", hall_id("h")});
+    }
+    std::set<std::vector<host_id>> named;
+    for (const auto& self : listed)
+    {
+        peer_table table(self, incarnation(1), peer_options());
+        for (const auto& machine : listed)
+        {
+            table.add_address(machine, at(0));
+        }
+        auto readers = table.readers_of(hall_id("h"), true, at(0.2));
+        std::sort(readers.begin(), readers.end());
+        named.insert(readers);
+    }
+    EXPECT_EQ(named.size(), 1U);
+    EXPECT_EQ(named.begin()->size(), 2U);
+}
+
+TEST(peer_table, a_listed_machine_that_is_never_heard_does_not_read_for_long)
+{
+    auto table = make_table();
+    table.add_address({host_id("2"), "10.0.0.2:7", hall_id("h")}, at(0));
+    EXPECT_EQ(table.readers_of(hall_id("h"), false, at(0.1)).size(), 1U);
+    EXPECT_TRUE(table.readers_of(hall_id("h"), false, at(1)).empty());
+}
+
 TEST(window_counts, survive_their_encoding)
 {
     window_counts told;
