gateway: Leave the lease to readers that are heard; tell of nothing newer after the news

Cause: in a trial of 295 hosts followers that had heard no holder yet tried to take the lease 3 s after their start (256 appends, 2,500 reads), and words that there is nothing newer overtook the news that they spoke of: 485 questions to the store before the traffic began. Change: a host whose readers are heard does not watch the lease; words wait for the news; a starting host gives readers their time once it knows its role.

--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -31,7 +31,7 @@
 // A call that was given up may still reach the platform for this long.
 constexpr absl::Duration doubt_time = absl::Seconds(1);
 constexpr std::size_t most_reported = 64;
-// How long the readers of the list may leave the lease to nobody.
+// How long neither a reader of the list nor a holder of the lease may be heard.
 constexpr absl::Duration readers_time = absl::Seconds(3);
 
 } // namespace
@@ -103,7 +103,7 @@
     while (true)
     {
         const bool is_holder_heard = m_peers.hears_duty_holder();
-        note_candidacy(is_holder_heard);
+        note_candidacy(is_holder_heard || m_peers.hears_readers());
         note_releases();
         const auto action =
             m_ledger.next_action(is_holder_heard, gateway_state::now());
@@ -127,18 +127,18 @@
     }
 }
 
-// The readers of the list come first. If none of them has taken the lease for
-// long (all may just be restarting), everybody watches it.
-void duty_service::note_candidacy(bool is_holder_heard)
+// The readers of the list come first. If neither they nor a holder is heard for
+// long (all may just be restarting), everybody watches the lease.
+void duty_service::note_candidacy(bool is_watched)
 {
     const auto now = gateway_state::now();
-    if (is_holder_heard || m_holder_heard_at == absl::InfinitePast())
+    if (is_watched || m_watched_at == absl::InfinitePast())
     {
-        m_holder_heard_at = now;
+        m_watched_at = now;
     }
     const bool is_watching = m_state.role == list_role::alone ||
                              m_state.role == list_role::reader ||
-                             now - m_holder_heard_at > readers_time;
+                             now - m_watched_at > readers_time;
     // Of 295 hosts that started together all tried to take the lease, and
     // read it 3,800 times, before they knew of one another.
     m_ledger.set_candidate(m_state.knows_hosts && is_watching);
--- a/services/gateway/duty_service.hpp
+++ b/services/gateway/duty_service.hpp
@@ -51,7 +51,7 @@
 private:
     awaitable<void> keep_ledger();
     awaitable<void> collect_counts();
-    void note_candidacy(bool is_holder_heard);
+    void note_candidacy(bool is_watched);
     void note_releases();
     void release_if_due();
     [[nodiscard]] bool is_leaving() const;
@@ -81,7 +81,7 @@
     absl::Time m_unanswered_at = absl::InfinitePast(); ///< a call of duties
     bool m_is_stopping = false;
     bool m_was_holder = false;
-    absl::Time m_holder_heard_at = absl::InfinitePast();
+    absl::Time m_watched_at = absl::InfinitePast(); ///< the lease, by others
 };
 
 } // namespace daleshelf
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -52,6 +52,12 @@
     /// @return whether a peer in reach says that it holds the duties
     [[nodiscard]] bool hears_duty_holder() const;
 
+    /// @return whether machines that watch the lease read for this one
+    [[nodiscard]] bool hears_readers() const
+    {
+        return m_topics.servers.is_told();
+    }
+
     /// Asks machines for their counts of a usage window.
     void ask_counts(std::int64_t window, const std::vector<host_id>& machines);
 
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -129,6 +129,8 @@
     while (m_state.role == list_role::starting)
     {
         co_await m_wake.wait_for(role_look);
+        // Readers have the time that they have for a word, from now on.
+        m_told_at = monotonic::now();
     }
 }
 
@@ -141,7 +143,6 @@
     }
 }
 
-// @return whether others read for this machine, and have said so lately
 bool topic_follower::is_told() const
 {
     return m_events.on_read && m_state.role == list_role::follower &&
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -79,6 +79,9 @@
     /// @return whether the store has answered lately
     [[nodiscard]] bool is_reached() const;
 
+    /// @return whether others read for this machine, and have said so lately
+    [[nodiscard]] bool is_told() const;
+
     /// @return time since the store answered, in seconds
     [[nodiscard]] double answer_age_seconds() const;
 
@@ -87,7 +90,6 @@
     awaitable<bool> tail();
     awaitable<void> wait_for_role();
     awaitable<void> wait_for_readers();
-    [[nodiscard]] bool is_told() const;
     [[nodiscard]] milliseconds longest_tail() const;
     void take_page(log_offset from,
                    const std::vector<platform::keyed_record>& records);
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -103,7 +103,8 @@
         m_tells_of_servers ? m_topics.servers : m_topics.configuration;
     const auto topic =
         m_tells_of_servers ? platform::server_topic : platform::operator_topic;
-    if (follower.is_fresh())
+    // Not before what is newer has gone out: it would look like a gap.
+    if (follower.is_fresh() && m_tellings == 0)
     {
         tell_read(std::string(topic), follower.next(), {});
     }
@@ -127,6 +128,7 @@
 
 awaitable<void> topic_sharing::tell_parts(std::vector<shared_records> parts)
 {
+    ++m_tellings;
     std::size_t sent_bytes = 0;
     for (const auto& part : parts)
     {
@@ -148,6 +150,7 @@
             }
         }
     }
+    --m_tellings;
 }
 
 std::vector<std::string> topic_sharing::addresses_in_hall() const
--- a/services/gateway/topic_sharing.hpp
+++ b/services/gateway/topic_sharing.hpp
@@ -60,6 +60,7 @@
     sender m_send;
     std::map<std::string, monotonic::time_point> m_behind_since;
     absl::Time m_first_chosen_at = absl::InfiniteFuture();
+    int m_tellings = 0; ///< that are on their way
     bool m_is_fetching = false;
     bool m_tells_of_servers = false; ///< last; else of the configuration
 };
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -299,6 +299,7 @@
 TEST(topic_records, are_told_in_parts_that_follow_one_another)
 {
     std::vector<shared_record> records;
+    records.reserve(32);
     for (int index = 0; index < 32; ++index)
     {
         records.push_back(
@@ -337,6 +338,7 @@
 TEST(peer_table, hosts_that_start_together_name_the_same_readers)
 {
     std::vector<machine_address> listed;
+    listed.reserve(60);
     for (int number = 1; number <= 60; ++number)
     {
         const auto name = std::to_string(number);
