peers: Count a turn from the machine's own name

Cause: the turn went on after the name told last. Change: how far the turn has come is counted from the machine's own name. The test begins with three known hosts, which failed with up to 99 at once.

--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -38,10 +38,7 @@
 
 peer_table::peer_table(machine_address self, incarnation started,
                        const peer_options& options)
-    : m_self(std::move(self))
-    , m_started(started)
-    , m_options(options)
-    , m_last_told(m_self.name)
+    : m_self(std::move(self)), m_started(started), m_options(options)
 {
 }
 
@@ -138,17 +135,27 @@
     const auto count = std::min(m_peers.size(),
                                 static_cast<std::size_t>(m_options.many_peers));
     std::vector<std::string> addresses;
-    auto peer = m_peers.upper_bound(m_last_told);
-    while (addresses.size() < count)
+    if (m_peers.empty())
+    {
+        return addresses;
+    }
+    // How far the turn has come is counted from the machine's own name, not
+    // kept as the name told last: while few are known those are the same few.
+    auto peer = m_peers.upper_bound(m_self.name);
+    m_turn %= m_peers.size();
+    for (std::size_t step = 0; step < m_turn + count; ++step)
     {
         if (peer == m_peers.end())
         {
             peer = m_peers.begin();
         }
-        addresses.push_back(peer->second.address);
-        m_last_told = peer->first;
+        if (step >= m_turn)
+        {
+            addresses.push_back(peer->second.address);
+        }
         ++peer;
     }
+    m_turn += count;
     return addresses;
 }
 
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -145,7 +145,7 @@
     incarnation m_started;
     peer_options m_options;
     std::map<host_id, peer_record> m_peers;
-    host_id m_last_told;
+    std::size_t m_turn = 0; ///< peers told since its last beginning
     count_table m_counts;
     mutable std::size_t m_next_ended = 0;
 };
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -449,11 +449,27 @@
     for (const auto& self : fleet)
     {
         tables.emplace_back(self, incarnation(1), peer_options());
-        for (const auto& other : fleet)
+    }
+    // They know the same three first, and then one another.
+    const auto learn = [&](std::size_t known)
+    {
+        for (auto& table : tables)
+        {
+            for (std::size_t other = 0; other < known; ++other)
+            {
+                table.add_address(fleet[other], at(0));
+            }
+        }
+    };
+    learn(3);
+    for (int tick = 0; tick < 7; ++tick)
+    {
+        for (auto& table : tables)
         {
-            tables.back().add_address(other, at(0));
+            (void)table.next_in_turn();
         }
     }
+    learn(fleet.size());
     std::map<std::string, int> heard_in_all;
     for (int tick = 0; tick < 25; ++tick)
     {
