--- a/libraries/duties/count_collection.hpp
+++ b/libraries/duties/count_collection.hpp
@@ -19,8 +19,9 @@
     /// Machines asked at a time: 64 answers of at most 2.3 KB are 0.24 s of a
     /// link of 5 Mbit/s, and 1,000 machines are asked within 4 s.
     std::size_t most_at_once = 64;
-    /// A machine that has not answered is asked again after this. Answers came
-    /// within 10 ms between halls; the rest is for a host that is busy.
+    /// A machine that has not answered is asked again after this. The way
+    /// there and back takes a few milliseconds between halls; the rest is for
+    /// a host whose share of a processor is used up, and for two ticks.
     absl::Duration ask_again = absl::Milliseconds(450);
 };
 
--- a/libraries/duties/duty_ledger.hpp
+++ b/libraries/duties/duty_ledger.hpp
@@ -20,8 +20,8 @@
 struct duty_options
 {
     absl::Duration lease = absl::Seconds(3);
-    /// Two renewals in a row may fail, each after 0.7 s without an answer, and
-    /// the lease can still be released 0.7 s before it lapses.
+    /// A renewal and the read after it may each be without an answer for
+    /// 0.7 s, and there is still time to release the lease before it lapses.
     absl::Duration renewal = absl::Milliseconds(750);
     /// Others wait this much longer than the lease lasts.
     absl::Duration margin = absl::Seconds(1);
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -21,8 +21,8 @@
 // Whoever does not know the others after this time goes on without them; a host
 // that is new in the list knows them after 1.6 s.
 constexpr absl::Duration most_start_time = absl::Milliseconds(2500);
-// What is told goes out at 20 Mbit/s, the link of a small host: a socket takes
-// 0.2 MB at once and drops the rest, and 57 hosts were told 0.7 MB.
+// What is told goes out at 20 Mbit/s, the link of a small host: told at once,
+// 0.7 MB to 57 hosts did not arrive, and 285 hosts asked the store instead.
 constexpr std::size_t bytes_at_once = 65536;
 constexpr milliseconds pause_between{25};
 // How long a peer may know more before it is asked: the store is faster.
