gateway: Count as fresh only what the store has answered again

By reading: a reader that the store stops answering in silence counted as fresh, and as reaching the store, each time that it asked again, and went on to tell its hall that there was nothing newer; so nobody there asked. Change: after a call that failed nothing is fresh or reached before the next answer. The test was seen failing on the code before.

--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -162,13 +162,14 @@
 bool topic_follower::is_fresh() const
 {
     const auto since = m_is_tailing ? m_asked_at : m_answered_at;
-    return m_has_listed && monotonic::now() - since < tail_wait + fresh_slack;
+    return m_has_listed && m_failures == 0 &&
+           monotonic::now() - since < tail_wait + fresh_slack;
 }
 
 bool topic_follower::is_reached() const
 {
     const auto now = monotonic::now();
-    if (m_is_tailing)
+    if (m_is_tailing && m_failures == 0)
     {
         // A held call is no silence before its time is over.
         return now - m_asked_at < longest_tail() + tail_answer_time;
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -153,6 +153,20 @@
     EXPECT_TRUE(comes_to_the_store());
 }
 
+// A reader that the store has stopped answering in silence went on to tell its
+// hall that there was nothing newer each time that it asked again.
+TEST_F(running_follower_test, is_not_fresh_again_before_the_store_has_answered)
+{
+    m_state.role = list_role::reader;
+    for (int step = 0; step < 2000 && m_store.connections() < 2; ++step)
+    {
+        m_context.run_for(milliseconds(10));
+    }
+    ASSERT_GE(m_store.connections(), 2) << "it asks again";
+    EXPECT_FALSE(m_follower.is_fresh());
+    EXPECT_FALSE(m_follower.is_reached());
+}
+
 TEST_F(running_follower_test, asks_nothing_while_readers_tell_it)
 {
     m_state.role = list_role::follower;
