gateway: Say how often readers tell of each topic

Read once more: the comment gave the rate from before two topics shared the words. A comment alone; the format was checked, nothing else was run.

--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -21,8 +21,8 @@
 constexpr milliseconds role_look{100};
 // A machine that others read for asks the store itself after this silence.
 constexpr milliseconds told_time{1400};
-// What one datagram lacks another brings: two readers tell the same, each four
-// times a second.
+// What one datagram lacks another brings: two readers tell the same, each twice
+// a second of each topic.
 constexpr milliseconds gap_time{300};
 
 } // namespace
