rollouts: Keep requests from versions that nobody has judged

Cause: nothing read an operator's order to roll out, or a server's version; servers of a bad version joined the choice at once. Ruled out: that a host could tell a bad version by itself: 70 hosts see three requests a second each. Change: servers' versions are read; version_gate keeps the target of an order, and a new version until the orders are known as they stood after it was listed, from the common choice, prompt homes and counts of servers. Each host does so alone.

--- a/libraries/base/identifiers.hpp
+++ b/libraries/base/identifiers.hpp
@@ -14,6 +14,8 @@
 using upstream_id = strong_id<struct upstream_id_tag>;
 using model_name = strong_id<struct model_name_tag>;
 using service_name = strong_id<struct service_name_tag>;
+/// Version of the software that a server runs.
+using version_name = strong_id<struct version_name_tag>;
 using request_id = strong_id<struct request_id_tag>;
 using attempt_id = strong_id<struct attempt_id_tag>;
 using change_id = strong_id<struct change_id_tag>;
--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -124,7 +124,8 @@
     std::vector<const server_entry*> result;
     for (const auto& [id, entry] : m_servers)
     {
-        if (entry.service == service && is_usable(id))
+        if (entry.service == service && is_usable(id) &&
+            m_versions.allows(service, entry.version))
         {
             result.push_back(&entry);
         }
--- a/libraries/ingress/server_directory.hpp
+++ b/libraries/ingress/server_directory.hpp
@@ -9,6 +9,7 @@
 #include <base/identifiers.hpp>
 #include <cstdint>
 #include <deque>
+#include <rollouts/version_gate.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,7 @@
 {
     upstream_id id;
     service_name service;
+    version_name version;
     std::string address; ///< IP:PORT
     hall_id hall;
     int slots = 1;
@@ -64,13 +66,25 @@
     /// @return whether new work may go to the server
     [[nodiscard]] bool is_usable(const upstream_id& id) const;
 
-    /// @return all servers of a service that may get new work
+    /// @return all servers of a service that may get new work, of versions
+    /// that may
     [[nodiscard]] std::vector<const server_entry*>
     usable(const service_name& service) const;
 
     /// @return every listed server
     [[nodiscard]] std::vector<const server_entry*> all() const;
 
+    /// @return which versions may get work
+    [[nodiscard]] version_gate& versions()
+    {
+        return m_versions;
+    }
+
+    [[nodiscard]] const version_gate& versions() const
+    {
+        return m_versions;
+    }
+
 private:
     /// What is remembered of a server that is no longer listed.
     struct departure
@@ -86,6 +100,7 @@
     std::deque<upstream_id> m_departed_order; ///< the oldest first
     absl::flat_hash_map<upstream_id, server_entry> m_servers;
     absl::flat_hash_map<upstream_id, bool> m_leaving;
+    version_gate m_versions;
 };
 
 } // namespace daleshelf
--- /dev/null
+++ b/libraries/rollouts/version_gate.cpp
@@ -0,0 +1,118 @@
+#include "version_gate.hpp"
+
+#include <algorithm>
+
+namespace daleshelf
+{
+
+void version_gate::note_server(const service_name& service,
+                               const version_name& version, bool is_first_list,
+                               absl::Time now)
+{
+    auto& seen = m_versions[service];
+    const bool is_only_one = seen.empty();
+    const auto [at, is_new] = seen.try_emplace(version);
+    if (!is_new)
+    {
+        return;
+    }
+    at->second = {now, is_first_list || is_only_one || now < m_known_at};
+}
+
+void version_gate::note_orders_known(absl::Time as_of)
+{
+    if (as_of <= m_known_at)
+    {
+        return;
+    }
+    m_known_at = as_of;
+    for (auto& [service, seen] : m_versions)
+    {
+        for (auto& [version, known] : seen)
+        {
+            known.is_settled = known.is_settled || known.first_at < as_of;
+        }
+    }
+}
+
+bool version_gate::set_order(const rollout_order& order)
+{
+    const auto [at, is_new] = m_orders.try_emplace(order.service);
+    if (!is_new && order.offset <= at->second.order.offset)
+    {
+        return false;
+    }
+    at->second = {order, rollout_phase::running};
+    return true;
+}
+
+bool version_gate::drop_order(const service_name& service)
+{
+    return m_orders.erase(service) > 0;
+}
+
+bool version_gate::set_phase(const service_name& service, log_offset order,
+                             rollout_phase phase)
+{
+    const auto at = m_orders.find(service);
+    if (at == m_orders.end() || at->second.order.offset != order)
+    {
+        return false;
+    }
+    auto& known = at->second.phase;
+    if (known != rollout_phase::running || known == phase)
+    {
+        return false;
+    }
+    known = phase;
+    return true;
+}
+
+bool version_gate::allows(const service_name& service,
+                          const version_name& version) const
+{
+    // 1. Where there has only been one version there is nothing to move from.
+    const auto seen = m_versions.find(service);
+    if (seen == m_versions.end() || seen->second.size() <= 1)
+    {
+        return true;
+    }
+    // 2. The target of an order, by how far that has come.
+    const auto order = m_orders.find(service);
+    if (order != m_orders.end() && order->second.order.target == version)
+    {
+        return order->second.phase == rollout_phase::completed;
+    }
+    // 3. Any other, once no order can be behind it that is not known here.
+    const auto known = seen->second.find(version);
+    return known == seen->second.end() || known->second.is_settled;
+}
+
+const rollout_order* version_gate::order_of(const service_name& service) const
+{
+    const auto at = m_orders.find(service);
+    return at == m_orders.end() ? nullptr : &at->second.order;
+}
+
+std::vector<service_name> version_gate::ordered_services() const
+{
+    std::vector<service_name> services;
+    for (const auto& [service, known] : m_orders)
+    {
+        services.push_back(service);
+    }
+    return services;
+}
+
+std::optional<rollout_phase>
+version_gate::phase_of(const service_name& service) const
+{
+    const auto at = m_orders.find(service);
+    if (at == m_orders.end())
+    {
+        return std::nullopt;
+    }
+    return at->second.phase;
+}
+
+} // namespace daleshelf
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -87,6 +87,10 @@
     209, log_severity::info, "settings_reloaded",
     "The settings file has been read again; the outcome says whether it is "
     "in force."};
+inline constexpr log_event rollout_ordered{
+    210, log_severity::info, "rollout_ordered",
+    "The operator has ordered a service's move to another version; servers of "
+    "it get nothing by the common choice until that is judged."};
 inline constexpr log_event peer_version_unknown{
     301, log_severity::error, "peer_version_unknown",
     "A peer speaks another version of the protocol; it is not heard."};
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -34,7 +34,7 @@
     , m_configuration(
           m_state, std::string(platform::operator_topic),
           {[this](const auto& record) { take_operator_record(record); },
-           [](const auto&) {},
+           [this](const auto& records) { take_operator_list(records); },
            [this](log_offset from, const auto& records) {
                m_peers.tell_read(std::string(platform::operator_topic), from,
                                  records);
@@ -171,6 +171,8 @@
             reload_settings();
         }
         log_server_changes();
+        m_state.servers.versions().note_orders_known(
+            gateway_state::to_time(m_configuration.known_at()));
         m_state.pool.sweep(now);
         m_state.choice.drop_unlisted();
         for (const auto& session : m_sessions)
@@ -238,10 +240,62 @@
 
 void gateway::take_operator_record(const platform::keyed_record& record)
 {
-    if (record.key != platform::configuration_key || !record.value)
+    if (const auto service = platform::rollout_service(record.key))
     {
+        take_rollout(*service, record);
+    }
+    else if (record.key == platform::configuration_key && record.value)
+    {
+        take_configuration(record);
+    }
+}
+
+// What a whole list lacks has been taken back.
+void gateway::take_operator_list(
+    const std::map<std::string, platform::keyed_record>& records)
+{
+    for (const auto& service : m_state.servers.versions().ordered_services())
+    {
+        if (!records.contains(platform::rollout_key(service)))
+        {
+            m_state.servers.versions().drop_order(service);
+        }
+    }
+}
+
+void gateway::take_rollout(const service_name& service,
+                           const platform::keyed_record& record)
+{
+    auto& versions = m_state.servers.versions();
+    if (!record.value)
+    {
+        versions.drop_order(service);
         return;
     }
+    try
+    {
+        const auto order = platform::read_rollout(*record.value, record.offset);
+        if (versions.set_order(order))
+        {
+            log(events::rollout_ordered,
+                {{"service", order.service.value()},
+                 {"target", order.target.value()},
+                 {"duration_ms",
+                  std::to_string(absl::ToInt64Milliseconds(order.duration))},
+                 {"offset", std::to_string(record.offset.value())}});
+        }
+    }
+    catch (const json_error& error)
+    {
+        log(events::record_skipped,
+            {{"key", record.key},
+             {"offset", std::to_string(record.offset.value())},
+             {"error", error.what()}});
+    }
+}
+
+void gateway::take_configuration(const platform::keyed_record& record)
+{
     const auto known =
         m_state.routes ? m_state.routes->configuration().version : -1;
     try
@@ -284,6 +338,9 @@
     try
     {
         const auto entry = platform::read_server(record.key, *record.value);
+        m_state.servers.versions().note_server(entry.service, entry.version,
+                                               !m_state.has_servers,
+                                               gateway_state::now());
         if (m_state.servers.set(entry))
         {
             note_change(record, concat(entry.is_draining ? "draining" : "ready",
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -41,6 +41,11 @@
     awaitable<void> stop();
     void reload_settings();
     void take_operator_record(const platform::keyed_record& record);
+    void take_operator_list(
+        const std::map<std::string, platform::keyed_record>& records);
+    void take_configuration(const platform::keyed_record& record);
+    void take_rollout(const service_name& service,
+                      const platform::keyed_record& record);
     void take_server_record(const platform::keyed_record& record);
     void take_server_list(
         const std::map<std::string, platform::keyed_record>& records);
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -50,8 +50,12 @@
 
 absl::Time gateway_state::now()
 {
-    return absl::UnixEpoch() +
-           absl::FromChrono(monotonic::now().time_since_epoch());
+    return to_time(monotonic::now());
+}
+
+absl::Time gateway_state::to_time(monotonic::time_point at)
+{
+    return absl::UnixEpoch() + absl::FromChrono(at.time_since_epoch());
 }
 
 } // namespace daleshelf
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -48,6 +48,9 @@
     /// @return the monotonic clock, as the libraries take it
     [[nodiscard]] static absl::Time now();
 
+    /// @return a time of the monotonic clock, as the libraries take it
+    [[nodiscard]] static absl::Time to_time(monotonic::time_point at);
+
     /// @return the time of day, as all machines together believe it
     [[nodiscard]] absl::Time time_of_day() const
     {
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -117,6 +117,8 @@
     if (m_next == log_offset(end))
     {
         m_told_at = now;
+        // A reader that says so has asked the store within this time.
+        m_known_at = std::max(m_known_at, now - tail_wait - fresh_slack);
     }
     return false;
 }
@@ -193,6 +195,7 @@
     std::map<std::string, platform::keyed_record> listed;
     std::optional<log_offset> end;
     std::string after;
+    const auto asked_at = monotonic::now();
     while (true)
     {
         auto call = platform::list_call(m_topic, after);
@@ -233,6 +236,7 @@
         co_return false;
     }
     apply_list(listed, *end);
+    m_known_at = std::max(m_known_at, asked_at);
     // A host whose hall has readers waits for their word from now on.
     m_told_at = monotonic::now();
     co_return true;
@@ -290,6 +294,7 @@
             // A stale answer: what is known is newer.
             co_return false;
         }
+        m_known_at = std::max(m_known_at, m_asked_at);
     }
     catch (const json_error&)
     {
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -76,6 +76,12 @@
     /// @return whether a change would have been heard of by now
     [[nodiscard]] bool is_fresh() const;
 
+    /// @return a time as of which nothing of the topic is unknown here
+    [[nodiscard]] monotonic::time_point known_at() const
+    {
+        return m_known_at;
+    }
+
     /// @return whether the store has answered lately
     [[nodiscard]] bool is_reached() const;
 
@@ -112,6 +118,7 @@
     monotonic::time_point m_answered_at{};
     monotonic::time_point m_asked_at{};
     monotonic::time_point m_told_at{}; ///< by a peer that reads for others
+    monotonic::time_point m_known_at{};
     /// Since when something is missing of what they told.
     std::optional<monotonic::time_point> m_gap_since;
 };
--- a/tests/ingress/server_directory_test.cpp
+++ b/tests/ingress/server_directory_test.cpp
@@ -78,5 +78,26 @@
     EXPECT_FALSE(directory.set(make_entry(9)));
 }
 
+// Homes of prompts, choices and orders all go by what is usable.
+TEST(server_directory, the_target_of_a_roll_out_is_not_usable)
+{
+    server_directory directory;
+    auto target = make_entry(1);
+    target.id = upstream_id("b");
+    target.version = version_name("v2");
+    for (const auto& entry : {make_entry(1), target})
+    {
+        directory.versions().note_server(entry.service, entry.version, true,
+                                         absl::UnixEpoch());
+        directory.set(entry);
+    }
+    EXPECT_EQ(directory.usable(service_name("s")).size(), 2);
+    directory.versions().set_order({service_name("s"), version_name("v2"),
+                                    absl::Seconds(14), log_offset(3)});
+    const auto usable = directory.usable(service_name("s"));
+    ASSERT_EQ(usable.size(), 1);
+    EXPECT_EQ(usable.front()->id, upstream_id("a"));
+}
+
 } // namespace
 } // namespace daleshelf
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -133,6 +133,24 @@
         << "a route without a service";
 }
 
+TEST(configuration_format, reads_an_order_to_roll_out)
+{
+    const auto service = rollout_service("rollout/engines");
+    ASSERT_TRUE(service);
+    EXPECT_EQ(*service, service_name("engines"));
+    EXPECT_EQ(rollout_key(*service), "rollout/engines");
+    EXPECT_FALSE(rollout_service("config"));
+    const auto order = read_rollout(
+        R"({"service":"engines","targetVersion":"v2","durationS":12.5})",
+        log_offset(7));
+    EXPECT_EQ(order.service, service_name("engines"));
+    EXPECT_EQ(order.target, version_name("v2"));
+    EXPECT_EQ(order.duration, absl::Milliseconds(12500));
+    EXPECT_EQ(order.offset, log_offset(7));
+    EXPECT_THROW((void)read_rollout(R"({"service":"engines"})", log_offset(7)),
+                 json_error);
+}
+
 TEST(configuration_format, reads_servers)
 {
     const auto entry =
--- /dev/null
+++ b/tests/rollouts/version_gate_test.cpp
@@ -0,0 +1,126 @@
+#include <gtest/gtest.h>
+
+#include <rollouts/version_gate.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+const service_name engines("engines");
+const version_name old_version("v1");
+const version_name new_version("v2");
+
+absl::Time at(double second)
+{
+    return absl::UnixEpoch() + absl::Seconds(second);
+}
+
+rollout_order order_of(const version_name& target, std::int64_t offset)
+{
+    return {engines, target, absl::Seconds(14), log_offset(offset)};
+}
+
+class version_gate_test : public testing::Test
+{
+protected:
+    version_gate_test()
+    {
+        gate.note_server(engines, old_version, true, at(0));
+        gate.note_orders_known(at(1));
+    }
+
+    version_gate gate;
+};
+
+TEST_F(version_gate_test, the_target_of_an_order_gets_nothing)
+{
+    gate.set_order(order_of(new_version, 5));
+    gate.note_server(engines, new_version, false, at(10));
+    gate.note_orders_known(at(20));
+    EXPECT_FALSE(gate.allows(engines, new_version));
+    EXPECT_TRUE(gate.allows(engines, old_version));
+}
+
+// The list of servers may be read before the order that started them.
+TEST_F(version_gate_test, a_new_version_waits_until_its_order_would_be_known)
+{
+    gate.note_server(engines, new_version, false, at(10));
+    EXPECT_FALSE(gate.allows(engines, new_version));
+    gate.note_orders_known(at(9.9));
+    EXPECT_FALSE(gate.allows(engines, new_version));
+    gate.note_orders_known(at(10.1));
+    EXPECT_TRUE(gate.allows(engines, new_version));
+}
+
+TEST_F(version_gate_test, a_version_that_an_order_names_later_is_kept_back)
+{
+    gate.note_server(engines, new_version, false, at(10));
+    gate.note_orders_known(at(11));
+    gate.set_order(order_of(new_version, 5));
+    EXPECT_FALSE(gate.allows(engines, new_version));
+}
+
+TEST_F(version_gate_test, an_older_order_says_nothing_any_more)
+{
+    gate.note_server(engines, new_version, false, at(10));
+    EXPECT_TRUE(gate.set_order(order_of(old_version, 7)));
+    EXPECT_FALSE(gate.set_order(order_of(new_version, 5)));
+    gate.note_orders_known(at(11));
+    EXPECT_FALSE(gate.allows(engines, old_version));
+    EXPECT_TRUE(gate.allows(engines, new_version));
+}
+
+TEST_F(version_gate_test, a_completed_version_is_served_and_stays_so)
+{
+    gate.set_order(order_of(new_version, 5));
+    gate.note_server(engines, new_version, false, at(10));
+    const log_offset offset(5);
+    EXPECT_FALSE(
+        gate.set_phase(engines, log_offset(4), rollout_phase::completed));
+    EXPECT_TRUE(gate.set_phase(engines, offset, rollout_phase::completed));
+    EXPECT_FALSE(gate.set_phase(engines, offset, rollout_phase::rolled_back));
+    EXPECT_TRUE(gate.allows(engines, new_version));
+}
+
+TEST_F(version_gate_test, a_version_that_was_taken_back_gets_nothing)
+{
+    gate.set_order(order_of(new_version, 5));
+    gate.note_server(engines, new_version, false, at(10));
+    gate.set_phase(engines, log_offset(5), rollout_phase::rolled_back);
+    gate.note_orders_known(at(20));
+    EXPECT_FALSE(gate.allows(engines, new_version));
+}
+
+// An order for what serves already must not stop the service.
+TEST_F(version_gate_test, the_only_version_there_is_serves)
+{
+    gate.set_order(order_of(old_version, 5));
+    EXPECT_TRUE(gate.allows(engines, old_version));
+}
+
+// A host that starts meanwhile finds both versions in its first list.
+TEST(version_gate, a_host_that_starts_keeps_the_target_back)
+{
+    version_gate gate;
+    gate.note_server(engines, new_version, true, at(0));
+    gate.note_server(engines, old_version, true, at(0));
+    gate.set_order(order_of(new_version, 5));
+    EXPECT_FALSE(gate.allows(engines, new_version));
+    EXPECT_TRUE(gate.allows(engines, old_version));
+}
+
+TEST(version_gate, an_order_that_was_taken_back_keeps_nothing_back)
+{
+    version_gate gate;
+    gate.note_server(engines, old_version, true, at(0));
+    gate.set_order(order_of(new_version, 5));
+    gate.note_server(engines, new_version, false, at(10));
+    gate.note_orders_known(at(11));
+    EXPECT_TRUE(gate.drop_order(engines));
+    EXPECT_FALSE(gate.drop_order(engines));
+    EXPECT_TRUE(gate.allows(engines, new_version));
+}
+
+} // namespace
+} // namespace daleshelf
