peers: Ask the peer heard last for records that the store does not give

Cause: a host that the store turns away always asked the same peer that knew more (the first or last by name), also one that had died up to 32 s before: each try costs a second. Change: peer_table::source_of_news names the peer heard last, the configuration first; the walk leaves topic_sharing.

--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -8,6 +8,7 @@
 #include <absl/time/time.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,27 @@
     bool is_start = false; ///< first heard, or first since it started again
 };
 
+/// Records of the platform that hosts hand to one another.
+enum class shared_topic
+{
+    configuration,
+    servers,
+};
+
+/// How much a host knows of each topic.
+struct known_records
+{
+    std::int64_t configuration_version = 0;
+    log_offset servers_offset;
+};
+
+/// A peer that knows more of a topic.
+struct news_source
+{
+    shared_topic topic = shared_topic::configuration;
+    std::string address;
+};
+
 /// Keeps the newest state of each peer. See docs/design/platform.md.
 class peer_table
 {
@@ -84,6 +106,13 @@
     /// @return the readers of all halls, without this machine
     [[nodiscard]] std::vector<host_id> readers_elsewhere(absl::Time now) const;
 
+    /// @param own what this machine knows
+    /// @return whom to ask for what this machine lacks: of the peers in reach
+    /// that know more, the one heard last, of the configuration first; nothing
+    /// if none knows more
+    [[nodiscard]] std::optional<news_source>
+    source_of_news(const known_records& own, absl::Time now) const;
+
     /// @return when the store last answered a peer, as far as they have told
     [[nodiscard]] absl::Time store_answered_at() const;
 
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -202,34 +202,18 @@
 // Fetches what a peer has known for a while and the store has not told.
 void topic_sharing::fetch_news()
 {
-    const auto now = gateway_state::now();
-    std::string best_address;
-    std::string wanted;
-    for (const auto& [name, peer] : m_table.peers())
-    {
-        if (!m_table.is_in_reach(name, now))
-        {
-            continue;
-        }
-        if (peer.state.servers_offset > m_topics.servers.next())
-        {
-            best_address = peer.address;
-            wanted = platform::server_topic;
-        }
-        const auto own_version =
-            m_state.routes ? m_state.routes->configuration().version : 0;
-        if (peer.state.configuration_version > own_version)
-        {
-            best_address = peer.address;
-            wanted = platform::operator_topic;
-            break;
-        }
-    }
-    if (wanted.empty())
+    const known_records own{
+        m_state.routes ? m_state.routes->configuration().version : 0,
+        m_topics.servers.next()};
+    const auto source = m_table.source_of_news(own, gateway_state::now());
+    if (!source)
     {
         m_behind_since.clear();
         return;
     }
+    const std::string wanted(source->topic == shared_topic::configuration
+                                 ? platform::operator_topic
+                                 : platform::server_topic);
     const auto since =
         m_behind_since.try_emplace(wanted, monotonic::now()).first->second;
     if (m_is_fetching || monotonic::now() - since < patience)
@@ -240,8 +224,8 @@
     m_behind_since.erase(wanted);
     asio::co_spawn(
         m_state.context,
-        [this, best_address, wanted]
-        { return fetch_from(best_address, wanted); },
+        [this, address = source->address, wanted]
+        { return fetch_from(address, wanted); },
         asio::detached);
 }
 
