rollouts: Move a service's requests to another version, or take it back

Cause: an order to roll out was only kept from doing harm; good versions were not completed and bad ones not taken back. Ruled out: judging by each host alone (two answers of the target a host in 14 s); sums told in turn (9.3 s old at 295 hosts); moving as soon as the evidence suffices. Change: the holder of the duties tells all hosts each quarter second what share goes to the target, and asks for what both versions answered; hosts without its word send none. A cumulative likelihood test on each route condemns; all requests are moved as late as the users' bound asks for. States are appended on the topic's end.

--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -67,7 +67,7 @@
     const auto home = home_of(request);
     const server_entry* best = nullptr;
     auto best_cost = std::numeric_limits<double>::infinity();
-    for (const auto* server : m_directory.usable(request.service))
+    for (const auto* server : candidates(request))
     {
         if (request.excluded.contains(server->id))
         {
@@ -83,6 +83,17 @@
     return best;
 }
 
+std::vector<const server_entry*>
+server_choice::candidates(const choice_request& request) const
+{
+    if (!request.trial)
+    {
+        return m_directory.usable(request.service);
+    }
+    return m_directory.trial_servers(request.service, request.trial->version,
+                                     request.trial->share);
+}
+
 double server_choice::expected_first_ms(const server_entry& server,
                                         const choice_request& request) const
 {
@@ -312,7 +323,7 @@
     const auto& key = sharing_key(request.facts->prompt);
     upstream_id home;
     std::uint64_t best = 0;
-    for (const auto* server : m_directory.usable(request.service))
+    for (const auto* server : candidates(request))
     {
         const auto weight = rendezvous_weight(server->id, key);
         if (home.value().empty() || weight > best)
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -15,6 +15,7 @@
 
 #include <engines/engine_estimate.hpp>
 #include <optional>
+#include <rollouts/rollout_watch.hpp>
 
 namespace daleshelf
 {
@@ -42,7 +43,9 @@
     service_name service;
     bool is_engine = false;
     const request_facts* facts = nullptr;
-    engine_estimate engine;                    ///< of the service
+    engine_estimate engine; ///< of the service
+    /// The version that the request is tried with; none: those in use.
+    std::optional<picked_target> trial;
     absl::flat_hash_set<upstream_id> excluded; ///< tried before
     /// Where an attempt broke: the whole hall may be cut off.
     absl::flat_hash_set<hall_id> avoided_halls;
@@ -124,6 +127,8 @@
         absl::Time suspect_until = absl::InfinitePast();
     };
 
+    [[nodiscard]] std::vector<const server_entry*>
+    candidates(const choice_request& request) const;
     double cost_of(const server_entry& server, const choice_request& request,
                    const upstream_id& home, absl::Time now);
     [[nodiscard]] double engine_cost(const server_entry& server,
--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -1,6 +1,7 @@
 #include "server_directory.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daleshelf
 {
@@ -118,14 +119,14 @@
     return entry != nullptr && !entry->is_draining && !m_leaving.contains(id);
 }
 
+template <typename Wanted>
 std::vector<const server_entry*>
-server_directory::usable(const service_name& service) const
+server_directory::sorted_servers(Wanted is_wanted) const
 {
     std::vector<const server_entry*> result;
     for (const auto& [id, entry] : m_servers)
     {
-        if (entry.service == service && is_usable(id) &&
-            m_versions.allows(service, entry.version))
+        if (is_usable(id) && is_wanted(entry))
         {
             result.push_back(&entry);
         }
@@ -136,6 +137,29 @@
     return result;
 }
 
+std::vector<const server_entry*>
+server_directory::usable(const service_name& service) const
+{
+    return sorted_servers(
+        [&](const server_entry& entry)
+        {
+            return entry.service == service &&
+                   m_versions.allows(service, entry.version);
+        });
+}
+
+std::vector<const server_entry*>
+server_directory::trial_servers(const service_name& service,
+                                const version_name& version, double share) const
+{
+    auto servers = sorted_servers(
+        [&](const server_entry& entry)
+        { return entry.service == service && entry.version == version; });
+    const auto part = std::ceil(static_cast<double>(servers.size()) * share);
+    servers.resize(std::min(servers.size(), static_cast<std::size_t>(part)));
+    return servers;
+}
+
 std::vector<const server_entry*> server_directory::all() const
 {
     std::vector<const server_entry*> result;
--- a/libraries/ingress/server_directory.hpp
+++ b/libraries/ingress/server_directory.hpp
@@ -71,6 +71,13 @@
     [[nodiscard]] std::vector<const server_entry*>
     usable(const service_name& service) const;
 
+    /// @param share of the service's requests, that the version gets
+    /// @return so large a part of the version's servers, the same ones at each
+    /// host, that each of them is as busy as those of other versions
+    [[nodiscard]] std::vector<const server_entry*>
+    trial_servers(const service_name& service, const version_name& version,
+                  double share) const;
+
     /// @return every listed server
     [[nodiscard]] std::vector<const server_entry*> all() const;
 
@@ -94,6 +101,9 @@
     };
 
     [[nodiscard]] bool is_outdated(const server_entry& entry) const;
+    template <typename Wanted>
+    [[nodiscard]] std::vector<const server_entry*>
+    sorted_servers(Wanted is_wanted) const;
     void remember(const server_entry& entry);
 
     absl::flat_hash_map<upstream_id, departure> m_departed;
--- a/libraries/peers/datagram_format.hpp
+++ b/libraries/peers/datagram_format.hpp
@@ -10,10 +10,12 @@
 /// The formats that share one socket, by their number on the wire.
 enum class datagram_format : unsigned char
 {
-    none = 0,   ///< records of a topic, which carry no number
-    state = 1,  ///< `machine_state`
-    quota = 2,  ///< `quota_message`
-    counts = 3, ///< `window_counts`
+    none = 0,           ///< records of a topic, which carry no number
+    state = 1,          ///< `machine_state`
+    quota = 2,          ///< `quota_message`
+    counts = 3,         ///< `window_counts`
+    rollout_word = 4,   ///< of the holder of the duties
+    rollout_report = 5, ///< of a host
 };
 
 /// Tells formats apart by their first field, so that a datagram is decoded
@@ -32,6 +34,8 @@
     case datagram_format::state:
     case datagram_format::quota:
     case datagram_format::counts:
+    case datagram_format::rollout_word:
+    case datagram_format::rollout_report:
         return static_cast<datagram_format>(bytes[1]);
     case datagram_format::none:
         break;
--- a/libraries/rollouts/forward.hpp
+++ b/libraries/rollouts/forward.hpp
@@ -5,7 +5,19 @@
 namespace daleshelf
 {
 
+class rollout_plan;
+class rollout_watch;
+class time_histogram;
 class version_gate;
+class version_judge;
+struct answer_seen;
+struct answer_tally;
+struct judgement;
+struct rollout_bound;
 struct rollout_order;
+struct rollout_report;
+struct rollout_step;
+struct rollout_tallies;
+struct rollout_word;
 
 } // namespace daleshelf
--- a/libraries/rollouts/rollout_order.hpp
+++ b/libraries/rollouts/rollout_order.hpp
@@ -30,4 +30,14 @@
     rolled_back, ///< the target gets nothing any more
 };
 
+/// What is kept of an order in the log.
+struct rollout_status
+{
+    service_name service;
+    version_name target;
+    rollout_phase phase = rollout_phase::running;
+    log_offset order{-1};  ///< offset of the order; -1: not stated
+    absl::Time ordered_at; ///< time of day at which it was first read
+};
+
 } // namespace daleshelf
--- a/libraries/rollouts/version_gate.cpp
+++ b/libraries/rollouts/version_gate.cpp
@@ -5,6 +5,16 @@
 namespace daleshelf
 {
 
+namespace
+{
+
+// Servers that stop without a word are listed for three heartbeats, 3.6 s where
+// these come each 1.2 s; one that is listed anew later than this has been
+// started since.
+constexpr absl::Duration linger_time = absl::Seconds(10);
+
+} // namespace
+
 void version_gate::note_server(const service_name& service,
                                const version_name& version, bool is_first_list,
                                absl::Time now)
@@ -14,6 +24,11 @@
     const auto [at, is_new] = seen.try_emplace(version);
     if (!is_new)
     {
+        auto& replaced_at = at->second.replaced_at;
+        if (now - replaced_at > linger_time)
+        {
+            replaced_at = absl::InfiniteFuture();
+        }
         return;
     }
     at->second = {now, is_first_list || is_only_one || now < m_known_at};
@@ -52,7 +67,7 @@
 }
 
 bool version_gate::set_phase(const service_name& service, log_offset order,
-                             rollout_phase phase)
+                             rollout_phase phase, absl::Time now)
 {
     const auto at = m_orders.find(service);
     if (at == m_orders.end() || at->second.order.offset != order)
@@ -65,6 +80,17 @@
         return false;
     }
     known = phase;
+    if (phase != rollout_phase::completed)
+    {
+        return true;
+    }
+    for (auto& [version, seen] : m_versions[service])
+    {
+        if (version != at->second.order.target)
+        {
+            seen.replaced_at = now;
+        }
+    }
     return true;
 }
 
@@ -85,7 +111,12 @@
     }
     // 3. Any other, once no order can be behind it that is not known here.
     const auto known = seen->second.find(version);
-    return known == seen->second.end() || known->second.is_settled;
+    if (known == seen->second.end())
+    {
+        return true;
+    }
+    return known->second.is_settled &&
+           known->second.replaced_at == absl::InfiniteFuture();
 }
 
 const rollout_order* version_gate::order_of(const service_name& service) const
--- a/libraries/rollouts/version_gate.hpp
+++ b/libraries/rollouts/version_gate.hpp
@@ -40,11 +40,13 @@
     /// @return whether there was one
     bool drop_order(const service_name& service);
 
-    /// Sets how far a service's order has come. A final phase stays.
+    /// Sets how far a service's order has come. A final phase stays. Once the
+    /// order is completed, the servers of all other versions have stopped,
+    /// though they are still listed for a while.
     /// @param order the offset of the order that is meant
     /// @return whether that is news
     bool set_phase(const service_name& service, log_offset order,
-                   rollout_phase phase);
+                   rollout_phase phase, absl::Time now);
 
     /// @return whether servers of the version may get requests
     [[nodiscard]] bool allows(const service_name& service,
@@ -74,6 +76,7 @@
     {
         absl::Time first_at;
         bool is_settled = false;
+        absl::Time replaced_at = absl::InfiniteFuture();
     };
 
     using versions = absl::flat_hash_map<version_name, seen_version>;
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -91,6 +91,15 @@
     210, log_severity::info, "rollout_ordered",
     "The operator has ordered a service's move to another version; servers of "
     "it get nothing by the common choice until that is judged."};
+inline constexpr log_event rollout_step{
+    211, log_severity::info, "rollout_step",
+    "The holder of the duties lets hosts send another share of requests to the "
+    "target of a roll-out, or ends it; the fields give what was seen, and "
+    "why."};
+inline constexpr log_event rollout_written{
+    212, log_severity::info, "rollout_written",
+    "How a roll-out stands was to be written to the log; the outcome says "
+    "whether it was."};
 inline constexpr log_event peer_version_unknown{
     301, log_severity::error, "peer_version_unknown",
     "A peer speaks another version of the protocol; it is not heard."};
--- a/meta/generate.sh
+++ b/meta/generate.sh
@@ -5,3 +5,4 @@
 (cd protocol && protoc --cpp_out=generated peer.proto)
 (cd peers && protoc --cpp_out=generated machine.proto)
 (cd quotas && protoc --cpp_out=generated quota.proto)
+(cd rollouts && protoc --cpp_out=generated rollout.proto)
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <base/text.hpp>
 #include <platform/configuration_format.hpp>
 #include <platform/request_format.hpp>
+#include <platform/rollout_format.hpp>
 #include <settings/settings_document.hpp>
 #include <telemetry/log.hpp>
 
@@ -49,6 +50,7 @@
     , m_peers(m_state, {m_configuration, m_servers})
     , m_duties(m_state, m_peers)
     , m_scaling(m_state, m_peers, m_duties)
+    , m_rollouts(m_state, m_peers, m_duties)
     , m_clients(open_acceptor(context, m_state.settings.clients_address))
     , m_readiness(context, m_state.settings.readiness_address,
                   [this](const std::string&) { return answer_readiness(); })
@@ -101,6 +103,7 @@
     m_peers.start();
     m_duties.start();
     m_scaling.start();
+    m_rollouts.start();
     log(events::process_started,
         {{"host", m_state.self.value()},
          {"hall", m_state.hall.value()},
@@ -428,6 +431,19 @@
               static_cast<double>(m_state.requests_in_flight));
     meter.set("server_connections_made", "Connections opened to servers.",
               static_cast<double>(m_state.pool.connections_made()));
+    double rollout_share = 0;
+    int rollouts_running = 0;
+    for (const auto& service : m_state.servers.versions().ordered_services())
+    {
+        const auto phase = m_state.servers.versions().phase_of(service);
+        rollouts_running += phase == rollout_phase::running ? 1 : 0;
+        rollout_share =
+            std::max(rollout_share, m_state.rollouts.share_of(service, now));
+    }
+    meter.set("rollouts_running", "Orders to roll out that have not ended.",
+              rollouts_running);
+    meter.set("rollout_share", "Of requests, that go to the target of one.",
+              rollout_share);
     meter.set("holds_duties", "1 while this host holds the duties.",
               m_duties.token() ? 1 : 0);
 }
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "duty_service.hpp"
 #include "gateway_state.hpp"
 #include "peer_exchange.hpp"
+#include "rollout_service.hpp"
 #include "scale_service.hpp"
 #include "small_server.hpp"
 #include "topic_follower.hpp"
@@ -65,6 +66,7 @@
     peer_exchange m_peers;
     duty_service m_duties;
     scale_service m_scaling;
+    rollout_service m_rollouts;
     asio::ip::tcp::acceptor m_clients;
     small_server m_readiness;
     std::unique_ptr<small_server> m_metrics;
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -67,6 +67,12 @@
          "length of a window of the usage report", optional, time},
         {"usage.late_ms", &settings::usage_late,
          "how long after its end a window is due", optional, time},
+        {"rollouts.share", &settings::rollout_share,
+         "part of a service's requests that a version may get before it is "
+         "known to be good",
+         optional, part},
+        {"rollouts.slack", &settings::rollout_slack,
+         "requests that such a version may get besides", optional, retries},
         {"policy.routes_by_prompt", &settings::routes_by_prompt,
          "prefer servers that have read parts of a prompt"},
         {"policy.counts_peers", &settings::counts_peers,
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -33,6 +33,8 @@
     double quota_slack = 0;
     std::chrono::milliseconds usage_window{5000};
     std::chrono::milliseconds usage_late{10000};
+    double rollout_share = 0.1;
+    double rollout_slack = 0;
 };
 
 /// @return every key that the gateway knows
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -18,6 +18,7 @@
 #include <ingress/server_directory.hpp>
 #include <memory>
 #include <peers/time_estimate.hpp>
+#include <rollouts/rollout_watch.hpp>
 #include <scaling/prompt_samples.hpp>
 #include <telemetry/metrics.hpp>
 
@@ -73,6 +74,7 @@
     time_estimate clock;
     std::shared_ptr<const route_table> routes; ///< null until one is known
     server_directory servers;
+    rollout_watch rollouts;
     server_choice choice;
     connection_pool pool;
     quota_service quota;
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -127,6 +127,14 @@
     }
 }
 
+void peer_exchange::tell_all(const std::string& bytes)
+{
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        send_datagram(udp_endpoint(peer.address), bytes);
+    }
+}
+
 std::vector<host_id> peer_exchange::machines(bool is_in_reach) const
 {
     const auto now = gateway_state::now();
@@ -292,6 +300,17 @@
     case datagram_format::counts:
         receive_counts(bytes, sender);
         return;
+    case datagram_format::rollout_word:
+    case datagram_format::rollout_report:
+        if (m_on_rollout)
+        {
+            const auto reply = m_on_rollout(bytes);
+            if (!reply.empty())
+            {
+                send_datagram(sender, reply);
+            }
+        }
+        return;
     case datagram_format::none:
         if (const auto read = decode_shared_records(bytes))
         {
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -69,6 +69,16 @@
         m_on_counts_told = std::move(told);
     }
 
+    /// Sends a datagram to every peer.
+    void tell_all(const std::string& bytes);
+
+    /// Sets who takes words and reports of roll-outs.
+    /// @param take returns the bytes of an answer to the sender, or none
+    void set_rollout_listener(std::function<std::string(std::string_view)> take)
+    {
+        m_on_rollout = std::move(take);
+    }
+
     /// @return machines that may be asked; those in reach alone, or all
     [[nodiscard]] std::vector<host_id> machines(bool is_in_reach) const;
 
@@ -104,6 +114,7 @@
     small_server m_server;
     topic_sharing m_sharing;
     std::function<void(std::int64_t, const host_id&)> m_on_counts_told;
+    std::function<std::string(std::string_view)> m_on_rollout;
     duty_state m_duty;
     /// Peers heard first since the last tick.
     name_batch m_joined{most_joined_named};
--- a/services/gateway/request_engines.cpp
+++ b/services/gateway/request_engines.cpp
@@ -1,6 +1,7 @@
 // What a request's flow tells of engines, and expects of them.
 #include "request_flow.hpp"
 
+#include <algorithm>
 #include <base/http_status.hpp>
 
 namespace daleshelf
@@ -37,6 +38,59 @@
     return expected - m_route->objective;
 }
 
+// A few first attempts are tried with the version that the service may move to;
+// one that cannot be goes the usual way.
+// @param wanted its version is set if the request is tried with that
+const server_entry* request_flow::choose_server(choice_request& wanted)
+{
+    const auto now = gateway_state::now();
+    if (m_tried.empty())
+    {
+        wanted.trial = m_state.rollouts.pick_target(m_service->name, now);
+    }
+    const auto* server = m_state.choice.choose(wanted, now);
+    const bool is_tried_in_vain =
+        wanted.trial && (server == nullptr || hopeless_for(*server, wanted));
+    if (!is_tried_in_vain)
+    {
+        return server;
+    }
+    wanted.trial.reset();
+    return m_state.choice.choose(wanted, now);
+}
+
+// What the head's time, which is that of the first event, shows of a version.
+void request_flow::note_first(const response_head& head,
+                              monotonic::duration time)
+{
+    constexpr double percent = 100;
+    if (m_service->is_engine && head.status < http_status::bad_request)
+    {
+        m_seen.first =
+            to_ms(time) / std::max(1.0, m_expected_first_ms) * percent;
+    }
+}
+
+// What an attempt that has reached a server shows of its version.
+void request_flow::note_version(const server_entry& server, attempt_end end,
+                                monotonic::duration time)
+{
+    const bool is_answer =
+        end == attempt_end::answered || end == attempt_end::server_error ||
+        end == attempt_end::broken || end == attempt_end::late;
+    if (!is_answer)
+    {
+        return;
+    }
+    m_seen.is_failure = m_seen.is_failure || end != attempt_end::answered;
+    if (!m_service->is_engine)
+    {
+        m_seen.first = to_ms(time);
+    }
+    m_state.rollouts.note_answer(server.service, server.version, m_route->name,
+                                 m_seen);
+}
+
 // What the request asks of the service's engines, for whoever orders servers.
 void request_flow::count_work()
 {
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -155,8 +155,7 @@
         wanted.engine = m_state.engines.of(m_service->name).joint();
         wanted.excluded = m_tried;
         wanted.avoided_halls = m_broken_halls;
-        const auto* server =
-            m_state.choice.choose(wanted, gateway_state::now());
+        const auto* server = choose_server(wanted);
         if (server == nullptr)
         {
             co_await give_up(attempt_end::not_run);
@@ -203,7 +202,9 @@
     sent.deadline = m_deadline;
     server_exchange exchange(m_state.pool, std::move(sent));
     m_exchange = &exchange;
+    m_expected_first_ms = m_state.choice.expected_first_ms(server, wanted);
     m_work = m_state.choice.start(server.id, wanted, m_service->cache_tokens);
+    m_seen = {};
     count_work();
     const auto sent_at = monotonic::now();
     auto end = attempt_end::abandoned;
@@ -216,6 +217,7 @@
     if (exchange.known_verdict() != verdict::not_run)
     {
         ++m_attempts;
+        m_state.rollouts.note_sent(server.service, server.version);
     }
     auto outcome = attempt_outcome::answered;
     if (m_is_cancelled)
@@ -245,6 +247,7 @@
     {
         m_may_have_run = true;
         learn_reading(server, exchange.head(), monotonic::now() - sent_at);
+        note_first(exchange.head(), monotonic::now() - sent_at);
         end = co_await relay(exchange);
         if (end == attempt_end::broken)
         {
@@ -253,8 +256,10 @@
         else if (exchange.head().status >= http_status::first_server_error)
         {
             outcome = attempt_outcome::failed;
+            m_seen.is_failure = true;
         }
     }
+    note_version(server, end, monotonic::now() - sent_at);
     exchange.cancel();
     m_exchange = nullptr;
     m_state.choice.end(server.id);
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -87,6 +87,10 @@
     void learn_reading(const server_entry& server, const response_head& head,
                        monotonic::duration time);
     void learn_generating(std::int64_t events, monotonic::duration time);
+    const server_entry* choose_server(choice_request& wanted);
+    void note_first(const response_head& head, monotonic::duration time);
+    void note_version(const server_entry& server, attempt_end end,
+                      monotonic::duration time);
     void count_begun();
     void log_attempt(const server_entry& server, attempt_end end) const;
     void log_end(std::string_view outcome);
@@ -107,8 +111,10 @@
     std::string m_server_hall;
     bool m_is_cancelled = false;
     bool m_may_have_run = false;
-    int m_attempts = 0;   ///< that have reached a server
-    expected_work m_work; ///< of the last attempt
+    int m_attempts = 0;             ///< that have reached a server
+    expected_work m_work;           ///< of the last attempt
+    double m_expected_first_ms = 0; ///< of the last attempt, at an engine
+    answer_seen m_seen;             ///< of the last attempt
     int m_failed_connects = 0;
     absl::flat_hash_set<upstream_id> m_tried;
     absl::flat_hash_set<hall_id> m_broken_halls;
--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -16,6 +16,11 @@
 // A longer answer is passed on before it is whole.
 constexpr std::size_t most_buffered = 262144;
 
+double to_ms(monotonic::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 bool is_event_stream(const response_head& head)
 {
     const auto* type = head.fields.find("Content-Type");
@@ -145,8 +150,13 @@
         {
             co_return attempt_end::broken;
         }
-        learn_generating(m_last_event.value_or(0) - before,
-                         monotonic::now() - first_at);
+        const auto events = m_last_event.value_or(0) - before;
+        const auto time = monotonic::now() - first_at;
+        learn_generating(events, time);
+        if (events > 1)
+        {
+            m_seen.gap_ms = to_ms(time) / static_cast<double>(events - 1);
+        }
         const bool is_sent = co_await m_answer.finish();
         co_return is_sent ? attempt_end::answered : attempt_end::abandoned;
     }
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -4,6 +4,7 @@
 #include <platform/configuration_format.hpp>
 #include <platform/duty_calls.hpp>
 #include <platform/request_format.hpp>
+#include <platform/rollout_format.hpp>
 #include <platform/store_calls.hpp>
 
 namespace daleshelf::platform
@@ -133,7 +134,7 @@
         << "a route without a service";
 }
 
-TEST(configuration_format, reads_an_order_to_roll_out)
+TEST(rollout_format, reads_an_order)
 {
     const auto service = rollout_service("rollout/engines");
     ASSERT_TRUE(service);
@@ -151,6 +152,26 @@
                  json_error);
 }
 
+TEST(rollout_format, a_status_comes_back_as_it_was_written)
+{
+    rollout_status status;
+    status.service = service_name("engines");
+    status.target = version_name("v2");
+    status.phase = rollout_phase::rolled_back;
+    status.order = log_offset(7);
+    status.ordered_at = absl::FromUnixMillis(1234567);
+    const auto text = write_rollout_status(status);
+    EXPECT_NE(text.find(R"("state":"rolled_back")"), std::string::npos);
+    const auto read = read_rollout_status(status.service, text);
+    EXPECT_EQ(read.target, status.target);
+    EXPECT_EQ(read.phase, status.phase);
+    EXPECT_EQ(read.order, status.order);
+    EXPECT_EQ(read.ordered_at, status.ordered_at);
+    EXPECT_THROW(
+        (void)read_rollout_status(status.service, R"({"state":"gone"})"),
+        json_error);
+}
+
 TEST(configuration_format, reads_servers)
 {
     const auto entry =
--- a/tests/rollouts/version_gate_test.cpp
+++ b/tests/rollouts/version_gate_test.cpp
@@ -76,18 +76,33 @@
     gate.set_order(order_of(new_version, 5));
     gate.note_server(engines, new_version, false, at(10));
     const log_offset offset(5);
+    EXPECT_FALSE(gate.set_phase(engines, log_offset(4),
+                                rollout_phase::completed, at(12)));
+    EXPECT_TRUE(
+        gate.set_phase(engines, offset, rollout_phase::completed, at(12)));
     EXPECT_FALSE(
-        gate.set_phase(engines, log_offset(4), rollout_phase::completed));
-    EXPECT_TRUE(gate.set_phase(engines, offset, rollout_phase::completed));
-    EXPECT_FALSE(gate.set_phase(engines, offset, rollout_phase::rolled_back));
+        gate.set_phase(engines, offset, rollout_phase::rolled_back, at(12)));
     EXPECT_TRUE(gate.allows(engines, new_version));
 }
 
+// Old servers stop without a word and are listed on for some seconds.
+TEST_F(version_gate_test, a_replaced_version_gets_nothing_until_started_anew)
+{
+    gate.set_order(order_of(new_version, 5));
+    gate.note_server(engines, new_version, false, at(10));
+    gate.set_phase(engines, log_offset(5), rollout_phase::completed, at(12));
+    EXPECT_FALSE(gate.allows(engines, old_version));
+    gate.note_server(engines, old_version, false, at(14));
+    EXPECT_FALSE(gate.allows(engines, old_version));
+    gate.note_server(engines, old_version, false, at(40));
+    EXPECT_TRUE(gate.allows(engines, old_version));
+}
+
 TEST_F(version_gate_test, a_version_that_was_taken_back_gets_nothing)
 {
     gate.set_order(order_of(new_version, 5));
     gate.note_server(engines, new_version, false, at(10));
-    gate.set_phase(engines, log_offset(5), rollout_phase::rolled_back);
+    gate.set_phase(engines, log_offset(5), rollout_phase::rolled_back, at(12));
     gate.note_orders_known(at(20));
     EXPECT_FALSE(gate.allows(engines, new_version));
 }
