--- a/libraries/rollouts/rollout_plan.cpp
+++ b/libraries/rollouts/rollout_plan.cpp
@@ -22,7 +22,7 @@
 constexpr absl::Duration move_time = absl::Milliseconds(250);
 // What is kept for the move at the least: its time, a quarter second until it
 // is looked for, and the way of the last word.
-constexpr double kept_seconds = 0.75;
+constexpr double kept_seconds = 0.9;
 // A version is tried with this part of the requests at the least, though an
 // order of a few seconds may then be completed late.
 constexpr double least_trial = 0.02;
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -94,14 +94,15 @@
         const auto need = need_of(service);
         const auto plan =
             plan_servers(service.scaling, need, spot_limit, options);
+        auto removes = removal_for(service.name, need);
         for (const auto& [hall, target] : plan)
         {
             // Spot first: they come while the others still serve.
             const order_wanted spot{{service.name, hall, true}, target.spot};
-            co_await order(service, need, spot);
+            co_await order(service, need, removes, spot);
             const order_wanted on_demand{{service.name, hall, false},
                                          target.on_demand};
-            co_await order(service, need, on_demand);
+            co_await order(service, need, removes, on_demand);
         }
     }
 }
@@ -109,11 +110,11 @@
 // @param service as the plan was made for it; a newer configuration may come
 // while an order is on its way
 awaitable<void> scale_service::order(const ingress_service& service,
-                                     const server_need& need,
+                                     const server_need& need, removal& removes,
                                      const order_wanted& wanted)
 {
     const auto& subject = wanted.subject;
-    const auto count = wanted.count;
+    auto count = wanted.count;
     const auto [entry, is_new] = m_orders.try_emplace(subject);
     auto& known = entry->second;
     const auto now = gateway_state::now();
@@ -130,6 +131,14 @@
     {
         co_return;
     }
+    if (count < known.count)
+    {
+        count = removes.leave(staying_servers(subject), count);
+        if (count >= known.count)
+        {
+            co_return;
+        }
+    }
     auto call = platform::scale_call(
         {subject.service, subject.hall, count, subject.is_spot});
     const auto answer = co_await m_duties.call(m_platform, std::move(call));
@@ -211,6 +220,28 @@
     return present_servers(subject) < known.count;
 }
 
+// Servers that are there, without those whose order was lowered already.
+int scale_service::staying_servers(const order_subject& subject) const
+{
+    const auto present = present_servers(subject);
+    const auto known = m_orders.find(subject);
+    const bool is_ordered = known != m_orders.end() && known->second.count >= 0;
+    return is_ordered ? std::min(present, known->second.count) : present;
+}
+
+removal scale_service::removal_for(const service_name& service,
+                                   const server_need& need) const
+{
+    int staying = 0;
+    for (const auto& [hall, price] :
+         m_state.routes->find_service(service)->scaling.hall_prices)
+    {
+        staying += staying_servers({service, hall, true}) +
+                   staying_servers({service, hall, false});
+    }
+    return {staying, need.usual};
+}
+
 int scale_service::present_servers(const order_subject& subject) const
 {
     int present = 0;
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -11,6 +11,7 @@
 #include <scaling/demand_meter.hpp>
 #include <scaling/first_order.hpp>
 #include <scaling/initial_fleet.hpp>
+#include <scaling/removal.hpp>
 #include <scaling/scale_planner.hpp>
 
 namespace daleshelf
@@ -73,7 +74,11 @@
     awaitable<void> run();
     awaitable<void> order_all();
     awaitable<void> order(const ingress_service& service,
-                          const server_need& need, const order_wanted& wanted);
+                          const server_need& need, removal& removes,
+                          const order_wanted& wanted);
+    [[nodiscard]] removal removal_for(const service_name& service,
+                                      const server_need& need) const;
+    [[nodiscard]] int staying_servers(const order_subject& subject) const;
     [[nodiscard]] bool is_due(order_state& known, int count,
                               absl::Time now) const;
     [[nodiscard]] bool has_lost_servers(const order_subject& subject,
--- a/tests/scaling/scaling_test.cpp
+++ b/tests/scaling/scaling_test.cpp
@@ -6,6 +6,7 @@
 #include <scaling/demand_meter.hpp>
 #include <scaling/first_order.hpp>
 #include <scaling/initial_fleet.hpp>
+#include <scaling/removal.hpp>
 #include <scaling/scale_planner.hpp>
 
 namespace daleshelf
@@ -404,5 +405,32 @@
     EXPECT_FALSE(fleet.has_settled(absl::UnixEpoch() + absl::Hours(1)));
 }
 
+// The load has fallen and spot servers are to be had again: 110 servers on
+// demand are to make room for 118 that have only been ordered.
+TEST(removal, servers_stay_until_others_have_come)
+{
+    removal before(110, 110);
+    EXPECT_EQ(before.leave(37, 1), 37);
+    EXPECT_EQ(before.leave(37, 0), 37);
+    removal halfway(110 + 40, 110);
+    EXPECT_EQ(halfway.leave(37, 1), 1);
+    EXPECT_EQ(halfway.leave(37, 1), 33);
+    EXPECT_EQ(halfway.leave(36, 0), 36);
+}
+
+TEST(removal, what_is_beyond_the_need_goes_at_once)
+{
+    removal fallen(110, 30);
+    EXPECT_EQ(fallen.leave(37, 1), 1);
+    EXPECT_EQ(fallen.leave(37, 1), 1);
+    EXPECT_EQ(fallen.leave(36, 0), 28);
+}
+
+TEST(removal, more_than_is_there_may_be_planned)
+{
+    removal short_of(20, 30);
+    EXPECT_EQ(short_of.leave(5, 12), 12);
+}
+
 } // namespace
 } // namespace daleshelf
