gateway: List topics of the store by one function

Cause: the same loop over the pages of a list stood three times. Change: list_topic gives the newest records and the first page's end; the list of hosts, the followed topics and the roll-outs' states use it.

--- a/services/gateway/host_list.cpp
+++ b/services/gateway/host_list.cpp
@@ -1,5 +1,7 @@
 #include "host_list.hpp"
 
+#include "topic_list.hpp"
+
 #include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <base/text.hpp>
@@ -88,38 +90,19 @@
 // @return whether this host is in the list; nothing if it was not read
 awaitable<std::optional<bool>> host_list::list_hosts(http_caller& caller)
 {
-    std::string after;
+    const auto listed = co_await list_topic(
+        caller, std::string(platform::machine_topic), store_time);
+    if (!listed)
+    {
+        co_return std::nullopt;
+    }
     bool is_listed = false;
-    while (true)
+    for (const auto& record : listed->records)
     {
-        auto list = platform::list_call(platform::machine_topic, after);
-        const auto answer = co_await caller.call(std::move(list), store_time);
-        if (!answer || answer->status != http_status::ok)
-        {
-            co_return std::nullopt;
-        }
-        try
-        {
-            const auto page = platform::read_newest(answer->body);
-            for (const auto& record : page.records)
-            {
-                is_listed = is_listed || record.key == m_state.self.value();
-                add_listed(record);
-            }
-            if (!page.has_more)
-            {
-                co_return is_listed;
-            }
-            after = page.last_key;
-        }
-        catch (const json_error& error)
-        {
-            log(events::record_skipped,
-                {{"topic", std::string(platform::machine_topic)},
-                 {"error", error.what()}});
-            co_return std::nullopt;
-        }
+        is_listed = is_listed || record.key == m_state.self.value();
+        add_listed(record);
     }
+    co_return is_listed;
 }
 
 // A record's value is the host's address, a blank and its hall.
--- a/services/gateway/rollout_service.cpp
+++ b/services/gateway/rollout_service.cpp
@@ -1,5 +1,7 @@
 #include "rollout_service.hpp"
 
+#include "topic_list.hpp"
+
 #include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <base/text.hpp>
@@ -218,39 +220,17 @@
 
 awaitable<bool> rollout_service::read_statuses()
 {
-    std::optional<log_offset> end;
-    std::string after;
-    while (true)
+    const auto listed = co_await list_topic(
+        m_store, std::string(platform::status_topic), store_time);
+    if (!listed)
     {
-        auto call = platform::list_call(platform::status_topic, after);
-        const auto answer = co_await m_store.call(std::move(call), store_time);
-        if (!answer || answer->status != http_status::ok)
-        {
-            co_return false;
-        }
-        try
-        {
-            const auto page = platform::read_newest(answer->body);
-            end = end.value_or(page.end);
-            for (const auto& record : page.records)
-            {
-                take_status(record);
-            }
-            if (!page.has_more)
-            {
-                break;
-            }
-            after = page.last_key;
-        }
-        catch (const json_error& error)
-        {
-            log(events::record_skipped,
-                {{"topic", std::string(platform::status_topic)},
-                 {"error", error.what()}});
-            co_return false;
-        }
+        co_return false;
+    }
+    for (const auto& record : listed->records)
+    {
+        take_status(record);
     }
-    m_status_end = end;
+    m_status_end = listed->end;
     co_return true;
 }
 
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -1,5 +1,7 @@
 #include "topic_follower.hpp"
 
+#include "topic_list.hpp"
+
 #include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <telemetry/log.hpp>
@@ -192,50 +194,24 @@
 
 awaitable<bool> topic_follower::list()
 {
-    std::map<std::string, platform::keyed_record> listed;
-    std::optional<log_offset> end;
-    std::string after;
     const auto asked_at = monotonic::now();
-    while (true)
+    auto read = co_await list_topic(m_caller, m_topic, answer_time);
+    if (!read)
     {
-        auto call = platform::list_call(m_topic, after);
-        const auto answer =
-            co_await m_caller.call(std::move(call), answer_time);
-        if (!answer || answer->status != http_status::ok)
-        {
-            co_return false;
-        }
-        try
-        {
-            auto page = platform::read_newest(answer->body);
-            if (!end)
-            {
-                // The pages are no snapshot: what changes between them comes
-                // with the tail from the first page's end on.
-                end = page.end;
-            }
-            for (auto& record : page.records)
-            {
-                const auto key = record.key;
-                listed[key] = std::move(record);
-            }
-            if (!page.has_more)
-            {
-                break;
-            }
-            after = page.last_key;
-        }
-        catch (const json_error&)
-        {
-            co_return false;
-        }
+        co_return false;
+    }
+    std::map<std::string, platform::keyed_record> listed;
+    for (auto& record : read->records)
+    {
+        const auto key = record.key;
+        listed[key] = std::move(record);
     }
-    if (*end < m_next)
+    if (read->end < m_next)
     {
         // A stale read: what is known is newer.
         co_return false;
     }
-    apply_list(listed, *end);
+    apply_list(listed, read->end);
     m_known_at = std::max(m_known_at, asked_at);
     // A host whose hall has readers waits for their word from now on.
     m_told_at = monotonic::now();
