--- a/tests/rollouts/rollout_watch_test.cpp
+++ b/tests/rollouts/rollout_watch_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <peers/datagram_format.hpp>
 #include <rollouts/rollout_watch.hpp>
 
 namespace daleshelf
@@ -149,6 +150,15 @@
     EXPECT_EQ(heard->sequence, word.sequence);
 }
 
+// They share a socket with the other datagrams between hosts.
+TEST(rollout_message, is_told_by_its_first_bytes)
+{
+    EXPECT_EQ(format_of(encode(word_of(0.5, 1))),
+              datagram_format::rollout_word);
+    EXPECT_EQ(format_of(encode(rollout_report{})),
+              datagram_format::rollout_report);
+}
+
 TEST(rollout_message, bytes_that_are_no_message_are_left)
 {
     EXPECT_FALSE(decode_rollout_word("x"));
