--- a/services/gateway/rollout_service.cpp
+++ b/services/gateway/rollout_service.cpp
@@ -4,7 +4,6 @@
 
 #include <base/http_status.hpp>
 #include <base/json.hpp>
-#include <base/text.hpp>
 #include <peers/datagram_format.hpp>
 #include <platform/rollout_format.hpp>
 #include <telemetry/log.hpp>
@@ -363,15 +362,15 @@
     }
 }
 
-// One line a step.
+// One line a step; the share goes with what was seen, a little each time.
 void rollout_service::log_step(led_order& led, const rollout_step& step)
 {
-    const auto summary = concat(step.reason, " ", std::to_string(step.share));
-    if (summary == led.reason)
+    const bool is_told = step.reason == led.reason && !step.end;
+    if (is_told)
     {
         return;
     }
-    led.reason = summary;
+    led.reason = step.reason;
     const auto seen = led.plan.seen();
     const auto found = led.plan.judge().verdict();
     log(events::rollout_step,
--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -70,5 +70,21 @@
     EXPECT_TRUE(explain_request("x", read(example)).events.empty());
 }
 
+TEST(explain, tells_a_roll_out_step_by_step)
+{
+    const auto story = explain_rollout(
+        "engines",
+        read(
+            R"({"time":"1","name":"rollout_ordered","service":"engines","offset":"5"}
+{"time":"2","name":"rollout_ordered","service":"engines","offset":"5"}
+{"time":"2","name":"rollout_step","service":"other","reason":"x"}
+{"time":"3","name":"rollout_step","service":"engines","reason":"failures on all routes"}
+{"time":"4","name":"rollout_written","service":"engines","state":"rolled_back","outcome":"written"})"));
+    ASSERT_EQ(story.events.size(), 3);
+    EXPECT_EQ(story.events.front().name, "rollout_ordered");
+    EXPECT_EQ(story.cause, "rolled_back (written): failures on all routes");
+    EXPECT_TRUE(explain_rollout("nobody", read("")).events.empty());
+}
+
 } // namespace
 } // namespace daleshelf
--- a/utilities/daleshelf/explain.cpp
+++ b/utilities/daleshelf/explain.cpp
@@ -44,6 +44,7 @@
         {"unknown_service", "refused: the route's service is not declared"},
         {"no_request_id", "rejected: it did not carry exactly one id"},
         {"quota", "refused: its tenant was beyond its quota"},
+        {"too_late", "refused: it was expected to begin after its deadline"},
         {"stopping", "refused: this machine was about to stop"},
         {"servers_full",
          "refused: no server would take it; those asked stated so, or none "
@@ -209,4 +210,42 @@
     return story;
 }
 
+request_story explain_rollout(const std::string& service,
+                              const std::vector<logged_event>& log)
+{
+    request_story story;
+    std::set<std::string> ordered;
+    auto sorted = log;
+    std::stable_sort(sorted.begin(), sorted.end(), is_before);
+    for (const auto& event : sorted)
+    {
+        if (text_of(event.fields, "service") != service)
+        {
+            continue;
+        }
+        // Each machine hears of the order; one of them is enough.
+        const bool is_order =
+            event.name == "rollout_ordered" &&
+            ordered.insert(text_of(event.fields, "offset")).second;
+        const bool is_step =
+            event.name == "rollout_step" || event.name == "rollout_written";
+        if (!is_order && !is_step)
+        {
+            continue;
+        }
+        story.events.push_back(event);
+        if (event.name == "rollout_written")
+        {
+            story.cause = text_of(event.fields, "state") + " (" +
+                          text_of(event.fields, "outcome") + ")" +
+                          (story.cause.empty() ? "" : ": " + story.cause);
+        }
+        else if (is_step)
+        {
+            story.cause = text_of(event.fields, "reason");
+        }
+    }
+    return story;
+}
+
 } // namespace daleshelf
--- a/utilities/daleshelf/explain.hpp
+++ b/utilities/daleshelf/explain.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Tells the story of one request from the processes' logs.
+/// Tells the story of one request, or of a roll-out, from the processes' logs.
 #pragma once
 
 #include <boost/json.hpp>
@@ -21,7 +21,7 @@
     boost::json::object fields;
 };
 
-/// The story of one request.
+/// The story of one request or roll-out.
 struct request_story
 {
     std::vector<logged_event> events; ///< in order
@@ -42,4 +42,13 @@
 [[nodiscard]] request_story
 explain_request(const std::string& id, const std::vector<logged_event>& log);
 
+/// @param service whose roll-outs are meant
+/// @param log events of any number of machines
+/// @return the order as its holder carried it out, step by step, with the
+/// reason of the last step; the order itself as the first machine has heard of
+/// it
+[[nodiscard]] request_story
+explain_rollout(const std::string& service,
+                const std::vector<logged_event>& log);
+
 } // namespace daleshelf
--- a/utilities/daleshelf/verbs.cpp
+++ b/utilities/daleshelf/verbs.cpp
@@ -383,7 +383,9 @@
     std::cout << shown.to_string() << "\ncause: " << story.cause << "\n";
 }
 
-exit_code explain(const verb_call& call)
+// The logs that the arguments after the first name; without any, what comes in.
+// @return nothing if one cannot be read
+std::optional<std::vector<logged_event>> read_logs(const verb_call& call)
 {
     std::vector<logged_event> log;
     for (std::size_t index = 1; index < call.arguments.size(); ++index)
@@ -393,7 +395,7 @@
         if (!file)
         {
             std::cerr << "daleshelf: " << path << " cannot be read\n";
-            return exit_code::usage;
+            return std::nullopt;
         }
         read_log(file, path, log);
     }
@@ -401,8 +403,37 @@
     {
         read_log(std::cin, "-", log);
     }
+    return log;
+}
+
+// @param key under which the subject of the story is shown
+void show_story(const verb_call& call, std::string_view key,
+                const request_story& story)
+{
+    if (call.form == output_form::people)
+    {
+        print_story(story);
+        return;
+    }
+    boost::json::array events;
+    for (const auto& event : story.events)
+    {
+        events.push_back(to_json(event));
+    }
+    print_json(boost::json::object{{key, call.arguments.front()},
+                                   {"cause", story.cause},
+                                   {"events", std::move(events)}});
+}
+
+exit_code explain(const verb_call& call)
+{
+    const auto log = read_logs(call);
+    if (!log)
+    {
+        return exit_code::usage;
+    }
     const auto& id = call.arguments.front();
-    const auto story = explain_request(id, log);
+    const auto story = explain_request(id, *log);
     if (story.events.empty())
     {
         std::cerr << "daleshelf: no line names the request " << id
@@ -411,18 +442,26 @@
                      "the next one)\n";
         return exit_code::not_found;
     }
-    if (call.form == output_form::people)
+    show_story(call, "id", story);
+    return exit_code::success;
+}
+
+exit_code rollout(const verb_call& call)
+{
+    const auto log = read_logs(call);
+    if (!log)
     {
-        print_story(story);
-        return exit_code::success;
+        return exit_code::usage;
     }
-    boost::json::array events;
-    for (const auto& event : story.events)
+    const auto& service = call.arguments.front();
+    const auto story = explain_rollout(service, *log);
+    if (story.events.empty())
     {
-        events.push_back(to_json(event));
+        std::cerr << "daleshelf: no line tells of a roll-out of " << service
+                  << "\n";
+        return exit_code::not_found;
     }
-    print_json(boost::json::object{
-        {"id", id}, {"cause", story.cause}, {"events", std::move(events)}});
+    show_story(call, "service", story);
     return exit_code::success;
 }
 
@@ -446,6 +485,10 @@
          "tell a request's story and the cause of its end from logs of "
          "gateways; without files, from standard input",
          1, 64, &explain},
+        {"rollout", "SERVICE [FILE...]",
+         "show a service's roll-outs step by step, and why they ended, from "
+         "logs of gateways; without files, from standard input",
+         1, 64, &rollout},
         {"change", "get|wait ID",
          "show what became of a change, or wait until it is in force on all "
          "reachable hosts",
