tests: Order roll-outs in the soak, good and bad

Change: the soak's platform starts servers of another version, some of which fail half of their answers, reads how the order ends, and stops the old servers at once or lets the new ones drain; ROLLOUT and EXPOSURE are judged, each seen broken by a test.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -12,6 +12,8 @@
 HERE = Path(__file__).resolve().parent
 ZONES = ("one", "two", "three")
 STOP_MS = 5000
+ROLLOUT_SHARE = 0.1
+ROLLOUT_SLACK = 50
 CLIENT_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 23101, 23102, 23103, 23104
 SERVER_PORT, STORE_PORT = 23105, 23106
 
@@ -123,6 +125,9 @@
 [usage]
 window_ms = 5000
 late_ms = 10000
+[rollouts]
+share = {ROLLOUT_SHARE}
+slack = {ROLLOUT_SLACK}
 """)
 
     async def start(self):
@@ -137,8 +142,9 @@
 class Server(Process):
     """A server, with the link that all gateways use to it."""
 
-    def __init__(self, number, service, fleet):
+    def __init__(self, number, service, fleet, version, failing):
         self.service = service
+        self.version = version
         address = (fleet.ip(2, number), SERVER_PORT)
         self.link = Link((fleet.ip(3, number), SERVER_PORT), address)
         name = f"server-{number}"
@@ -147,7 +153,8 @@
             "--service", service, "--zone", ZONES[number % len(ZONES)],
             "--address", f"{address[0]}:{SERVER_PORT}",
             "--listed", f"{self.link.address[0]}:{SERVER_PORT}",
-            "--store", f"{fleet.store_address[0]}:{STORE_PORT}"],
+            "--store", f"{fleet.store_address[0]}:{STORE_PORT}",
+            "--version", version, "--failing", str(failing)],
             fleet.folder / f"{name}.log", fleet.on_line)
 
 
@@ -169,12 +176,15 @@
                          for index in range(options.gateways)]
         self.servers = []
         self._next_server = 1
+        self.versions = {}  # of services that have been rolled out
 
     def ip(self, group, number):
         return f"127.{self.lane + 1}.{group}.{number}"
 
-    async def add_server(self, service):
-        server = Server(self._next_server, service, self)
+    async def add_server(self, service, version=None, failing=0.0):
+        """Starts a server, of the version that its service runs by default."""
+        server = Server(self._next_server, service, self,
+                        version or self.versions.get(service, "v1"), failing)
         self._next_server += 1
         await server.link.start()
         await server.start()
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -4,6 +4,7 @@
 
 from http_wire import Message
 from promises import Attempt, Disturbances, Promises
+from rollouts import Rollouts
 from server import event_data, plain_body
 
 
@@ -153,5 +154,43 @@
         self.assertEqual(self.names(), ["ONE"])
 
 
+class RolloutsTest(unittest.TestCase):
+    """Of 400 requests to the service within an order that begins at 0 s."""
+
+    def setUp(self):
+        self.promises = Promises(Disturbances())
+        soak = type("FakeSoak", (), {"promises": self.promises})
+        self.rollouts = Rollouts(soak, 1)
+
+    def run_requests(self, exposed_at):
+        for number in range(400):
+            attempt = Attempt(str(number), "safe", "tenant", "gateway-1", 0.0,
+                              1.5)
+            server = "new" if number < len(exposed_at) else "old"
+            time = exposed_at[number] if server == "new" else 5.0
+            attempt.runs.append((time, server, 0))
+            self.promises.attempts[attempt.id] = attempt
+
+    def judge(self, state):
+        self.rollouts._judge("v2", state, {"new"}, 0.0)
+        return [name for name, _ in self.promises.broken + self.promises.late]
+
+    def test_a_small_share_taken_back_breaks_nothing(self):
+        self.run_requests([2.0] * 90)
+        self.assertEqual(self.judge("rolled_back"), [])
+
+    def test_a_bad_version_completed(self):
+        self.run_requests([2.0] * 20)
+        self.assertEqual(self.judge("completed"), ["ROLLOUT"])
+
+    def test_more_than_the_share(self):
+        self.run_requests([2.0] * 91)
+        self.assertEqual(self.judge("rolled_back"), ["EXPOSURE"])
+
+    def test_long_after_its_fiftieth_failure(self):
+        self.run_requests([1.0] * 100 + [6.5])
+        self.assertEqual(self.judge("rolled_back"), ["EXPOSURE", "EXPOSURE"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import hashlib
 import json
+import random
 import signal
 import struct
 import sys
@@ -60,7 +61,8 @@
         await self.publish(json.dumps({
             "service": self.options.service,
             "address": self.options.listed or self.options.address,
-            "zone": self.options.zone, "version": "v1", "slots": SLOTS,
+            "zone": self.options.zone,
+            "version": self.options.version, "slots": SLOTS,
             "state": state, "coldRemainingMs": 0}).encode())
 
     async def drain(self):
@@ -110,6 +112,10 @@
         if "x-token-count" in fields:
             await self.stream(attempt, head, resumed,
                               events_wanted(fields), writer)
+        elif random.random() < self.options.failing:
+            await asyncio.sleep(0.015)
+            writer.write(http_wire.write_message(
+                "HTTP/1.1 500 Failed", head, b"failed"))
         else:
             await asyncio.sleep(0.015)
             writer.write(http_wire.write_message(
@@ -168,6 +174,9 @@
     parser.add_argument("--address", required=True, help="IP:PORT")
     parser.add_argument("--listed", help="IP:PORT that callers are to use")
     parser.add_argument("--store", required=True, help="IP:PORT")
+    parser.add_argument("--version", default="v1")
+    parser.add_argument("--failing", type=float, default=0.0,
+                        help="part of the plain answers that are failures")
     options = parser.parse_args()
     server = Server(options)
     listener = await asyncio.start_server(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 from clients import Client
 from fleet import STOP_MS, ZONES, Fleet
 from promises import Disturbances, Promises
+from rollouts import Rollouts
 
 LEAD = 3.0
 RECOVERY = 12.0
@@ -96,6 +97,8 @@
                 seed = self.options.seed * 1000 + index * 100 + number
                 self.spawn(Client(self, gateway, tenant, seed).run())
         self.spawn(self.watch_processes())
+        if self.options.rollouts:
+            self.spawn(Rollouts(self, self.options.seed).run())
         begin = self.now()
         for trouble in faults.plan(self.options.seed, self.options.seconds):
             await asyncio.sleep(max(0.0, begin + trouble.at - self.now()))
@@ -274,18 +277,27 @@
         await server.ended()
         await self.fleet.add_server(server.service)
         await asyncio.sleep(LISTED_AFTER_CRASH)
+        await self.unlist(server)
+
+    async def unlist(self, server):
         key = server.name.encode()
         record = bytes([len(key)]) + key
         await self.operate("POST /log-append?topic=keyed.servers&part=0&",
                            struct.pack(">I", len(record)) + record)
 
+    @staticmethod
+    async def leave(server):
+        """Begins a planned end, unless the server has ended or begun one."""
+        if not server.is_expected_to_end:
+            server.is_expected_to_end = True
+            server.send(signal.SIGTERM)
+
     async def drain_server(self, trouble):
         server = self.running_server(trouble)
         if server is None:
             return
         await self.fleet.add_server(server.service)
-        server.is_expected_to_end = True
-        server.send(signal.SIGTERM)
+        await self.leave(server)
 
     async def harm_client_link(self, trouble):
         gateway = self.gateway(trouble)
@@ -436,6 +448,8 @@
                         help="clients of each gateway")
     parser.add_argument("--lane", type=int, default=0,
                         help="0 to 200: loopback addresses; one a run")
+    parser.add_argument("--rollouts", action="store_true",
+                        help="order roll-outs beside the troubles")
     parser.add_argument("--judge-time", action="store_true")
     parser.add_argument("--logs", help="folder that keeps the logs")
     options = parser.parse_args()
