gateway: Ask what a first event should take only while a version is judged

Cause: each attempt at an engine hashed a prompt's home once more, for a figure that only a roll-out uses. Change: it is asked for while an order for the service runs.

--- a/libraries/rollouts/rollout_watch.cpp
+++ b/libraries/rollouts/rollout_watch.cpp
@@ -145,11 +145,11 @@
 rollout_watch::watched_order*
 rollout_watch::running(const service_name& service)
 {
-    const auto* order = m_gate.order_of(service);
-    if (order == nullptr || m_gate.phase_of(service) != rollout_phase::running)
+    if (!is_watching(service))
     {
         return nullptr;
     }
+    const auto* order = m_gate.order_of(service);
     const auto [at, is_new] = m_orders.try_emplace(service);
     auto& known = at->second;
     if (is_new || known.order != order->offset)
--- a/libraries/rollouts/rollout_watch.hpp
+++ b/libraries/rollouts/rollout_watch.hpp
@@ -34,6 +34,12 @@
     /// @return whether it was taken
     bool hear(const rollout_word& word, absl::Time now);
 
+    /// @return whether an order for the service is being carried out
+    [[nodiscard]] bool is_watching(const service_name& service) const
+    {
+        return m_gate.phase_of(service) == rollout_phase::running;
+    }
+
     /// A request for the service is to be sent.
     /// @return the version that it is to be tried with, if it is one of those
     /// that go to the target
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -202,7 +202,10 @@
     sent.deadline = m_deadline;
     server_exchange exchange(m_state.pool, std::move(sent));
     m_exchange = &exchange;
-    m_expected_first_ms = m_state.choice.expected_first_ms(server, wanted);
+    m_expected_first_ms =
+        m_service->is_engine && m_state.rollouts.is_watching(m_service->name)
+            ? m_state.choice.expected_first_ms(server, wanted)
+            : 0;
     m_work = m_state.choice.start(server.id, wanted, m_service->cache_tokens);
     m_seen = {};
     count_work();
