gateway: Skip a roll-out's state that cannot be read

Cause: reading such a state threw json_error out of the coroutine that tends all roll-outs. asio::detached drops the exception, so this host's roll-outs ended for good, without a log line. Ruled out: that gateway::run logs it; the test ends with nothing logged. Change: take_status catches it, logs record_skipped and goes on. Measured: the test failed first (the order stayed running, nothing was left to do) and passes now.

--- a/services/gateway/rollout_service.cpp
+++ b/services/gateway/rollout_service.cpp
@@ -240,12 +240,24 @@
     {
         return;
     }
-    const auto status = platform::read_rollout_status(*service, *record.value);
-    m_statuses[*service] = status;
-    if (status.phase != rollout_phase::running)
+    try
     {
-        m_state.servers.versions().set_phase(
-            *service, status.order, status.phase, gateway_state::now());
+        const auto status =
+            platform::read_rollout_status(*service, *record.value);
+        m_statuses[*service] = status;
+        if (status.phase != rollout_phase::running)
+        {
+            m_state.servers.versions().set_phase(
+                *service, status.order, status.phase, gateway_state::now());
+        }
+    }
+    catch (const json_error& error)
+    {
+        log(events::record_skipped,
+            {{"topic", std::string(platform::status_topic)},
+             {"key", record.key},
+             {"offset", std::to_string(record.offset.value())},
+             {"error", error.what()}});
     }
 }
 
--- /dev/null
+++ b/tests/gateway/rollout_service_test.cpp
@@ -0,0 +1,98 @@
+#include "gateway_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <base/text.hpp>
+#include <gateway/rollout_service.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+const service_name engines("engines");
+const log_offset order_offset(7);
+
+gateway_settings make_settings(const std::string& store)
+{
+    gateway_settings settings;
+    settings.host_id = "gateway";
+    settings.host_hall = "here";
+    settings.peers_address = "127.0.0.1:0";
+    settings.store_address = store;
+    settings.duties_address = "127.0.0.1:1";
+    return settings;
+}
+
+// The states of two roll-outs, in base64: `{}`, which is no state, and
+// `{"state":"completed","targetVersion":"v2","order":7,"orderedAtMs":1}`.
+constexpr const char* states =
+    R"({"items":[{"privateKey":"rollout/another","value":"e30=","offset":0},)"
+    R"({"privateKey":"rollout/engines","value":"eyJzdGF0ZSI6ImNvbXBsZXRlZCIs)"
+    R"(InRhcmdldFZlcnNpb24iOiJ2MiIsIm9yZGVyIjo3LCJvcmRlcmVkQXRNcyI6MX0=",)"
+    R"("offset":1}],"more":false,"end":2})";
+
+// One answer a connection: one that stays open would be waited for.
+void answer_with_states(test_connection& connection)
+{
+    if (connection.read_message().empty())
+    {
+        return;
+    }
+    const std::string body = states;
+    connection.send(concat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(),
+                           "\r\n\r\n", body));
+}
+
+/// The parts of a gateway that carry roll-outs out, with nothing else running.
+class rollout_parts
+{
+public:
+    explicit rollout_parts(const std::string& store)
+        : m_state(m_context, make_settings(store))
+    {
+        auto& versions = m_state.servers.versions();
+        versions.set_order(
+            {engines, version_name("v2"), absl::Seconds(14), order_offset});
+    }
+
+    /// Runs until the order has ended, or nothing is left to be done.
+    void run_to_the_end()
+    {
+        m_rollouts.start();
+        bool is_busy = true;
+        while (is_busy && phase() == rollout_phase::running)
+        {
+            is_busy = m_context.run_one() > 0;
+        }
+    }
+
+    [[nodiscard]] std::optional<rollout_phase> phase() const
+    {
+        return m_state.servers.versions().phase_of(engines);
+    }
+
+private:
+    asio::io_context m_context{1};
+    gateway_state m_state;
+    topic_follower m_configuration{
+        m_state, "configuration", {[](const auto&) {}, [](const auto&) {}}};
+    topic_follower m_servers{
+        m_state, "servers", {[](const auto&) {}, [](const auto&) {}}};
+    peer_exchange m_peers{m_state, {m_configuration, m_servers}};
+    duty_service m_duties{m_state, m_peers};
+    rollout_service m_rollouts{m_state, m_peers, m_duties};
+};
+
+// A host that starts reads how an order has ended. One state that cannot be
+// read must neither hide the others nor end the roll-outs of this host.
+TEST(rollout_service, a_state_that_cannot_be_read_hides_no_other)
+{
+    const scripted_server store(answer_with_states);
+    rollout_parts parts(store.address());
+    parts.run_to_the_end();
+    EXPECT_EQ(parts.phase(), rollout_phase::completed);
+}
+
+} // namespace
+} // namespace daleshelf
