gateway: Log by whom a change of servers was learned, and calls given up

Cause: a request reached a server that had said it was leaving. The log could not tell whether the host had heard of it from the store, from a reader of its hall or from a peer, in which role it was, or that its call for changes hung. Change: servers_changed names origin and role; wait_given_up tells of a call that got no answer within its time, at most once per such call.

--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -28,7 +28,7 @@
         events::lease_held,         events::lease_lost,
         events::usage_settled,      events::usage_reported,
         events::duty_call_failed,   events::servers_ordered,
-        events::lease_released,
+        events::lease_released,     events::wait_given_up,
     };
     return catalogue;
 }
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -79,7 +79,7 @@
 inline constexpr log_event servers_changed{
     207, log_severity::info, "servers_changed",
     "The list of servers has changed; the fields give how many, the first of "
-    "them, and its offset."};
+    "them, its offset, who told of it, and this host's role."};
 inline constexpr log_event records_from_peer{
     208, log_severity::info, "records_from_peer",
     "The store does not answer; a peer has given its newer records."};
@@ -87,6 +87,10 @@
     209, log_severity::info, "settings_reloaded",
     "The settings file has been read again; the outcome says whether it is "
     "in force."};
+inline constexpr log_event wait_given_up{
+    213, log_severity::warning, "wait_given_up",
+    "A call that waited for changes of a topic got no answer within its time; "
+    "the fields give how long it waited, and this host's role."};
 inline constexpr log_event rollout_ordered{
     210, log_severity::info, "rollout_ordered",
     "The operator has ordered a service's move to another version; servers of "
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -376,7 +376,9 @@
     log(events::servers_changed,
         {{"count", std::to_string(m_server_changes.count())},
          {"servers", m_server_changes.names()},
-         {"offset", std::to_string(m_newest_change.value())}});
+         {"offset", std::to_string(m_newest_change.value())},
+         {"origin", std::string(name_of(m_servers.newest_origin()))},
+         {"role", std::string(name_of(m_state.role))}});
     m_server_changes.clear();
 }
 
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -33,6 +33,22 @@
 
 } // namespace
 
+std::string_view name_of(list_role role)
+{
+    switch (role)
+    {
+    case list_role::starting:
+        return "starting";
+    case list_role::alone:
+        return "alone";
+    case list_role::reader:
+        return "reader";
+    case list_role::follower:
+        return "follower";
+    }
+    return "";
+}
+
 gateway_state::gateway_state(asio::io_context& loop, gateway_settings values)
     : context(loop)
     , settings(std::move(values))
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -20,6 +20,7 @@
 #include <peers/time_estimate.hpp>
 #include <rollouts/rollout_watch.hpp>
 #include <scaling/prompt_samples.hpp>
+#include <string_view>
 #include <telemetry/metrics.hpp>
 
 namespace daleshelf
@@ -34,6 +35,9 @@
     follower, ///< it waits for what readers tell
 };
 
+/// @return its name in the log
+[[nodiscard]] std::string_view name_of(list_role role);
+
 /// What this host has sent to one service.
 struct service_load
 {
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -29,6 +29,20 @@
 
 } // namespace
 
+std::string_view name_of(record_origin origin)
+{
+    switch (origin)
+    {
+    case record_origin::store:
+        return "store";
+    case record_origin::reader:
+        return "reader";
+    case record_origin::peer:
+        return "peer";
+    }
+    return "";
+}
+
 topic_follower::topic_follower(gateway_state& state, std::string topic,
                                topic_events events)
     : m_state(state)
@@ -86,6 +100,7 @@
             ++news;
         }
     }
+    m_origin = record_origin::peer;
     apply_list(listed, next);
     return news;
 }
@@ -114,6 +129,10 @@
         return is_missed;
     }
     m_gap_since.reset();
+    if (!records.empty())
+    {
+        m_origin = record_origin::reader;
+    }
     take_page(from, records);
     const auto end = from.value() + static_cast<std::int64_t>(records.size());
     if (m_next == log_offset(end))
@@ -211,6 +230,7 @@
         // A stale read: what is known is newer.
         co_return false;
     }
+    m_origin = record_origin::store;
     apply_list(listed, read->end);
     m_known_at = std::max(m_known_at, asked_at);
     // A host whose hall has readers waits for their word from now on.
@@ -231,6 +251,7 @@
     const bool is_at_once = monotonic::now() - m_asked_at < shortest_tail;
     if (!answer)
     {
+        log_given_up();
         co_return false;
     }
     if (answer->status == http_status::gone)
@@ -260,6 +281,10 @@
             records.push_back(platform::decode_keyed(content, offset));
             offset = offset.next();
         }
+        if (!records.empty())
+        {
+            m_origin = record_origin::store;
+        }
         take_page(from, records);
         if (!records.empty() && m_events.on_read)
         {
@@ -280,6 +305,22 @@
     co_return true;
 }
 
+// A call that fails at once is told by `log_unreachable`.
+void topic_follower::log_given_up() const
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(
+        monotonic::now() - m_asked_at);
+    if (waited < tail_wait)
+    {
+        return;
+    }
+    log(events::wait_given_up,
+        {{"topic", m_topic},
+         {"offset", std::to_string(m_next.value())},
+         {"waited_ms", std::to_string(waited.count())},
+         {"role", std::string(name_of(m_state.role))}});
+}
+
 // Takes the records of consecutive offsets that are not known yet.
 void topic_follower::take_page(
     log_offset from, const std::vector<platform::keyed_record>& records)
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -9,10 +9,19 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace daleshelf
 {
 
+/// Who told of a record.
+enum class record_origin
+{
+    store,
+    reader, ///< a host that reads the store for the others of its hall
+    peer,   ///< a host that was asked for all that it knows
+};
+
 /// What a follower tells of its topic.
 struct topic_events
 {
@@ -27,6 +36,9 @@
         on_read = nullptr;
 };
 
+/// @return its name in the log
+[[nodiscard]] std::string_view name_of(record_origin origin);
+
 /// Lists the newest records, then waits for more from the first page's end
 /// on. If records were dropped before they were read, it lists again. Nothing
 /// it hands on is older than what it handed on before. See
@@ -76,6 +88,12 @@
     /// @return whether a change would have been heard of by now
     [[nodiscard]] bool is_fresh() const;
 
+    /// @return who told of the newest records
+    [[nodiscard]] record_origin newest_origin() const
+    {
+        return m_origin;
+    }
+
     /// @return a time as of which nothing of the topic is unknown here
     [[nodiscard]] monotonic::time_point known_at() const
     {
@@ -103,6 +121,7 @@
                     log_offset next);
     void take(const platform::keyed_record& record);
     void note_answer(bool was_answered);
+    void log_given_up() const;
 
     gateway_state& m_state;
     std::string m_topic;
@@ -111,6 +130,7 @@
     async_event m_wake;
     std::map<std::string, platform::keyed_record> m_records;
     log_offset m_next;
+    record_origin m_origin = record_origin::store;
     bool m_has_listed = false;
     bool m_was_reached = false;
     bool m_is_tailing = false;
