tests: Show that a call for changes that hangs leaves a host deaf

Cause: a host that no reader tells asks the store with a call of 20 s; one that dies in silence is given up after 20.7 s, twice to seven times the time in which a leaving server may still get requests. Ruled out: that the connection's own probes end it: the store's end is alive.

--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -167,6 +167,27 @@
     EXPECT_FALSE(m_follower.is_reached());
 }
 
+// The readers of a hall were turned away by the store without a word, so that
+// nobody told the others, who asked the store themselves. Some of their calls
+// for changes hung too, and each had 20.7 s: such a host heard of no server that
+// left, told its peers that it reached the store, and was chosen to read for its
+// hall. Of a hall in which this was played:
+// wait_given_up topic=keyed.servers offset=430 waited_ms=4955 role=reader
+// wait_given_up topic=keyed.op offset=1 waited_ms=7889 role=follower
+TEST_F(running_follower_test, gives_up_a_call_that_hangs_when_nobody_tells_it)
+{
+    m_state.role = list_role::follower;
+    ASSERT_TRUE(comes_to_the_store());
+    const auto asked_at = monotonic::now();
+    constexpr milliseconds patience{10000};
+    while (m_store.connections() < 2 && monotonic::now() - asked_at < patience)
+    {
+        m_context.run_for(milliseconds(10));
+    }
+    EXPECT_GE(m_store.connections(), 2) << "it asks again";
+    EXPECT_FALSE(m_follower.is_reached());
+}
+
 TEST_F(running_follower_test, asks_nothing_while_readers_tell_it)
 {
     m_state.role = list_role::follower;
