gateway: Skip each record that cannot be read by itself

Cause: a record without a key, or with one cut short, ended the tail of its whole topic; so did an item of a list that names no key. The host listed again, met the same item, and heard of no server and no configuration any more. Change: such a record keeps its offset and says nothing; the list goes on past such an item.

--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -69,7 +69,8 @@
                                          "The platform's log answers again."};
 inline constexpr log_event record_skipped{
     204, log_severity::error, "record_skipped",
-    "A record of the log cannot be read; every host skips it."};
+    "Records of the log cannot be read, and are skipped; the fields give how "
+    "many, the first of them, the newest offset and what is wrong with it."};
 inline constexpr log_event log_went_back{
     205, log_severity::error, "log_went_back",
     "The log answers from an older state; this host keeps what it has."};
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -174,6 +174,7 @@
             reload_settings();
         }
         log_server_changes();
+        m_state.skipped.write_line();
         m_state.servers.versions().note_orders_known(
             gateway_state::to_time(m_configuration.known_at()));
         m_state.pool.sweep(now);
@@ -290,10 +291,8 @@
     }
     catch (const json_error& error)
     {
-        log(events::record_skipped,
-            {{"key", record.key},
-             {"offset", std::to_string(record.offset.value())},
-             {"error", error.what()}});
+        m_state.skipped.note(platform::operator_topic, record.key,
+                             record.offset, error.what());
     }
 }
 
@@ -319,10 +318,8 @@
     }
     catch (const json_error& error)
     {
-        log(events::record_skipped,
-            {{"offset", std::to_string(record.offset.value())},
-             {"in_force", std::to_string(known)},
-             {"error", error.what()}});
+        m_state.skipped.note(platform::operator_topic, record.key,
+                             record.offset, error.what());
     }
 }
 
@@ -352,10 +349,8 @@
     }
     catch (const json_error& error)
     {
-        log(events::record_skipped,
-            {{"server", record.key},
-             {"offset", std::to_string(record.offset.value())},
-             {"error", error.what()}});
+        m_state.skipped.note(platform::server_topic, record.key, record.offset,
+                             error.what());
     }
 }
 
@@ -419,6 +414,8 @@
               m_servers.answer_age_seconds());
     meter.set("servers_listed", "Servers in the list.",
               static_cast<double>(m_state.servers.all().size()));
+    meter.set("records_skipped", "Records of the store that cannot be read.",
+              static_cast<double>(m_state.skipped.total()));
     meter.set("machines_known", "Gateways known, with this one.",
               static_cast<double>(m_peers.table().size()));
     meter.set("machines_reached", "Gateways heard lately, with this one.",
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -6,6 +6,7 @@
 #include "gateway_settings.hpp"
 #include "quota_service.hpp"
 #include "server_connection.hpp"
+#include "skipped_records.hpp"
 
 #include <absl/random/random.h>
 
@@ -87,6 +88,7 @@
     absl::BitGen random;
     engine_table engines;
     std::map<service_name, service_load> loads; ///< of engines
+    skipped_records skipped;
     bool has_servers = false;
     bool knows_hosts = false; ///< the list of hosts was read, with those that
                               ///< started together with this one
--- /dev/null
+++ b/services/gateway/skipped_records.cpp
@@ -0,0 +1,31 @@
+#include "skipped_records.hpp"
+
+#include <base/text.hpp>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+void skipped_records::note(std::string_view topic, std::string_view key,
+                           log_offset offset, std::string_view error)
+{
+    ++m_total;
+    m_batch.add(concat(topic, "/", key));
+    m_newest = offset;
+    m_error = error;
+}
+
+void skipped_records::write_line()
+{
+    if (m_batch.is_empty())
+    {
+        return;
+    }
+    log(events::record_skipped, {{"count", std::to_string(m_batch.count())},
+                                 {"records", m_batch.names()},
+                                 {"offset", std::to_string(m_newest.value())},
+                                 {"error", m_error}});
+    m_batch.clear();
+}
+
+} // namespace daleshelf
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -218,6 +218,10 @@
         // A stale read: what is known is newer.
         co_return false;
     }
+    for (std::size_t index = 0; index < read->skipped; ++index)
+    {
+        note_skipped(read->end);
+    }
     m_origin = record_origin::store;
     apply_list(listed, read->end);
     m_known_at = std::max(m_known_at, asked_at);
@@ -292,6 +296,11 @@
     co_return true;
 }
 
+void topic_follower::note_skipped(log_offset offset)
+{
+    m_state.skipped.note(m_topic, "", offset, "no key");
+}
+
 // A call that fails at once is told by `log_unreachable`.
 void topic_follower::log_given_up() const
 {
@@ -345,6 +354,12 @@
 
 void topic_follower::take(const platform::keyed_record& record)
 {
+    if (!record.is_readable())
+    {
+        // What cannot be read says nothing of any key; the next one may.
+        note_skipped(record.offset);
+        return;
+    }
     const auto known = m_records.find(record.key);
     if (known != m_records.end() && known->second.offset >= record.offset)
     {
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -122,6 +122,7 @@
     void take(const platform::keyed_record& record);
     void note_answer(bool was_answered);
     void log_given_up() const;
+    void note_skipped(log_offset offset);
 
     gateway_state& m_state;
     std::string m_topic;
--- a/services/gateway/topic_list.cpp
+++ b/services/gateway/topic_list.cpp
@@ -30,10 +30,16 @@
             is_first = false;
             std::move(page.records.begin(), page.records.end(),
                       std::back_inserter(listed.records));
+            listed.skipped += page.skipped;
             if (!page.has_more)
             {
                 co_return listed;
             }
+            if (page.last_key.empty() || page.last_key == after)
+            {
+                // No record of the page names where the next one begins.
+                co_return std::nullopt;
+            }
             after = page.last_key;
         }
         catch (const json_error& error)
--- a/services/gateway/topic_list.hpp
+++ b/services/gateway/topic_list.hpp
@@ -17,7 +17,8 @@
 struct listed_topic
 {
     std::vector<platform::keyed_record> records;
-    log_offset end; ///< of the first page
+    log_offset end;          ///< of the first page
+    std::size_t skipped = 0; ///< records that could not be read
 };
 
 /// @param caller nobody else uses it meanwhile
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <base/text.hpp>
 #include <gateway/topic_follower.hpp>
 
 namespace daleshelf
@@ -171,9 +172,11 @@
 // nobody told the others, who asked the store themselves. Some of their calls
 // for changes hung too, and each had 20.7 s: such a host heard of no server
 // that left, told its peers that it reached the store, and was chosen to read
-// for its hall. Of a hall in which this was played: wait_given_up
-// topic=keyed.servers offset=430 waited_ms=4955 role=reader wait_given_up
-// topic=keyed.op offset=1 waited_ms=7889 role=follower
+// for its hall. Two lines of such a hall:
+//
+// wait_given_up topic=keyed.servers waited_ms=4955 role=reader
+//
+// wait_given_up topic=keyed.op waited_ms=7889 role=follower
 TEST_F(running_follower_test, gives_up_a_call_that_hangs_when_nobody_tells_it)
 {
     m_state.role = list_role::follower;
@@ -199,6 +202,17 @@
     EXPECT_TRUE(comes_to_the_store());
 }
 
+// One record of another writer ended the following of its whole topic.
+TEST_F(topic_follower_test, goes_on_past_a_record_that_cannot_be_read)
+{
+    m_follower.take_read(
+        log_offset(4), {record_at(4, "", std::nullopt), record_at(5, "b", "2")},
+        at(0));
+    EXPECT_EQ(m_taken, std::vector<std::string>{"b"});
+    EXPECT_EQ(m_follower.next(), log_offset(6));
+    EXPECT_EQ(m_state.skipped.total(), 1);
+}
+
 TEST_F(topic_follower_test, word_that_there_is_nothing_newer_changes_nothing)
 {
     EXPECT_FALSE(m_follower.take_read(log_offset(4), {}, at(0)));
@@ -220,5 +234,69 @@
     EXPECT_TRUE(m_follower.records().contains("a"));
 }
 
+std::string answer_with(const std::string& body)
+{
+    return concat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(),
+                  "\r\n\r\n", body);
+}
+
+/// @return a page of the log: its end, the first offset kept, and records
+std::string page_of(char end, const std::vector<std::string>& records)
+{
+    const std::string zeros(7, '\0');
+    const auto body = platform::append_call("t", records, std::nullopt).body;
+    return concat(zeros, std::string(1, end), zeros, std::string(1, '\0'),
+                  body);
+}
+
+// The store lists one record of another writer, and its tail has two.
+void serve_foreign_records(test_connection& connection)
+{
+    const std::string listed(R"({"items":[{"privateKey":5},)"
+                             R"({"privateKey":"a","value":"MQ==","offset":1}],)"
+                             R"("more":false,"end":2})");
+    const auto tail =
+        page_of(5, {"\xff", platform::encode_keyed("b", "2"), ""});
+    for (auto request = connection.read_message(); !request.empty();
+         request = connection.read_message())
+    {
+        if (request.find("/log-newest") != std::string::npos)
+        {
+            connection.send(answer_with(listed));
+        }
+        else if (request.find("from=2&") != std::string::npos)
+        {
+            connection.send(answer_with(tail));
+        }
+        else
+        {
+            connection.read_all();
+        }
+    }
+}
+
+// The list was asked for again and again, and nothing of the topic was known.
+TEST(foreign_records_test, end_neither_the_list_nor_the_tail_of_a_topic)
+{
+    scripted_server store(serve_foreign_records);
+    auto settings = make_settings();
+    settings.store_address = store.address();
+    asio::io_context context{1};
+    gateway_state state(context, settings);
+    state.role = list_role::alone;
+    topic_follower follower(state, "topic",
+                            {[](const auto&) {}, [](const auto&) {}});
+    asio::co_spawn(
+        context, [&] { return follower.run(); }, asio::detached);
+    for (int step = 0; step < 500 && follower.next() < log_offset(5); ++step)
+    {
+        context.run_for(milliseconds(10));
+    }
+    EXPECT_EQ(follower.next(), log_offset(5));
+    EXPECT_TRUE(follower.records().contains("a"));
+    EXPECT_TRUE(follower.records().contains("b"));
+    EXPECT_EQ(state.skipped.total(), 3);
+}
+
 } // namespace
 } // namespace daleshelf
