ingress: Tell one life of a server from another

Cause: a server that starts again under its id was refused: for good if it had been leaving, else until its new sequence passed the old one; what was known of its earlier start (failures, prompts held, work in flight) was held against it. An entry of another writer left the earlier one in use, and one with an unknown state or no address was taken for a ready server. Change: upstream_life is an id and the birth that the server states. A later life takes an earlier one's place, never the reverse; within a life leaving stays leaving. On a new life the host forgets failures, prompts and work in flight, and closes its idle connections. An entry that a server would not write names no server, until the server's own comes. Peers no longer tell of leaving servers: no host ever noted one by itself, so the word, and its test, had no source; the rule (one that drained stays away) is tested on the list.

--- a/libraries/base/identifiers.hpp
+++ b/libraries/base/identifiers.hpp
@@ -29,4 +29,7 @@
 /// Start of a process: a later start of the same host has a higher number.
 using incarnation = strong_number<struct incarnation_tag>;
 
+/// Unix millisecond at which a server started; 0: it has not said so.
+using upstream_birth = strong_number<struct upstream_birth_tag>;
+
 } // namespace daleshelf
--- a/libraries/ingress/forward.hpp
+++ b/libraries/ingress/forward.hpp
@@ -19,5 +19,6 @@
 struct request_facts;
 struct server_entry;
 struct tenant_limit;
+struct upstream_life;
 
 } // namespace daleshelf
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -82,24 +82,28 @@
     [[nodiscard]] double expected_first_ms(const server_entry& server,
                                            const choice_request& request) const;
 
-    /// Notes that a request is sent to the server.
+    /// Notes that a request is sent to the server. All that is known of it, and
+    /// all that is noted below, belongs to its newest life.
     /// @param cache_tokens tokens that the server keeps
     /// @return what the server probably has to do
-    expected_work start(const upstream_id& server,
+    expected_work start(const upstream_life& server,
                         const choice_request& request,
                         std::int64_t cache_tokens);
 
     /// Notes that a prompt has been read.
     /// @param tokens as expected when it was sent
-    void prompt_read(const upstream_id& server, std::int64_t tokens);
+    void prompt_read(const upstream_life& server, std::int64_t tokens);
 
     /// Notes that a request no longer runs at the server.
-    void end(const upstream_id& server);
+    void end(const upstream_life& server);
 
     /// Notes how an attempt went.
-    void report(const upstream_id& server, attempt_outcome outcome,
+    void report(const upstream_life& server, attempt_outcome outcome,
                 absl::Time now);
 
+    /// Forgets what was known of a server that has started again.
+    void forget(const upstream_id& server);
+
     /// Replaces what a peer has in flight.
     void set_peer_load(const host_id& peer,
                        absl::flat_hash_map<upstream_id, server_load> loads);
@@ -127,6 +131,7 @@
         absl::Time suspect_until = absl::InfinitePast();
     };
 
+    [[nodiscard]] bool is_over(const upstream_life& server) const;
     [[nodiscard]] std::vector<const server_entry*>
     candidates(const choice_request& request) const;
     double cost_of(const server_entry& server, const choice_request& request,
--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -13,19 +13,43 @@
 
 } // namespace
 
-bool server_directory::set(const server_entry& entry)
+entry_change server_directory::set(const server_entry& entry)
 {
-    if (is_outdated(entry))
+    const auto known = last_known(entry.id);
+    const upstream_life known_life{entry.id,
+                                   known ? known->born : upstream_birth()};
+    const bool is_new_life = entry.life().is_after(known_life);
+    if (known && !is_new_life && is_outdated(entry, *known))
     {
-        return false;
+        return entry_change::none;
+    }
+    const bool was_listed = m_servers.contains(entry.id);
+    const bool was_usable = is_usable(entry.id);
+    m_withheld.erase(entry.id);
+    auto& listed = m_servers[entry.id];
+    listed = entry;
+    if (is_new_life)
+    {
+        return entry_change::new_life;
+    }
+    // A late record says less than one before it of the same life.
+    listed.sequence = std::max(entry.sequence, known ? known->sequence : 0);
+    // A life that has said that it leaves stays so, and keeps its birth when a
+    // record of it does not tell that.
+    listed.is_draining = entry.is_draining || (known && known->was_leaving);
+    listed.born = std::max(entry.born, known_life.born);
+    const bool is_same = was_listed && was_usable == is_usable(entry.id);
+    return is_same ? entry_change::none : entry_change::changed;
+}
+
+bool server_directory::withhold(const upstream_id& id)
+{
+    const bool was_usable = is_usable(id);
+    if (m_servers.contains(id))
+    {
+        m_withheld.insert(id);
     }
-    auto [place, is_new] = m_servers.try_emplace(entry.id, entry);
-    const bool was_draining = !is_new && place->second.is_draining;
-    place->second = entry;
-    // A server that has said that it leaves does not come back: an older
-    // record of it may still arrive.
-    place->second.is_draining = entry.is_draining || was_draining;
-    return is_new || was_draining != place->second.is_draining;
+    return was_usable;
 }
 
 bool server_directory::remove(const upstream_id& id)
@@ -37,27 +61,52 @@
     }
     remember(found->second);
     m_servers.erase(found);
-    m_leaving.erase(id);
+    m_withheld.erase(id);
     return true;
 }
 
-bool server_directory::is_outdated(const server_entry& entry) const
+// What the list has, or had, of the server.
+std::optional<server_directory::departure>
+server_directory::last_known(const upstream_id& id) const
+{
+    if (const auto* listed = find(id))
+    {
+        return departure{listed->born, listed->is_draining, listed->sequence};
+    }
+    const auto departed = m_departed.find(id);
+    if (departed == m_departed.end())
+    {
+        return std::nullopt;
+    }
+    return departed->second;
+}
+
+// Whether the record is of an earlier life, or of a time of this one before it
+// was last known.
+bool server_directory::is_outdated(const server_entry& entry,
+                                   const departure& known) const
 {
-    const auto departed = m_departed.find(entry.id);
-    if (departed == m_departed.end() || m_servers.contains(entry.id))
+    if (upstream_life{entry.id, known.born}.is_after(entry.life()))
+    {
+        return true;
+    }
+    const bool has_number = entry.sequence > 0;
+    if (m_withheld.contains(entry.id))
+    {
+        return has_number && entry.sequence < known.sequence;
+    }
+    if (m_servers.contains(entry.id))
     {
         return false;
     }
-    const auto& last = departed->second;
-    return last.was_leaving ||
-           (entry.sequence > 0 && entry.sequence <= last.sequence);
+    return known.was_leaving ||
+           (has_number && entry.sequence <= known.sequence);
 }
 
 void server_directory::remember(const server_entry& entry)
 {
-    const bool was_leaving = entry.is_draining || m_leaving.contains(entry.id);
     const auto [place, is_new] = m_departed.try_emplace(entry.id);
-    place->second = {was_leaving, entry.sequence};
+    place->second = {entry.born, entry.is_draining, entry.sequence};
     if (!is_new)
     {
         return;
@@ -88,25 +137,6 @@
     return gone;
 }
 
-bool server_directory::mark_leaving(const upstream_id& id)
-{
-    if (m_servers.find(id) == m_servers.end())
-    {
-        return false;
-    }
-    return m_leaving.try_emplace(id, true).second;
-}
-
-std::vector<upstream_id> server_directory::leaving() const
-{
-    std::vector<upstream_id> ids;
-    for (const auto& [id, is_leaving] : m_leaving)
-    {
-        ids.push_back(id);
-    }
-    return ids;
-}
-
 const server_entry* server_directory::find(const upstream_id& id) const
 {
     const auto found = m_servers.find(id);
@@ -116,7 +146,7 @@
 bool server_directory::is_usable(const upstream_id& id) const
 {
     const auto* entry = find(id);
-    return entry != nullptr && !entry->is_draining && !m_leaving.contains(id);
+    return entry != nullptr && !entry->is_draining && !m_withheld.contains(id);
 }
 
 template <typename Wanted>
--- a/libraries/peers/machine_state.cpp
+++ b/libraries/peers/machine_state.cpp
@@ -91,10 +91,6 @@
     {
         add_counts(message, start, counts);
     }
-    for (const auto& server : state.leaving_servers)
-    {
-        message.add_leaving_servers(server.value());
-    }
     for (const auto& machine : state.machines)
     {
         auto& item = *message.add_machines();
@@ -127,10 +123,6 @@
             counts[told.window()][workspace_id(item.tenant())] = item.count();
         }
     }
-    for (const auto& server : message.leaving_servers())
-    {
-        state.leaving_servers.emplace_back(server);
-    }
     for (const auto& item : message.machines())
     {
         state.machines.push_back(
--- a/libraries/peers/machine_state.hpp
+++ b/libraries/peers/machine_state.hpp
@@ -57,7 +57,6 @@
     counts_by_window counts; ///< of this start
     /// Of starts that cannot tell by themselves any more.
     std::map<counting_start, counts_by_window> ended_counts;
-    std::vector<upstream_id> leaving_servers;
     std::vector<machine_address> machines; ///< some that it knows
     std::int64_t fleet_size = 0; ///< machines that it counts, with itself
     host_id duty_holder;
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -337,23 +337,43 @@
     }
     try
     {
-        const auto entry = platform::read_server(record.key, *record.value);
-        m_state.servers.versions().note_server(entry.service, entry.version,
-                                               !m_state.has_servers,
-                                               gateway_state::now());
-        if (m_state.servers.set(entry))
-        {
-            note_change(record, concat(entry.is_draining ? "draining" : "ready",
-                                       "@", entry.hall.value()));
-        }
+        take_server(platform::read_server(record.key, *record.value), record);
     }
     catch (const json_error& error)
     {
+        // Another writer's: whatever the server had said is not to be trusted
+        // until it says so again.
+        if (m_state.servers.withhold(id))
+        {
+            note_change(record, "withheld");
+        }
         m_state.skipped.note(platform::server_topic, record.key, record.offset,
                              error.what());
     }
 }
 
+void gateway::take_server(const server_entry& entry,
+                          const platform::keyed_record& record)
+{
+    m_state.servers.versions().note_server(entry.service, entry.version,
+                                           !m_state.has_servers,
+                                           gateway_state::now());
+    const auto change = m_state.servers.set(entry);
+    if (change == entry_change::none)
+    {
+        return;
+    }
+    if (change == entry_change::new_life)
+    {
+        m_state.choice.forget(entry.id);
+        m_state.pool.drop(entry.id);
+    }
+    const std::string_view state = entry.is_draining ? "draining" : "ready";
+    const std::string_view again =
+        change == entry_change::new_life ? "restarted," : "";
+    note_change(record, concat(again, state, "@", entry.hall.value()));
+}
+
 void gateway::note_change(const platform::keyed_record& record,
                           std::string_view state)
 {
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -48,6 +48,8 @@
     void take_rollout(const service_name& service,
                       const platform::keyed_record& record);
     void take_server_record(const platform::keyed_record& record);
+    void take_server(const server_entry& entry,
+                     const platform::keyed_record& record);
     void take_server_list(
         const std::map<std::string, platform::keyed_record>& records);
     void note_change(const platform::keyed_record& record,
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -400,15 +400,6 @@
                 .set_peer(state.self.name, told.learned);
         }
     }
-    for (const auto& server : state.leaving_servers)
-    {
-        if (m_state.servers.mark_leaving(server))
-        {
-            log(events::upstream_leaving, {{"server", server.value()},
-                                           {"from", state.self.name.value()}});
-            m_state.pool.drop(server);
-        }
-    }
 }
 
 machine_state peer_exchange::own_state()
@@ -439,10 +430,6 @@
     m_table.note_own_counts(m_state.usage.counts(), m_state.started);
     state.counts = m_table.newest_windows(m_state.usage.counts());
     state.ended_counts = m_table.ended_counts(m_state.started);
-    for (const auto& server : m_state.servers.leaving())
-    {
-        state.leaving_servers.push_back(server);
-    }
     state.machines = some_machines();
     state.fleet_size =
         static_cast<std::int64_t>(m_state.quota.shared().fleet_size());
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -206,7 +206,8 @@
         m_service->is_engine && m_state.rollouts.is_watching(m_service->name)
             ? m_state.choice.expected_first_ms(server, wanted)
             : 0;
-    m_work = m_state.choice.start(server.id, wanted, m_service->cache_tokens);
+    m_work =
+        m_state.choice.start(server.life(), wanted, m_service->cache_tokens);
     m_seen = {};
     count_work();
     const auto sent_at = monotonic::now();
@@ -216,7 +217,7 @@
     {
         state = co_await exchange.start();
     }
-    m_state.choice.prompt_read(server.id, m_work.tokens);
+    m_state.choice.prompt_read(server.life(), m_work.tokens);
     if (exchange.known_verdict() != verdict::not_run)
     {
         ++m_attempts;
@@ -265,10 +266,10 @@
     note_version(server, end, monotonic::now() - sent_at);
     exchange.cancel();
     m_exchange = nullptr;
-    m_state.choice.end(server.id);
+    m_state.choice.end(server.life());
     if (end != attempt_end::abandoned)
     {
-        m_state.choice.report(server.id, outcome, gateway_state::now());
+        m_state.choice.report(server.life(), outcome, gateway_state::now());
     }
     co_return end;
 }
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -103,6 +103,10 @@
             self.breach("REFUSED", f"{attempt.id} ({attempt.kind}) answered "
                         f"{attempt.status}, ran {attempt.runs}")
 
+    def begins(self, server):
+        """A server has started, perhaps again under the id that it had."""
+        self.draining.pop(server, None)
+
     def _check_drain(self, attempt, server, now):
         since = self.draining.get(server)
         bound = DRAIN_BOUND + STAND_IN_SLACK
--- a/tests/soak/run_ci.sh
+++ b/tests/soak/run_ci.sh
@@ -8,6 +8,8 @@
 /usr/bin/python3 "$here/soak.py" --program "$program" --seed 1 --seconds 8
 /usr/bin/python3 "$here/soak.py" --program "$program" --seed 2 --seconds 24 \
     --rollouts
+/usr/bin/python3 "$here/soak.py" --program "$program" --seed 3 --seconds 16 \
+    --rebirths
 while IFS= read -r line; do
     arguments="${line%%:*}"
     if [ -z "$arguments" ] || [ "${line:0:1}" = "#" ]; then
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -3,6 +3,7 @@
 A process of its own. It lists itself in the store, does the work that requests
 ask for and tells every run on standard output before it begins, a JSON line
 each. SIGTERM is a planned end: it states that it drains, serves on, and leaves.
+SIGUSR1 lets it write its entry anew.
 """
 
 import argparse
@@ -48,6 +49,8 @@
         self.options = options
         self.active = 0
         self.is_draining = False
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
 
     async def publish(self, value):
         key = self.options.id.encode()
@@ -58,13 +61,19 @@
             struct.pack(">I", len(record)) + record)
 
     async def publish_state(self, state):
+        self.sequence += 1
         await self.publish(json.dumps({
+            "born": self.born, "sequence": self.sequence,
             "service": self.options.service,
             "address": self.options.listed or self.options.address,
             "zone": self.options.zone,
             "version": self.options.version, "slots": SLOTS,
             "state": state, "coldRemainingMs": 0}).encode())
 
+    async def publish_again(self):
+        """Writes the entry anew, which somebody else has overwritten."""
+        await self.publish_state("draining" if self.is_draining else "ready")
+
     async def drain(self):
         self.is_draining = True
         await self.publish_state("draining")
@@ -184,6 +193,8 @@
         *split_address(options.address))
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGTERM, lambda: asyncio.ensure_future(server.drain()))
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGUSR1, lambda: asyncio.ensure_future(server.publish_again()))
     await server.publish_state("ready")
     tell({"ready": options.id})
     async with listener:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 from clients import Client
 from fleet import STOP_MS, ZONES, Fleet
 from promises import Disturbances, Promises
+from rebirths import Rebirths
 from rollouts import Rollouts
 
 LEAD = 3.0
@@ -75,6 +76,8 @@
         if "run" in event:
             self.promises.ran(event["run"], event["server"], event["tenant"],
                               event["path"], event["after"], now)
+        elif "ready" in event:
+            self.promises.begins(event["ready"])
         elif "draining" in event:
             self.promises.draining[event["draining"]] = now
         elif "duty" in event:
@@ -99,6 +102,9 @@
         self.spawn(self.watch_processes())
         if self.options.rollouts:
             self.spawn(Rollouts(self, self.options.seed).run())
+        rebirths = Rebirths(self, self.options.seed)
+        if self.options.rebirths:
+            self.spawn(rebirths.run(begin_after=1.0))
         begin = self.now()
         for trouble in faults.plan(self.options.seed, self.options.seconds):
             await asyncio.sleep(max(0.0, begin + trouble.at - self.now()))
@@ -113,6 +119,7 @@
         self.is_over = True
         self.check_recovery(measured_from, measured_to)
         self.check_quota()
+        rebirths.check()
 
     def spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -282,6 +289,9 @@
     async def unlist(self, server):
         key = server.name.encode()
         record = bytes([len(key)]) + key
+        await self.write_server_record(record)
+
+    async def write_server_record(self, record):
         await self.operate("POST /log-append?topic=keyed.servers&part=0&",
                            struct.pack(">I", len(record)) + record)
 
@@ -450,6 +460,9 @@
                         help="0 to 200: loopback addresses; one a run")
     parser.add_argument("--rollouts", action="store_true",
                         help="order roll-outs beside the troubles")
+    parser.add_argument("--rebirths", action="store_true",
+                        help="let servers start again under their ids, and "
+                        "others write entries, beside the troubles")
     parser.add_argument("--judge-time", action="store_true")
     parser.add_argument("--logs", help="folder that keeps the logs")
     options = parser.parse_args()
