daleshelf: Name the start of a server that a request ran at

Cause: a server that starts again keeps its id, so its id alone does not tell which start failed a request.

--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -60,6 +60,16 @@
     EXPECT_EQ(story.events[0].fields.at("state"), "gone");
 }
 
+TEST(explain, names_the_start_of_a_server_that_a_request_ran_at)
+{
+    const auto story = explain_request(
+        "r",
+        read(
+            R"({"time":"1","name":"upstream_failed","id":"r","server":"a","born":"1764720000123","end":"broken"}
+{"time":"2","name":"request_failed","id":"r","reason":"may_have_run"})"));
+    EXPECT_TRUE(story.cause.ends_with("(server a born 1764720000123: broken)"));
+}
+
 TEST(explain, tells_requests_apart)
 {
     EXPECT_EQ(explain_request("q", read(example)).cause,
--- a/utilities/daleshelf/explain.cpp
+++ b/utilities/daleshelf/explain.cpp
@@ -66,6 +66,15 @@
     return sentences;
 }
 
+// A server that starts again keeps its id: its birth tells which start it was.
+std::string name_of_life(const logged_event& event)
+{
+    const auto server = "server " + text_of(event.fields, "server");
+    const auto born = text_of(event.fields, "born");
+    const bool is_told = !born.empty() && born != "0";
+    return is_told ? server + " born " + born : server;
+}
+
 std::string cause_of(const std::vector<logged_event>& events)
 {
     std::string cause;
@@ -76,8 +85,7 @@
         if (event.name == "upstream_failed")
         {
             last_end = text_of(event.fields, "end");
-            last_attempt =
-                "server " + text_of(event.fields, "server") + ": " + last_end;
+            last_attempt = name_of_life(event) + ": " + last_end;
             continue;
         }
         auto reason = text_of(event.fields, "reason");
