peers: Ask a peer for a record that stays missing, not for any that it knows

Cause: a host asked a peer for the whole list once it had been behind anybody for 0.35 s; the wait began anew only when it was behind nobody. Change: news_patience waits for the record that was missing first; when that has come the wait begins anew.

--- a/libraries/peers/forward.hpp
+++ b/libraries/peers/forward.hpp
@@ -6,6 +6,7 @@
 {
 
 enum class datagram_format : unsigned char;
+class news_patience;
 class peer_table;
 class time_estimate;
 struct machine_state;
--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -261,7 +261,10 @@
         const bool is_as_urgent = source && topic == source->topic;
         if (is_more_urgent || (is_as_urgent && peer.heard_at > heard_at))
         {
-            source = news_source{topic, peer.address};
+            source = news_source{
+                topic,
+                peer.address,
+                {peer.state.configuration_version, peer.state.servers_offset}};
             heard_at = peer.heard_at;
         }
     }
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -63,6 +63,7 @@
 {
     shared_topic topic = shared_topic::configuration;
     std::string address;
+    known_records known; ///< what the peer has told that it knows
 };
 
 /// Keeps the newest state of each peer. See docs/design/platform.md.
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -25,8 +25,6 @@
 // 0.7 MB to 57 hosts did not arrive, and 285 hosts asked the store instead.
 constexpr std::size_t bytes_at_once = 65536;
 constexpr milliseconds pause_between{25};
-// How long a peer may know more before it is asked: the store is faster.
-constexpr milliseconds patience{350};
 constexpr milliseconds fetch_time{1000};
 constexpr std::string_view records_target = "/records/";
 
@@ -205,23 +203,16 @@
     const known_records own{
         m_state.routes ? m_state.routes->configuration().version : 0,
         m_topics.servers.next()};
-    const auto source = m_table.source_of_news(own, gateway_state::now());
-    if (!source)
+    const auto now = gateway_state::now();
+    const auto source = m_table.source_of_news(own, now);
+    if (m_is_fetching || !m_patience.is_over(own, source, now))
     {
-        m_behind_since.clear();
         return;
     }
     const std::string wanted(source->topic == shared_topic::configuration
                                  ? platform::operator_topic
                                  : platform::server_topic);
-    const auto since =
-        m_behind_since.try_emplace(wanted, monotonic::now()).first->second;
-    if (m_is_fetching || monotonic::now() - since < patience)
-    {
-        return;
-    }
     m_is_fetching = true;
-    m_behind_since.erase(wanted);
     asio::co_spawn(
         m_state.context,
         [this, address = source->address, wanted]
--- a/services/gateway/topic_sharing.hpp
+++ b/services/gateway/topic_sharing.hpp
@@ -7,6 +7,7 @@
 #include "topic_follower.hpp"
 
 #include <functional>
+#include <peers/news_patience.hpp>
 #include <peers/peer_table.hpp>
 #include <peers/topic_records.hpp>
 
@@ -48,6 +49,10 @@
     [[nodiscard]] short_answer answer(const std::string& target);
 
 private:
+    /// How long a peer may know a record before it is asked for it: the store
+    /// and the readers are faster.
+    static constexpr absl::Duration patience = absl::Milliseconds(350);
+
     void tell_nothing_newer();
     awaitable<void> tell_parts(std::vector<shared_records> parts);
     [[nodiscard]] std::vector<std::string> addresses_in_hall() const;
@@ -58,7 +63,7 @@
     followed_topics m_topics;
     const peer_table& m_table;
     sender m_send;
-    std::map<std::string, monotonic::time_point> m_behind_since;
+    news_patience m_patience{patience};
     absl::Time m_first_chosen_at = absl::InfiniteFuture();
     int m_tellings = 0; ///< that are on their way
     bool m_is_fetching = false;
