--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <base/text.hpp>
+#include <tuple>
 
 namespace daleshelf
 {
@@ -239,34 +240,38 @@
     return state.reaches_store && !state.is_stopping && is_in_reach(peer, now);
 }
 
-// The one heard last is the likeliest to be there still: one that has died is
-// believed to be in reach for three and a half turns, 32 s in a fleet of 295.
+// The configuration goes first. Then a peer of the own hall: lists that 295
+// hosts fetched from any hall were 0.9 GB between halls within 50 s. Then the
+// one heard last, which is the likeliest to be there still: one that has died
+// is believed to be in reach for three and a half turns, 32 s in a fleet of
+// 295.
 std::optional<news_source> peer_table::source_of_news(const known_records& own,
                                                       absl::Time now) const
 {
     std::optional<news_source> source;
-    auto heard_at = absl::InfinitePast();
+    using rank = std::tuple<bool, bool, absl::Time>;
+    std::optional<rank> best;
     for (const auto& [name, peer] : m_peers)
     {
+        const known_records known{peer.state.configuration_version,
+                                  peer.state.servers_offset};
         const bool has_configuration =
-            peer.state.configuration_version > own.configuration_version;
-        const bool has_servers = peer.state.servers_offset > own.servers_offset;
+            known.configuration_version > own.configuration_version;
+        const bool has_servers = known.servers_offset > own.servers_offset;
         if (!is_in_reach(name, now) || !(has_configuration || has_servers))
         {
             continue;
         }
-        const auto topic = has_configuration ? shared_topic::configuration
-                                             : shared_topic::servers;
-        const bool is_more_urgent = !source || topic < source->topic;
-        const bool is_as_urgent = source && topic == source->topic;
-        if (is_more_urgent || (is_as_urgent && peer.heard_at > heard_at))
+        const rank found{has_configuration, peer.state.hall == m_self.hall,
+                         peer.heard_at};
+        if (best && found <= *best)
         {
-            source = news_source{
-                topic,
-                peer.address,
-                {peer.state.configuration_version, peer.state.servers_offset}};
-            heard_at = peer.heard_at;
+            continue;
         }
+        best = found;
+        const auto topic = has_configuration ? shared_topic::configuration
+                                             : shared_topic::servers;
+        source = news_source{topic, peer.address, known};
     }
     return source;
 }
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -50,8 +50,8 @@
     , m_topics(topics)
     , m_list(state, [this](const machine_address& machine)
              { m_table.add_address(machine, gateway_state::now()); })
-    , m_table({state.self, state.settings.peers_address}, state.started,
-              peer_options())
+    , m_table({state.self, state.settings.peers_address, state.hall},
+              state.started, peer_options())
     , m_socket(state.context, udp_endpoint(state.settings.peers_address))
     , m_server(state.context, state.settings.peers_address,
                [this](const std::string& target)
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -164,6 +164,11 @@
     }
 }
 
+bool topic_follower::is_being_listed() const
+{
+    return !m_has_listed && monotonic::now() < m_page_at + answer_time;
+}
+
 bool topic_follower::is_told() const
 {
     return m_events.on_read && m_state.role == list_role::follower &&
@@ -202,9 +207,12 @@
 awaitable<bool> topic_follower::list()
 {
     const auto asked_at = monotonic::now();
-    auto read = co_await list_topic(m_caller, m_topic, answer_time);
+    auto read = co_await list_topic(m_caller, m_topic, answer_time,
+                                    [this] { m_page_at = monotonic::now(); });
     if (!read)
     {
+        // No page of it counts: the next list begins anew.
+        m_page_at = {};
         co_return false;
     }
     std::map<std::string, platform::keyed_record> listed;
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -104,6 +104,10 @@
     /// @return whether the store has answered lately
     [[nodiscard]] bool is_reached() const;
 
+    /// @return whether the first list is on its way from the store, page by
+    /// page
+    [[nodiscard]] bool is_being_listed() const;
+
     /// @return whether others read for this machine, and have said so lately
     [[nodiscard]] bool is_told() const;
 
@@ -138,6 +142,7 @@
     int m_failures = 0;
     monotonic::time_point m_answered_at{};
     monotonic::time_point m_asked_at{};
+    monotonic::time_point m_page_at{}; ///< of the list that is asked for
     monotonic::time_point m_told_at{}; ///< by a peer that reads for others
     monotonic::time_point m_known_at{};
     /// Since when something is missing of what they told.
--- a/services/gateway/topic_list.cpp
+++ b/services/gateway/topic_list.cpp
@@ -9,8 +9,10 @@
 namespace daleshelf
 {
 
-awaitable<std::optional<listed_topic>>
-list_topic(http_caller& caller, std::string topic, milliseconds answer_time)
+awaitable<std::optional<listed_topic>> list_topic(http_caller& caller,
+                                                  std::string topic,
+                                                  milliseconds answer_time,
+                                                  std::function<void()> on_page)
 {
     listed_topic listed;
     std::string after;
@@ -40,6 +42,7 @@
                 // No record of the page names where the next one begins.
                 co_return std::nullopt;
             }
+            on_page();
             after = page.last_key;
         }
         catch (const json_error& error)
--- a/services/gateway/topic_list.hpp
+++ b/services/gateway/topic_list.hpp
@@ -4,6 +4,7 @@
 
 #include "http_call.hpp"
 
+#include <functional>
 #include <optional>
 #include <platform/store_calls.hpp>
 #include <string>
@@ -23,8 +24,10 @@
 
 /// @param caller nobody else uses it meanwhile
 /// @param answer_time how long each page may take
+/// @param on_page called with each page that has come, but for the last one
 /// @return nothing if the store has not given the whole list
-awaitable<std::optional<listed_topic>>
-list_topic(http_caller& caller, std::string topic, milliseconds answer_time);
+awaitable<std::optional<listed_topic>> list_topic(
+    http_caller& caller, std::string topic, milliseconds answer_time,
+    std::function<void()> on_page = [] {});
 
 } // namespace daleshelf
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -298,5 +298,40 @@
     EXPECT_EQ(state.skipped.total(), 3);
 }
 
+// The store gives one page of a longer list, and no more.
+void serve_one_page(test_connection& connection)
+{
+    connection.read_message();
+    connection.send(answer_with(
+        R"({"items":[{"privateKey":"a","value":"MQ==","offset":1}],)"
+        R"("more":true,"end":2})"));
+    connection.read_all();
+}
+
+// A host that starts fetched the list from peers while the store gave it: the
+// same 1.4 MB several times, over a small host's link.
+TEST(list_in_pages_test, is_on_its_way_until_the_store_stops)
+{
+    scripted_server store(serve_one_page);
+    auto settings = make_settings();
+    settings.store_address = store.address();
+    asio::io_context context{1};
+    gateway_state state(context, settings);
+    topic_follower follower(state, "topic",
+                            {[](const auto&) {}, [](const auto&) {}});
+    EXPECT_FALSE(follower.is_being_listed());
+    asio::co_spawn(
+        context, [&] { return follower.run(); }, asio::detached);
+    bool was_on_its_way = false;
+    for (int step = 0; step < 1000 && store.connections() < 2; ++step)
+    {
+        context.run_for(milliseconds(10));
+        was_on_its_way = was_on_its_way || follower.is_being_listed();
+    }
+    EXPECT_TRUE(was_on_its_way);
+    ASSERT_GE(store.connections(), 2) << "it lists again";
+    EXPECT_EQ(follower.next(), log_offset(0)) << "no list is whole";
+}
+
 } // namespace
 } // namespace daleshelf
