gateway: Keep the pages of a list when one fails

Cause: hosts that start together share what the store can read (80 MB a second): with 3,000 servers a page of 500 takes 295 hosts 0.9 s on the mean, and one that takes over 1.5 s sent its host back to the first page, which the store then read once more. Change: topic_listing keeps what has come, and goes on there; what changes since the first page comes with the tail, as between pages before. What is known is known as of the first page's request. Seen failing: goes_on_where_a_page_failed, on a list that begins anew.

--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -1,7 +1,5 @@
 #include "topic_follower.hpp"
 
-#include "topic_list.hpp"
-
 #include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <telemetry/log.hpp>
@@ -45,6 +43,7 @@
                                topic_events events)
     : m_state(state)
     , m_topic(std::move(topic))
+    , m_listing(m_topic)
     , m_events(std::move(events))
     , m_caller(state.context, state.settings.store_address)
     , m_wake(state.context.get_executor())
@@ -166,7 +165,8 @@
 
 bool topic_follower::is_being_listed() const
 {
-    return !m_has_listed && monotonic::now() < m_page_at + answer_time;
+    return !m_has_listed &&
+           monotonic::now() < m_listing.page_at() + answer_time;
 }
 
 bool topic_follower::is_told() const
@@ -206,33 +206,30 @@
 
 awaitable<bool> topic_follower::list()
 {
-    const auto asked_at = monotonic::now();
-    auto read = co_await list_topic(m_caller, m_topic, answer_time,
-                                    [this] { m_page_at = monotonic::now(); });
-    if (!read)
+    const bool is_whole = co_await m_listing.go_on(m_caller, answer_time);
+    if (!is_whole)
     {
-        // No page of it counts: the next list begins anew.
-        m_page_at = {};
         co_return false;
     }
+    auto read = m_listing.take();
     std::map<std::string, platform::keyed_record> listed;
-    for (auto& record : read->records)
+    for (auto& record : read.records)
     {
         const auto key = record.key;
         listed[key] = std::move(record);
     }
-    if (read->end < m_next)
+    if (read.end < m_next)
     {
         // A stale read: what is known is newer.
         co_return false;
     }
-    for (std::size_t index = 0; index < read->skipped; ++index)
+    for (std::size_t index = 0; index < read.skipped; ++index)
     {
-        note_skipped(read->end);
+        note_skipped(read.end);
     }
     m_origin = record_origin::store;
-    apply_list(listed, read->end);
-    m_known_at = std::max(m_known_at, asked_at);
+    apply_list(listed, read.end);
+    m_known_at = std::max(m_known_at, read.asked_at);
     // A host whose hall has readers waits for their word from now on.
     m_told_at = monotonic::now();
     co_return true;
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -5,6 +5,7 @@
 #include "async_event.hpp"
 #include "gateway_state.hpp"
 #include "http_call.hpp"
+#include "topic_list.hpp"
 
 #include <functional>
 #include <map>
@@ -130,6 +131,7 @@
 
     gateway_state& m_state;
     std::string m_topic;
+    topic_listing m_listing;
     topic_events m_events;
     http_caller m_caller;
     async_event m_wake;
@@ -142,7 +144,6 @@
     int m_failures = 0;
     monotonic::time_point m_answered_at{};
     monotonic::time_point m_asked_at{};
-    monotonic::time_point m_page_at{}; ///< of the list that is asked for
     monotonic::time_point m_told_at{}; ///< by a peer that reads for others
     monotonic::time_point m_known_at{};
     /// Since when something is missing of what they told.
--- a/services/gateway/topic_list.cpp
+++ b/services/gateway/topic_list.cpp
@@ -9,49 +9,81 @@
 namespace daleshelf
 {
 
-awaitable<std::optional<listed_topic>> list_topic(http_caller& caller,
-                                                  std::string topic,
-                                                  milliseconds answer_time,
-                                                  std::function<void()> on_page)
+awaitable<bool> topic_listing::go_on(http_caller& caller,
+                                     milliseconds page_time)
 {
-    listed_topic listed;
-    std::string after;
-    bool is_first = true;
-    while (true)
+    while (!m_is_whole)
     {
-        auto call = platform::list_call(topic, after);
-        const auto answer = co_await caller.call(std::move(call), answer_time);
+        if (m_after.empty())
+        {
+            m_listed.asked_at = monotonic::now();
+        }
+        auto call = platform::list_call(m_topic, m_after);
+        const auto answer = co_await caller.call(std::move(call), page_time);
         if (!answer || answer->status != http_status::ok)
         {
-            co_return std::nullopt;
+            co_return false;
         }
         try
         {
-            auto page = platform::read_newest(answer->body);
-            listed.end = is_first ? page.end : listed.end;
-            is_first = false;
-            std::move(page.records.begin(), page.records.end(),
-                      std::back_inserter(listed.records));
-            listed.skipped += page.skipped;
-            if (!page.has_more)
+            const bool is_taken =
+                take_page(platform::read_newest(answer->body));
+            if (!is_taken)
             {
-                co_return listed;
+                co_return false;
             }
-            if (page.last_key.empty() || page.last_key == after)
-            {
-                // No record of the page names where the next one begins.
-                co_return std::nullopt;
-            }
-            on_page();
-            after = page.last_key;
         }
         catch (const json_error& error)
         {
             log(events::record_skipped,
-                {{"topic", topic}, {"error", error.what()}});
-            co_return std::nullopt;
+                {{"topic", m_topic}, {"error", error.what()}});
+            co_return false;
         }
     }
+    co_return true;
+}
+
+// @return whether the list can go on after the page
+bool topic_listing::take_page(platform::newest_page page)
+{
+    const bool names_next = !page.last_key.empty() && page.last_key != m_after;
+    if (page.has_more && !names_next)
+    {
+        // No record of it says where the next page begins.
+        (void)take();
+        return false;
+    }
+    if (m_after.empty())
+    {
+        m_listed.end = page.end;
+    }
+    m_listed.skipped += page.skipped;
+    std::move(page.records.begin(), page.records.end(),
+              std::back_inserter(m_listed.records));
+    m_after = page.last_key;
+    m_is_whole = !page.has_more;
+    m_page_at = monotonic::now();
+    return true;
+}
+
+listed_topic topic_listing::take()
+{
+    m_after.clear();
+    m_is_whole = false;
+    m_page_at = {};
+    return std::exchange(m_listed, {});
+}
+
+awaitable<std::optional<listed_topic>>
+list_topic(http_caller& caller, std::string topic, milliseconds answer_time)
+{
+    topic_listing listing(std::move(topic));
+    const bool is_whole = co_await listing.go_on(caller, answer_time);
+    if (!is_whole)
+    {
+        co_return std::nullopt;
+    }
+    co_return listing.take();
 }
 
 } // namespace daleshelf
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -333,5 +333,42 @@
     EXPECT_EQ(follower.next(), log_offset(0)) << "no list is whole";
 }
 
+// The store gives a page on each connection, and then falls silent.
+void serve_a_page_each(test_connection& connection)
+{
+    const auto request = connection.read_message();
+    const bool is_second = request.find("afterRevision=a") != std::string::npos;
+    connection.send(answer_with(
+        is_second
+            ? R"({"items":[{"privateKey":"b","value":"Mg==","offset":7}],)"
+              R"("more":false,"end":9})"
+            : R"({"items":[{"privateKey":"a","value":"MQ==","offset":1}],)"
+              R"("more":true,"end":2})"));
+    connection.read_all();
+}
+
+// 295 hosts that start together share what the store can read: a page may take
+// longer than its time, and then all of them began anew.
+TEST(list_in_pages_test, goes_on_where_a_page_failed)
+{
+    scripted_server store(serve_a_page_each);
+    auto settings = make_settings();
+    settings.store_address = store.address();
+    asio::io_context context{1};
+    gateway_state state(context, settings);
+    topic_follower follower(state, "topic",
+                            {[](const auto&) {}, [](const auto&) {}});
+    asio::co_spawn(
+        context, [&] { return follower.run(); }, asio::detached);
+    for (int step = 0; step < 1000 && follower.records().empty(); ++step)
+    {
+        context.run_for(milliseconds(10));
+    }
+    EXPECT_TRUE(follower.records().contains("a"));
+    EXPECT_TRUE(follower.records().contains("b"));
+    // What changed since the first page comes with the tail.
+    EXPECT_EQ(follower.next(), log_offset(2));
+}
+
 } // namespace
 } // namespace daleshelf
