duties: Settle no window that dropped records may have settled

Ruled out: servers that start again (the store's loss of history alone does it, in a test of two ledgers), late appends (each names the log's end). Change: after records were dropped unread, windows that ended before are left alone: at worst up to three are missed when a holder dies right after. Who has read all goes on settling.

--- a/libraries/duties/duty_ledger.cpp
+++ b/libraries/duties/duty_ledger.cpp
@@ -86,7 +86,9 @@
                                                  const tenant_counts& counts,
                                                  absl::Time now) const
 {
-    if (!m_is_current || !token(now) || m_settled.contains(window))
+    // A window whose counts were settled in records that this machine never saw
+    // would be reported twice, with other counts.
+    if (!m_is_current || !token(now) || !may_settle(window))
     {
         return std::nullopt;
     }
@@ -98,8 +100,12 @@
 
 void duty_ledger::on_records(log_offset from, log_offset first, log_offset end,
                              const std::vector<std::string>& records,
-                             absl::Time now)
+                             std::int64_t running_window, absl::Time now)
 {
+    if (m_next < first)
+    {
+        m_first_known = std::max(m_first_known, running_window);
+    }
     m_read_at = now;
     m_refusals = 0;
     m_refused_since = absl::InfiniteFuture();
--- a/libraries/duties/duty_ledger.hpp
+++ b/libraries/duties/duty_ledger.hpp
@@ -75,11 +75,21 @@
     settle(std::int64_t window, const tenant_counts& counts,
            absl::Time now) const;
 
-    /// Answer to a read.
+    /// @return whether this machine knows that nobody has settled the window,
+    /// once it holds the lease and has read the log
+    [[nodiscard]] bool may_settle(std::int64_t window) const
+    {
+        return window >= m_first_known && !m_settled.contains(window);
+    }
+
+    /// Answer to a read. Windows that ended before records were dropped unread
+    /// may have been settled in these.
     /// @param first the oldest offset kept
     /// @param end where the next record goes
+    /// @param running_window the usage window that has not ended yet
     void on_records(log_offset from, log_offset first, log_offset end,
-                    const std::vector<std::string>& records, absl::Time now);
+                    const std::vector<std::string>& records,
+                    std::int64_t running_window, absl::Time now);
 
     /// The append was done.
     void on_appended(const ledger_append& append, absl::Time sent_at);
@@ -167,6 +177,8 @@
     int m_refusals = 0; ///< of the store, in a row
     absl::Time m_refused_since = absl::InfiniteFuture();
     counts_by_window m_settled;
+    /// Earlier windows may have been settled in records that were dropped.
+    std::int64_t m_first_known = 0;
 };
 
 } // namespace daleshelf
--- a/services/gateway/duty_service.cpp
+++ b/services/gateway/duty_service.cpp
@@ -243,7 +243,8 @@
         {
             const auto first = log_offset(
                 require_integer(parse_object(answer->body), "first"));
-            m_ledger.on_records(from, first, log_offset(INT64_MAX), {}, now);
+            m_ledger.on_records(from, first, log_offset(INT64_MAX), {},
+                                running_window(), now);
             co_return true;
         }
         if (answer->status != http_status::ok)
@@ -252,7 +253,8 @@
             co_return false;
         }
         const auto page = platform::read_page(answer->body);
-        m_ledger.on_records(from, page.first, page.end, page.records, now);
+        m_ledger.on_records(from, page.first, page.end, page.records,
+                            running_window(), now);
     }
     catch (const json_error&)
     {
@@ -362,7 +364,7 @@
     for (auto window = oldest_window();
          m_state.usage.end_of(window) + settle_delay <= time; ++window)
     {
-        if (window > m_newest_empty && !m_ledger.settled().contains(window))
+        if (window > m_newest_empty && m_ledger.may_settle(window))
         {
             return window;
         }
@@ -370,6 +372,11 @@
     return std::nullopt;
 }
 
+std::int64_t duty_service::running_window() const
+{
+    return m_state.usage.window_of(m_state.time_of_day());
+}
+
 // @return whether all machines in reach have told their counts of the window,
 // or the time for that is over
 bool duty_service::is_collected(std::int64_t window) const
--- a/services/gateway/duty_service.hpp
+++ b/services/gateway/duty_service.hpp
@@ -61,6 +61,7 @@
     awaitable<void> report(std::int64_t window);
     [[nodiscard]] std::optional<ledger_append> next_settlement();
     [[nodiscard]] std::optional<std::int64_t> due_window() const;
+    [[nodiscard]] std::int64_t running_window() const;
     [[nodiscard]] bool is_collected(std::int64_t window) const;
     [[nodiscard]] std::int64_t oldest_window() const;
     [[nodiscard]] milliseconds time_for_store() const;
--- a/tests/duties/duty_ledger_test.cpp
+++ b/tests/duties/duty_ledger_test.cpp
@@ -118,13 +118,43 @@
 TEST(duty_ledger, goes_on_after_records_were_dropped)
 {
     duty_ledger ledger(host_id("1"), incarnation(1), duty_options());
-    ledger.on_records(log_offset(0), log_offset(50), log_offset(50), {}, at(1));
+    ledger.on_records(log_offset(0), log_offset(50), log_offset(50), {}, 0,
+                      at(1));
     const auto action = ledger.next_action(false, at(9));
     const auto* append = std::get_if<ledger_append>(&action);
     ASSERT_NE(append, nullptr);
     EXPECT_EQ(append->at, log_offset(50));
 }
 
+// The log forgot its history before this machine had read that a window was
+// settled. It took the lease over, settled the window once more, and the
+// platform got two reports that differed: 93 and 54 requests, then 96 and 55.
+TEST(duty_ledger, settles_nothing_that_dropped_records_may_have_settled)
+{
+    shared_log log;
+    machine one(log, "1");
+    machine two(log, "2");
+    one.tick(at(1), false);
+    one.tick(at(1.2), false);
+    two.tick(at(1.3), false);
+    const auto settled = one.ledger.settle(7, {{studio, 93}}, at(1.4));
+    ASSERT_TRUE(settled);
+    one.perform(*settled, at(1.4), false);
+    log.forget();
+    two.running_window = 9;
+    for (double now = 2; now < 9; now += 0.2)
+    {
+        two.tick(at(now), false);
+    }
+    ASSERT_TRUE(two.ledger.token(at(9)));
+    EXPECT_FALSE(two.ledger.settle(7, {{studio, 96}}, at(9)));
+    EXPECT_FALSE(two.ledger.may_settle(8));
+    EXPECT_TRUE(two.ledger.settle(9, {{studio, 5}}, at(9)));
+    // Whoever has read all goes on settling.
+    EXPECT_FALSE(one.ledger.may_settle(7));
+    EXPECT_TRUE(one.ledger.may_settle(8));
+}
+
 // Machines tick at random, stand still, and lose answers: at no time do two of
 // them hold the lease, and no two grants have the same token.
 RC_GTEST_PROP(duty_ledger, never_has_two_holders, ())
--- a/tests/duties/log_machine.hpp
+++ b/tests/duties/log_machine.hpp
@@ -2,6 +2,7 @@
 /// Machines that keep one lease by a log, for tests.
 #pragma once
 
+#include <algorithm>
 #include <duties/duty_ledger.hpp>
 #include <string>
 #include <vector>
@@ -18,7 +19,13 @@
 /// The platform's log: an append is done only if the log ends where it says.
 struct shared_log
 {
-    std::vector<std::string> records;
+    std::vector<std::string> records; ///< those before `first` too
+    std::int64_t first = 0;           ///< the oldest offset kept
+
+    void forget()
+    {
+        first = static_cast<std::int64_t>(records.size());
+    }
 
     bool append(const ledger_append& wanted)
     {
@@ -45,13 +52,12 @@
         const auto action = ledger.next_action(is_holder_heard, now);
         if (const auto* read = std::get_if<ledger_read>(&action))
         {
-            const auto from = static_cast<std::size_t>(read->from.value());
+            const auto from = std::max(read->from.value(), m_log.first);
             ledger.on_records(
-                read->from, log_offset(0),
+                read->from, log_offset(m_log.first),
                 log_offset(static_cast<std::int64_t>(m_log.records.size())),
-                {m_log.records.begin() + static_cast<std::ptrdiff_t>(from),
-                 m_log.records.end()},
-                now);
+                {m_log.records.begin() + from, m_log.records.end()},
+                running_window, now);
         }
         else if (const auto* append = std::get_if<ledger_append>(&action))
         {
@@ -72,6 +78,7 @@
     }
 
     duty_ledger ledger;
+    std::int64_t running_window = 0;
 
 private:
     shared_log& m_log;
--- a/tests/fuzz/store_fuzz.cpp
+++ b/tests/fuzz/store_fuzz.cpp
@@ -85,7 +85,7 @@
 {
     duty_ledger ledger(host_id("a"), incarnation(1), {});
     ledger.on_records(log_offset(0), log_offset(0), log_offset(1),
-                      {std::string(bytes)}, absl::UnixEpoch());
+                      {std::string(bytes)}, 0, absl::UnixEpoch());
     (void)ledger.next_action(false, absl::UnixEpoch());
 }
 
