--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -1,9 +1,11 @@
 """Each promise is seen broken once: a check that cannot fail proves nothing."""
 
 import unittest
+from types import SimpleNamespace
 
 from http_wire import Message
 from promises import Attempt, Disturbances, Promises
+from rebirths import Rebirths
 from rollouts import Rollouts
 from server import event_data, plain_body
 
@@ -192,5 +194,35 @@
         self.assertEqual(self.judge("rolled_back"), ["EXPOSURE", "EXPOSURE"])
 
 
+class RebirthsTest(unittest.TestCase):
+    """A server that came back 20 s before the end of a run."""
+
+    def setUp(self):
+        self.promises = Promises(Disturbances())
+        server = SimpleNamespace(name="server-1", is_running=True)
+        soak = SimpleNamespace(promises=self.promises, now=lambda: 50.0,
+                               fleet=SimpleNamespace(servers=[server]))
+        self.rebirths = Rebirths(soak, 1)
+        self.rebirths._back_since["server-1"] = 30.0
+
+    def names_after_a_run_at(self, time):
+        attempt = Attempt("a", "safe", "tenant", "gateway-1", 0.0, 1.5)
+        attempt.runs.append((time, "server-1", 0))
+        self.promises.attempts["a"] = attempt
+        self.rebirths.check()
+        return [name for name, _ in self.promises.late]
+
+    def test_one_that_is_asked_again_breaks_nothing(self):
+        self.assertEqual(self.names_after_a_run_at(31.0), [])
+
+    def test_one_that_is_never_asked_again(self):
+        self.assertEqual(self.names_after_a_run_at(29.0), ["REBIRTH"])
+
+    def test_a_server_that_began_again_is_not_leaving(self):
+        self.promises.draining["server-1"] = 10.0
+        self.promises.begins("server-1")
+        self.assertNotIn("server-1", self.promises.draining)
+
+
 if __name__ == "__main__":
     unittest.main()
