--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -163,12 +163,6 @@
     }
 }
 
-bool topic_follower::is_being_listed() const
-{
-    return !m_has_listed &&
-           monotonic::now() < m_listing.page_at() + answer_time;
-}
-
 bool topic_follower::is_told() const
 {
     return m_events.on_read && m_state.role == list_role::follower &&
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -105,10 +105,6 @@
     /// @return whether the store has answered lately
     [[nodiscard]] bool is_reached() const;
 
-    /// @return whether the first list is on its way from the store, page by
-    /// page
-    [[nodiscard]] bool is_being_listed() const;
-
     /// @return whether others read for this machine, and have said so lately
     [[nodiscard]] bool is_told() const;
 
--- a/services/gateway/topic_list.cpp
+++ b/services/gateway/topic_list.cpp
@@ -62,7 +62,6 @@
               std::back_inserter(m_listed.records));
     m_after = page.last_key;
     m_is_whole = !page.has_more;
-    m_page_at = monotonic::now();
     return true;
 }
 
@@ -70,7 +69,6 @@
 {
     m_after.clear();
     m_is_whole = false;
-    m_page_at = {};
     return std::exchange(m_listed, {});
 }
 
--- a/services/gateway/topic_list.hpp
+++ b/services/gateway/topic_list.hpp
@@ -39,12 +39,6 @@
     /// @return the whole list; another one begins
     [[nodiscard]] listed_topic take();
 
-    /// @return when the last page came; the epoch if none has
-    [[nodiscard]] monotonic::time_point page_at() const
-    {
-        return m_page_at;
-    }
-
 private:
     bool take_page(platform::newest_page page);
 
@@ -52,7 +46,6 @@
     listed_topic m_listed;
     std::string m_after; ///< key after which the next page begins
     bool m_is_whole = false;
-    monotonic::time_point m_page_at{};
 };
 
 /// Lists a topic at once.
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -205,13 +205,6 @@
         m_topics.servers.next()};
     const auto now = gateway_state::now();
     const auto source = m_table.source_of_news(own, now);
-    if (source && source->topic == shared_topic::servers &&
-        m_topics.servers.is_being_listed())
-    {
-        // The store gives the same: 3,000 servers are 1.4 MB, which would fill
-        // a small host's link a second time.
-        return;
-    }
     if (m_is_fetching || !m_patience.is_over(own, source, now))
     {
         return;
