gateway: Log what servers say of themselves, and how changes are heard

Cause: of hosts that sent requests to leaving or resting servers no line told whether the servers had said so; and a late configuration could not be told from one that nobody had told. Change: platform::read_notice decodes both fields; events 502 and 503 say what an answer told of its server; configuration_applied names who told of it, the role, and when the store was last asked; two gauges say since when a change may be unknown. No decision changes yet.

--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -147,6 +147,11 @@
     502, log_severity::info, "upstream_leaving",
     "An upstream is leaving and gets no new work."};
 
+inline constexpr log_event upstream_rests{
+    503, log_severity::info, "upstream_rests",
+    "An upstream has turned a request away and wants nothing from this host "
+    "for a time."};
+
 inline constexpr log_event order_given{
     601, log_severity::info, "order_given",
     "The planner of the hall has given an order to an engine."};
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -24,6 +24,11 @@
 constexpr std::chrono::milliseconds stop_margin{600};
 constexpr std::chrono::milliseconds stop_step{50};
 
+double seconds_between(monotonic::time_point from, monotonic::time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
 } // namespace
 
 gateway::gateway(asio::io_context& context, gateway_settings settings,
@@ -314,7 +319,11 @@
         log(events::configuration_applied,
             {{"version", std::to_string(version)},
              {"before", std::to_string(known)},
-             {"offset", std::to_string(record.offset.value())}});
+             {"offset", std::to_string(record.offset.value())},
+             {"origin", std::string(name_of(m_configuration.newest_origin()))},
+             {"role", std::string(name_of(m_state.role))},
+             {"asked_ms_ago",
+              std::to_string(m_configuration.asked_age().count())}});
     }
     catch (const json_error& error)
     {
@@ -429,6 +438,12 @@
     meter.set("configuration_store_answer_age_seconds",
               "Time since the store answered for the configuration.",
               m_configuration.answer_age_seconds());
+    meter.set("configuration_known_age_seconds",
+              "Time since when a change of the configuration may be unknown.",
+              seconds_between(m_configuration.known_at(), monotonic::now()));
+    meter.set("servers_known_age_seconds",
+              "Time since when a change of the servers may be unknown.",
+              seconds_between(m_servers.known_at(), monotonic::now()));
     meter.set("servers_store_answer_age_seconds",
               "Time since the store answered for the list of servers.",
               m_servers.answer_age_seconds());
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -1,5 +1,7 @@
 #include "request_flow.hpp"
 
+#include "server_notices.hpp"
+
 #include <algorithm>
 #include <base/http_status.hpp>
 #include <platform/request_format.hpp>
@@ -217,6 +219,7 @@
     {
         state = co_await exchange.start();
     }
+    heed(server, exchange.notice());
     m_state.choice.prompt_read(server.life(), m_work.tokens);
     if (exchange.known_verdict() != verdict::not_run)
     {
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -1,7 +1,6 @@
 #include "server_exchange.hpp"
 
 #include <base/http_status.hpp>
-#include <platform/request_format.hpp>
 
 namespace daleshelf
 {
@@ -194,6 +193,7 @@
         if (!m_is_foreign)
         {
             m_head = m_parser->take_head();
+            note(platform::read_notice(m_head));
             const auto answered = platform::answered_id(m_head.fields);
             m_is_foreign = (answered && *answered != m_request.id) ||
                            (m_head.status >= http_status::first_informational &&
@@ -214,6 +214,16 @@
     }
 }
 
+void server_exchange::note(const platform::server_notice& notice)
+{
+    m_notice.is_leaving = m_notice.is_leaving || notice.is_leaving;
+    if (notice.rest)
+    {
+        m_notice.rest =
+            std::max(*notice.rest, m_notice.rest.value_or(milliseconds(0)));
+    }
+}
+
 exchange_state server_exchange::fail()
 {
     if (m_connection)
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -6,6 +6,7 @@
 
 #include <base/verdict.hpp>
 #include <memory>
+#include <platform/request_format.hpp>
 #include <string>
 #include <wire/message_parser.hpp>
 
@@ -61,6 +62,13 @@
         return m_head;
     }
 
+    /// @return what all answers that came have said of the server, also those
+    /// to other requests
+    [[nodiscard]] const platform::server_notice& notice() const
+    {
+        return m_notice;
+    }
+
     /// @return whether the body is sent with a length or in chunks
     [[nodiscard]] bool is_framed() const
     {
@@ -82,6 +90,7 @@
     awaitable<exchange_state> read_head();
     void make_parser();
     bool parse_input();
+    void note(const platform::server_notice& notice);
     exchange_state fail();
     void release();
 
@@ -90,6 +99,7 @@
     std::unique_ptr<server_connection> m_connection;
     std::unique_ptr<response_parser> m_parser;
     response_head m_head;
+    platform::server_notice m_notice;
     std::string m_piece;
     verdict m_verdict = verdict::not_run;
     bool m_is_framed = false;
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -192,6 +192,12 @@
     return now - m_answered_at < reached_time;
 }
 
+milliseconds topic_follower::asked_age() const
+{
+    return std::chrono::duration_cast<milliseconds>(monotonic::now() -
+                                                    m_asked_at);
+}
+
 double topic_follower::answer_age_seconds() const
 {
     using seconds = std::chrono::duration<double>;
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -108,6 +108,9 @@
     /// @return whether others read for this machine, and have said so lately
     [[nodiscard]] bool is_told() const;
 
+    /// @return time since the store was last asked for changes
+    [[nodiscard]] milliseconds asked_age() const;
+
     /// @return time since the store answered, in seconds
     [[nodiscard]] double answer_age_seconds() const;
 
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -83,6 +83,36 @@
     EXPECT_TRUE(states_not_run(head));
 }
 
+TEST(request_format, reads_what_a_server_says_of_itself)
+{
+    response_head head;
+    head.status = 200;
+    head.fields.fields = {{"Server-Leaving", "1"}, {"Retry-After", "3"}};
+    EXPECT_TRUE(read_notice(head).is_leaving);
+    EXPECT_FALSE(read_notice(head).rest) << "only one turned away asks for it";
+    head.status = 503;
+    EXPECT_EQ(read_notice(head).rest, std::chrono::milliseconds(3000));
+    head.fields.fields = {{"server-leaving", "0"}, {"retry-after", " 0.25 "}};
+    EXPECT_FALSE(read_notice(head).is_leaving);
+    EXPECT_EQ(read_notice(head).rest, std::chrono::milliseconds(250));
+}
+
+TEST(request_format, a_time_to_rest_that_is_no_number_of_seconds_is_left_out)
+{
+    response_head head;
+    head.status = 503;
+    for (const auto* text : {"", "-1", "nan", "3 s", "Wed, 21 Oct 2026"})
+    {
+        head.fields.fields = {{"Retry-After", text}};
+        EXPECT_FALSE(read_notice(head).rest) << text;
+    }
+    for (const auto* text : {"1e300", "inf", "86401"})
+    {
+        head.fields.fields = {{"Retry-After", text}};
+        EXPECT_EQ(read_notice(head).rest, std::chrono::hours(24)) << text;
+    }
+}
+
 TEST(request_format, reads_how_long_a_server_keeps_a_connection)
 {
     EXPECT_EQ(idle_time(make_fields({{"Keep-Alive", "timeout=5, max=9"}})),
