--- /dev/null
+++ b/tests/gateway/server_rest_test.cpp
@@ -0,0 +1,102 @@
+// Two servers turned every request away with 503 and asked for 3 s of rest. A
+// host sent one of them 6 further requests within that time (`upstream_failed
+// end=not_run` at 6.25, 7.44, 7.55, 7.67, 8.23, 8.34 and 8.67 s), and within 6
+// s the fleet refused 107 requests as `servers_full`: a refusal made a server
+// be passed over for 100 ms, and nobody read for how long it had asked.
+#include "gateway_fixture.hpp"
+
+#include <base/text.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+/// Turns requests away, and counts them.
+class resting_server
+{
+public:
+    explicit resting_server(const std::string& seconds)
+        : m_server([this, seconds](test_connection& connection)
+                   { turn_away(connection, seconds); })
+    {
+    }
+
+    [[nodiscard]] const scripted_server& server() const
+    {
+        return m_server;
+    }
+
+    [[nodiscard]] int asked() const
+    {
+        return m_asked;
+    }
+
+private:
+    void turn_away(test_connection& connection, const std::string& seconds)
+    {
+        while (true)
+        {
+            const auto request = connection.read_message();
+            if (request.empty())
+            {
+                return;
+            }
+            ++m_asked;
+            connection.send(
+                concat("HTTP/1.1 503 Full\r\nX-Attempt-Id: ", id_of(request),
+                       "\r\nX-Not-Executed: 1\r\nRetry-After: ", seconds,
+                       "\r\nContent-Length: 0\r\n\r\n"));
+        }
+    }
+
+    std::atomic<int> m_asked = 0;
+    scripted_server m_server;
+};
+
+class server_rest : public gateway_fixture
+{
+protected:
+    server_rest()
+        : m_sound(
+              [](test_connection& connection)
+              {
+                  while (true)
+                  {
+                      const auto request = connection.read_message();
+                      if (request.empty())
+                      {
+                          return;
+                      }
+                      connection.send(plain_answer(id_of(request), "good"));
+                  }
+              })
+    {
+        configure();
+        add_server("b", m_sound);
+    }
+
+    scripted_server m_sound;
+};
+
+TEST_F(server_rest, a_server_that_asks_for_rest_gets_none_of_the_next_requests)
+{
+    const resting_server resting("60");
+    add_server("a", resting.server());
+    constexpr int enough = 200;
+    for (int index = 0; index < enough && resting.asked() == 0; ++index)
+    {
+        ask("/unsafe/x");
+    }
+    ASSERT_EQ(resting.asked(), 1);
+    // Longer than a refusal alone makes a server be passed over.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    for (int index = 0; index < enough; ++index)
+    {
+        EXPECT_TRUE(ask("/unsafe/x").ends_with("good"));
+    }
+    EXPECT_EQ(resting.asked(), 1);
+}
+
+} // namespace
+} // namespace daleshelf
