gateway: Send nothing more to a server that has said it leaves

Cause: only the list of servers told who leaves; a host that the store did not answer for 12 s sent first tries to a server for 2.9 s after its own word (2 s are allowed). Change: what any answer says of its server, also one that belongs to another request, marks that life as leaving in the directory, from the head on; no record of the same life takes it back, a later life is not touched. First tries, repeats and resumes all choose from the directory.

Class: a fact had two sources, and the one that is there when the other is silent was not read.

--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -52,6 +52,27 @@
     return was_usable;
 }
 
+bool server_directory::note_leaving(const upstream_life& server)
+{
+    const auto known = last_known(server.id);
+    const bool is_over =
+        known && upstream_life{server.id, known->born}.is_after(server);
+    if (!known || is_over)
+    {
+        return false;
+    }
+    const bool was_usable = is_usable(server.id);
+    const auto listed = m_servers.find(server.id);
+    if (listed != m_servers.end())
+    {
+        listed->second.is_draining = true;
+        return was_usable;
+    }
+    // A record of it that comes late lists it no more.
+    m_departed.at(server.id).was_leaving = true;
+    return false;
+}
+
 bool server_directory::remove(const upstream_id& id)
 {
     const auto found = m_servers.find(id);
--- a/libraries/ingress/server_directory.hpp
+++ b/libraries/ingress/server_directory.hpp
@@ -68,6 +68,11 @@
     /// @return whether the server was usable
     bool withhold(const upstream_id& id);
 
+    /// Notes that a life has itself said that it leaves, whatever is listed: a
+    /// host that hears nothing of the list has only answers to go by.
+    /// @return whether the server was usable
+    bool note_leaving(const upstream_life& server);
+
     /// @param id a server that is no longer listed
     /// @return whether it was listed
     bool remove(const upstream_id& id);
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -219,7 +219,7 @@
     {
         state = co_await exchange.start();
     }
-    heed(server, exchange.notice());
+    heed(m_state, server, exchange.notice());
     m_state.choice.prompt_read(server.life(), m_work.tokens);
     if (exchange.known_verdict() != verdict::not_run)
     {
--- a/services/gateway/server_notices.cpp
+++ b/services/gateway/server_notices.cpp
@@ -1,20 +1,38 @@
 #include "server_notices.hpp"
 
-#include <ingress/server_directory.hpp>
 #include <platform/request_format.hpp>
 #include <telemetry/log.hpp>
 
 namespace daleshelf
 {
 
-void heed(const server_entry& server, const platform::server_notice& notice)
+namespace
 {
+
+void heed_leaving(gateway_state& state, const server_entry& server)
+{
+    const bool is_news = state.servers.note_leaving(server.life());
+    if (!is_news)
+    {
+        return;
+    }
+    state.pool.drop(server.id);
+    log(events::upstream_leaving,
+        {{"server", server.id.value()},
+         {"born", std::to_string(server.born.value())},
+         {"origin", "answer"}});
+}
+
+} // namespace
+
+void heed(gateway_state& state, const server_entry& server,
+          const platform::server_notice& notice)
+{
+    // The list may be silent for longer than a server takes to leave: its own
+    // word came up to 12 s before the list's.
     if (notice.is_leaving)
     {
-        log(events::upstream_leaving,
-            {{"server", server.id.value()},
-             {"born", std::to_string(server.born.value())},
-             {"listed", server.is_draining ? "draining" : "ready"}});
+        heed_leaving(state, server);
     }
     if (notice.rest)
     {
--- a/services/gateway/server_notices.hpp
+++ b/services/gateway/server_notices.hpp
@@ -2,14 +2,17 @@
 /// What servers say of themselves in their answers, and what follows from it.
 #pragma once
 
-#include <ingress/forward.hpp>
+#include "gateway_state.hpp"
+
 #include <platform/forward.hpp>
 
 namespace daleshelf
 {
 
-/// Logs what a server has said of itself.
+/// Sends nothing more to a server that has said that it leaves, and nothing to
+/// one that wants rest until that is over.
 /// @param server as it was known when the request was sent to it
-void heed(const server_entry& server, const platform::server_notice& notice);
+void heed(gateway_state& state, const server_entry& server,
+          const platform::server_notice& notice);
 
 } // namespace daleshelf
--- a/tests/gateway/server_notices_test.cpp
+++ b/tests/gateway/server_notices_test.cpp
@@ -81,5 +81,83 @@
     EXPECT_EQ(answered_by("leaving"), 0);
 }
 
+TEST_F(server_notices, a_server_that_leaves_gets_no_repeat)
+{
+    const scripted_server leaving(
+        answering_with("Server-Leaving: 1\r\n", "leaving"));
+    add_server("a", leaving);
+    ASSERT_TRUE(ask_until("leaving"));
+    const scripted_server failing(answering_with("", "failed", 500));
+    add_server("b", failing);
+    for (int index = 0; index < 20; ++index)
+    {
+        EXPECT_TRUE(ask("/safe/x").ends_with("failed"));
+    }
+}
+
+TEST_F(server_notices, a_stream_is_not_resumed_at_a_server_that_leaves)
+{
+    const scripted_server leaving(
+        answering_with("Server-Leaving: 1\r\n", "leaving"));
+    add_server("a", leaving);
+    ASSERT_TRUE(ask_until("leaving"));
+    const scripted_server breaking(
+        [](test_connection& connection)
+        {
+            const auto request = connection.read_message();
+            connection.send(stream_head(id_of(request)) + event_chunk(1, "x"));
+            connection.close();
+        });
+    add_server("b", breaking);
+    const auto client = connect();
+    client->send(request_for("/stream/x"));
+    const auto answer = client->read_all();
+    EXPECT_NE(answer.find("id: 1"), std::string::npos) << answer;
+    EXPECT_EQ(answer.find("leaving"), std::string::npos) << answer;
+    EXPECT_FALSE(answer.ends_with(last_chunk)) << answer;
+}
+
+// The head tells it: a stream may go on for many seconds.
+TEST_F(server_notices, the_head_of_a_stream_that_goes_on_is_enough)
+{
+    std::atomic<int> asked = 0;
+    const scripted_server leaving(
+        [&](test_connection& connection)
+        {
+            const auto request = connection.read_message();
+            ++asked;
+            auto head = stream_head(id_of(request));
+            head.insert(head.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+            connection.send(head + event_chunk(1, "x"));
+            connection.read_all();
+        });
+    add_server("a", leaving);
+    const auto client = connect();
+    client->send(request_for("/stream/x"));
+    client->read_message();
+    const auto answer = ask("/unsafe/x");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_EQ(asked, 1);
+}
+
+TEST_F(server_notices, an_answer_to_another_request_tells_of_its_server_too)
+{
+    std::atomic<int> asked = 0;
+    const scripted_server leaving(
+        [&](test_connection& connection)
+        {
+            const auto request = connection.read_message();
+            ++asked;
+            auto other = plain_answer("another", "late");
+            other.insert(other.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+            connection.send(other + plain_answer(id_of(request), "own"));
+            connection.read_all();
+        });
+    add_server("a", leaving);
+    EXPECT_TRUE(ask("/unsafe/x").ends_with("own"));
+    EXPECT_TRUE(ask("/unsafe/x").starts_with("HTTP/1.1 503 "));
+    EXPECT_EQ(asked, 1);
+}
+
 } // namespace
 } // namespace daleshelf
--- a/tests/ingress/server_directory_test.cpp
+++ b/tests/ingress/server_directory_test.cpp
@@ -120,6 +120,33 @@
     EXPECT_EQ(directory.set(make_life(200, 1)), entry_change::new_life);
 }
 
+TEST(server_directory, a_life_that_says_itself_that_it_leaves_stays_so)
+{
+    server_directory directory;
+    directory.set(make_life(100, 4));
+    const upstream_life life{make_life(100, 4).id, upstream_birth(100)};
+    EXPECT_TRUE(directory.note_leaving(life));
+    EXPECT_FALSE(directory.note_leaving(life)) << "no news";
+    directory.set(make_life(100, 5));
+    EXPECT_FALSE(directory.is_usable(life.id)) << "the list is behind";
+    EXPECT_EQ(directory.set(make_life(200, 1)), entry_change::new_life);
+    EXPECT_TRUE(directory.is_usable(life.id));
+    EXPECT_FALSE(directory.note_leaving(life)) << "of the life before";
+    EXPECT_TRUE(directory.is_usable(life.id));
+}
+
+TEST(server_directory, one_that_says_that_it_leaves_while_unlisted_stays_away)
+{
+    server_directory directory;
+    directory.set(make_life(100, 4));
+    const upstream_life life{make_life(100, 4).id, upstream_birth(100)};
+    directory.remove(life.id);
+    EXPECT_FALSE(directory.note_leaving(life));
+    EXPECT_EQ(directory.set(make_life(100, 9)), entry_change::none);
+    EXPECT_FALSE(directory.is_usable(life.id));
+    EXPECT_FALSE(directory.note_leaving({upstream_id("unknown"), {}}));
+}
+
 TEST(server_directory, another_writers_record_names_no_server_to_use)
 {
     server_directory directory;
