tests: Show that a reader that is behind hides what another one tells

Cause: looking for the cause of a late configuration; its sum of waits is longer where one reader of a hall is behind for a moment. Figures: the store is not asked 0.3 s after a record was first missed, since a word of less ended the wait.

--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -107,6 +107,25 @@
     EXPECT_FALSE(m_follower.take_read(log_offset(7), {}, at(900)));
 }
 
+// Two hosts of 86 served by a configuration that had been replaced 3.1 s
+// before. A reader that is behind for a moment says that there is nothing
+// newer, while another one tells of more: such a word was taken for good by
+// whoever was as far behind, and each began the wait for what was missing anew.
+TEST_F(topic_follower_test,
+       a_word_that_knows_less_is_no_word_of_what_is_missing)
+{
+    EXPECT_FALSE(m_follower.take_read(log_offset(6), {}, at(0)));
+    const auto known_at = m_follower.known_at();
+    EXPECT_FALSE(m_follower.take_read(log_offset(4), {}, at(150)));
+    EXPECT_TRUE(m_follower.take_read(log_offset(6), {}, at(300)));
+    EXPECT_FALSE(m_follower.take_read(log_offset(4), {}, at(400)));
+    EXPECT_EQ(m_follower.known_at(), known_at);
+    m_follower.take_read(log_offset(4),
+                         {record_at(4, "b", "2"), record_at(5, "a", "3")},
+                         at(500));
+    EXPECT_GT(m_follower.known_at(), known_at);
+}
+
 /// A follower that runs, before a store that counts who comes.
 class running_follower_test : public testing::Test
 {
