gateway: Take no word of less for an answer to what another one tells

Cause: a host that had missed a record began its wait anew with each word of a reader that was as far behind, and took that word for the list's end. Change: it keeps up to where readers have told of records; while some are missing only those, or the store, end the wait. What the store answers is taken for all there is, so that no wrong word lasts.

--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -110,29 +110,22 @@
     {
         return false;
     }
-    if (from > m_next)
+    const log_offset end(from.value() +
+                         static_cast<std::int64_t>(records.size()));
+    m_heard_end = std::max(m_heard_end, end);
+    if (from <= m_next)
     {
-        if (!m_gap_since)
-        {
-            m_gap_since = now;
-        }
-        const bool is_missed = now - *m_gap_since >= gap_time;
-        if (is_missed)
-        {
-            m_gap_since.reset();
-            m_told_at = {};
-            m_wake.notify();
-        }
-        return is_missed;
+        m_origin = records.empty() ? m_origin : record_origin::reader;
+        take_page(from, records);
     }
-    m_gap_since.reset();
-    if (!records.empty())
+    // A reader that is behind for a moment says that there is nothing newer
+    // than what is known here: that is no answer to what another one tells of.
+    if (m_next < m_heard_end)
     {
-        m_origin = record_origin::reader;
+        return has_missed(now);
     }
-    take_page(from, records);
-    const auto end = from.value() + static_cast<std::int64_t>(records.size());
-    if (m_next == log_offset(end))
+    m_gap_since.reset();
+    if (m_next == end)
     {
         m_told_at = now;
         // A reader that says so has asked the store within this time.
@@ -141,6 +134,24 @@
     return false;
 }
 
+// Something is missing of what readers tell.
+// @return whether it has been for so long that the store is asked
+bool topic_follower::has_missed(monotonic::time_point now)
+{
+    if (!m_gap_since)
+    {
+        m_gap_since = now;
+    }
+    const bool is_missed = now - *m_gap_since >= gap_time;
+    if (is_missed)
+    {
+        m_gap_since.reset();
+        m_told_at = {};
+        m_wake.notify();
+    }
+    return is_missed;
+}
+
 // A host that starts has just listed all that there is; who tells it of changes
 // it knows when it has read the list of hosts. Before, 295 hosts that started
 // together asked 2,500 times for the servers that were starting too.
@@ -292,6 +303,8 @@
             co_return false;
         }
         m_known_at = std::max(m_known_at, m_asked_at);
+        // The store knows what there is, whatever a word has told.
+        m_heard_end = m_next;
     }
     catch (const json_error&)
     {
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -119,6 +119,7 @@
     awaitable<bool> tail();
     awaitable<void> wait_for_role();
     awaitable<void> wait_for_readers();
+    bool has_missed(monotonic::time_point now);
     void take_page(log_offset from,
                    const std::vector<platform::keyed_record>& records);
     void apply_list(const std::map<std::string, platform::keyed_record>& listed,
@@ -136,6 +137,7 @@
     async_event m_wake;
     std::map<std::string, platform::keyed_record> m_records;
     log_offset m_next;
+    log_offset m_heard_end; ///< up to which readers have told of records
     record_origin m_origin = record_origin::store;
     bool m_has_listed = false;
     bool m_was_reached = false;
