--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -154,7 +154,8 @@
             "--address", f"{address[0]}:{SERVER_PORT}",
             "--listed", f"{self.link.address[0]}:{SERVER_PORT}",
             "--store", f"{fleet.store_address[0]}:{STORE_PORT}",
-            "--version", version, "--failing", str(failing)],
+            "--version", version, "--failing", str(failing),
+            "--resting", str(fleet.resting)],
             fleet.folder / f"{name}.log", fleet.on_line)
 
 
@@ -166,6 +167,7 @@
         self.folder = folder
         self.program = Path(options.program).resolve()
         self.gateway_count = options.gateways
+        self.resting = options.resting
         self.on_line = on_line
         self.store_address = (self.ip(4, 1), STORE_PORT)
         self.store = Process("store", [
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -15,6 +15,9 @@
 DRAIN_BOUND = 2.0
 CONFIGURATION_BOUND = 2.0
 ANSWER_SLACK = 0.5
+# Of a server that wants rest, after which requests count, and how many may.
+REST_GRACE = 0.5
+MOST_WHILE_RESTING = 2
 # A wake-up, a connection and a hop of Python stand-ins on a busy machine.
 STAND_IN_SLACK = 0.5
 
@@ -67,6 +70,8 @@
         self.draining = {}  # server: when the store had it
         self.routes_removed = {}  # path: when acknowledged
         self.stops = {}  # gateway: when it was told to stop
+        self._rests = {}  # (gateway, server): (asked at, its end, requests)
+        self._told_leaving = {}  # (gateway, server): first answer that said so
         self._usage = {}
         self._fences = {}
 
@@ -95,6 +100,8 @@
                         f"{attempt.events}")
         self._check_refusal(attempt)
         self._check_drain(attempt, server, now)
+        self._check_told(attempt, server, now)
+        self._check_rest(attempt, server, now)
         self._check_route(attempt, path, now)
 
     def _check_refusal(self, attempt):
@@ -106,6 +113,50 @@
     def begins(self, server):
         """A server has started, perhaps again under the id that it had."""
         self.draining.pop(server, None)
+        for known in (self._rests, self._told_leaving):
+            for pair in [pair for pair in known if pair[1] == server]:
+                del known[pair]
+
+    def told_leaving(self, attempt_id, server, now):
+        """A server answers a request and says in that that it leaves."""
+        attempt = self.attempts.get(attempt_id)
+        if attempt is not None:
+            self._told_leaving.setdefault((attempt.gateway, server), now)
+
+    def turned_away(self, attempt_id, server, seconds, now):
+        """A server refuses a request and wants nothing for so long."""
+        attempt = self.attempts.get(attempt_id)
+        if attempt is None:
+            self.breach("UNASKED", f"{server} was sent {attempt_id}")
+            return
+        self._check_told(attempt, server, now)
+        self._check_rest(attempt, server, now)
+        pair = (attempt.gateway, server)
+        known = self._rests.get(pair)
+        if known is None or now >= known[1]:
+            self._rests[pair] = (now, now + seconds, 0)
+
+    def _check_rest(self, attempt, server, now):
+        pair = (attempt.gateway, server)
+        since, end, count = self._rests.get(pair, (now, now, 0))
+        if now - since <= REST_GRACE or now >= end:
+            return
+        self._rests[pair] = (since, end, count + 1)
+        if count + 1 > MOST_WHILE_RESTING and self.disturbances.is_calm(
+                {attempt.gateway, server}, since, now):
+            self.bound("REST", f"{server} wanted rest until "
+                       f"{end - since:.2f} s later; {attempt.gateway} sent it "
+                       f"request {count + 1} {now - since:.2f} s later")
+
+    def _check_told(self, attempt, server, now):
+        since = self._told_leaving.get((attempt.gateway, server))
+        bound = DRAIN_BOUND + STAND_IN_SLACK
+        if since is None or attempt.sent_at - since <= bound:
+            return
+        if self.disturbances.is_calm({attempt.gateway, server}, since, now):
+            self.bound("DRAIN", f"{attempt.id}: {attempt.gateway} sent it to "
+                       f"{server} {attempt.sent_at - since:.2f} s after an "
+                       "answer had said that the server leaves")
 
     def _check_drain(self, attempt, server, now):
         since = self.draining.get(server)
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -44,6 +44,32 @@
         self.run_at("server-2")
         self.assertEqual(self.names(), ["TWICE"])
 
+    def test_a_server_that_rests_gets_no_more_than_two(self):
+        self.send("safe")
+        self.promises.turned_away("a", "server-1", 3.0, 10.0)
+        for now in (10.4, 10.6, 10.8):
+            self.promises.turned_away("a", "server-1", 3.0, now)
+        self.assertEqual(self.names(), [])
+        self.run_at(now=12.9)
+        self.assertEqual(self.names(), ["REST"])
+
+    def test_a_server_that_has_rested_may_be_asked(self):
+        self.send("safe")
+        self.promises.turned_away("a", "server-1", 1.0, 10.0)
+        for now in (11.0, 11.1, 11.2):
+            self.run_at(now=now)
+        self.assertEqual(self.names(), [])
+
+    def test_sent_to_one_whose_answer_said_that_it_leaves(self):
+        self.send("safe")
+        self.promises.told_leaving("a", "server-1", 10.1)
+        self.send("safe", at=12.0)
+        self.run_at(now=12.1)
+        self.assertEqual(self.names(), [])
+        self.send("safe", at=12.7)
+        self.run_at(now=12.8)
+        self.assertEqual(self.names(), ["DRAIN"])
+
     def test_a_safe_request_may_run_twice(self):
         self.send("safe")
         self.run_at()
--- a/tests/soak/run_ci.sh
+++ b/tests/soak/run_ci.sh
@@ -5,7 +5,8 @@
 here="$(dirname "$0")"
 program="$1"
 export PYTHONDONTWRITEBYTECODE=1
-/usr/bin/python3 "$here/soak.py" --program "$program" --seed 1 --seconds 8
+/usr/bin/python3 "$here/soak.py" --program "$program" --seed 1 --seconds 8 \
+    --resting 0.03
 /usr/bin/python3 "$here/soak.py" --program "$program" --seed 2 --seconds 24 \
     --rollouts
 /usr/bin/python3 "$here/soak.py" --program "$program" --seed 3 --seconds 16 \
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -21,6 +21,7 @@
 SLOTS = 64
 EVENT_PAUSE = 0.03
 DRAIN_TIME = 2.6
+REST = 1.2  # seconds, that a server asks for as it turns a request away
 
 
 def plain_body(attempt, tenant):
@@ -84,11 +85,14 @@
             await asyncio.sleep(0.05)
         sys.exit(0)
 
+    def leaving_fields(self):
+        return {"Server-Leaving": "1"} if self.is_draining else {}
+
     async def serve(self, request, reader, writer):
         """Serves one request; returns whether the connection goes on."""
         fields = request.fields
         attempt = fields.get("x-attempt-id", "")
-        own = {"X-Attempt-Id": attempt}
+        own = {"X-Attempt-Id": attempt, **self.leaving_fields()}
         if request.target == "/health":
             writer.write(http_wire.write_message(
                 "HTTP/1.1 200 OK", {"X-Instance-Id": self.options.id}))
@@ -97,6 +101,13 @@
             writer.write(http_wire.write_message(
                 "HTTP/1.1 421 Misdirected Request", own))
             return True
+        if random.random() < self.options.resting:
+            tell({"turned_away": attempt, "server": self.options.id,
+                  "rest": REST})
+            writer.write(http_wire.write_message(
+                "HTTP/1.1 503 Full", {**own, "X-Not-Executed": "1",
+                                      "Retry-After": str(REST)}))
+            return True
         if self.active >= SLOTS:
             writer.write(http_wire.write_message(
                 "HTTP/1.1 503 Full", {**own, "X-Not-Executed": "1"}))
@@ -112,10 +123,11 @@
         tenant = fields.get("x-tenant", "")
         resumed = int(fields.get("last-event-id", "0"))
         tell({"run": attempt, "server": self.options.id, "tenant": tenant,
-              "path": request.target, "after": resumed})
+              "path": request.target, "after": resumed,
+              "leaving": self.is_draining})
         head = {"X-Attempt-Id": attempt,
                 "X-Server-Seal": f"{self.options.id}.{attempt}",
-                "X-Weight-Versions": "1"}
+                "X-Weight-Versions": "1", **self.leaving_fields()}
         if self.is_draining:
             head["Connection"] = "close"
         if "x-token-count" in fields:
@@ -186,6 +198,9 @@
     parser.add_argument("--version", default="v1")
     parser.add_argument("--failing", type=float, default=0.0,
                         help="part of the plain answers that are failures")
+    parser.add_argument("--resting", type=float, default=0.0,
+                        help="part of the requests that are turned away, with "
+                        "rest asked for")
     options = parser.parse_args()
     server = Server(options)
     listener = await asyncio.start_server(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -76,6 +76,12 @@
         if "run" in event:
             self.promises.ran(event["run"], event["server"], event["tenant"],
                               event["path"], event["after"], now)
+            if event["leaving"]:
+                self.promises.told_leaving(event["run"], event["server"], now)
+        elif "turned_away" in event:
+            self.count("turned away")
+            self.promises.turned_away(event["turned_away"], event["server"],
+                                      event["rest"], now)
         elif "ready" in event:
             self.promises.begins(event["ready"])
         elif "draining" in event:
@@ -463,6 +469,9 @@
     parser.add_argument("--rebirths", action="store_true",
                         help="let servers start again under their ids, and "
                         "others write entries, beside the troubles")
+    parser.add_argument("--resting", type=float, default=0.0,
+                        help="part of the requests that servers turn away, "
+                        "with rest asked for")
     parser.add_argument("--judge-time", action="store_true")
     parser.add_argument("--logs", help="folder that keeps the logs")
     options = parser.parse_args()
