poison: Judge which requests end the servers that run them

Each end had the same workspace, target and body; ids, deadlines and callers differed (a trial that logged them). Change: a library free of I/O. A record merges in any order: lives that ended under it, lives that answered it. It is proved when its ends are unlikely by chance (odds of 10,000; how often servers end anyway and how many end at once), after two ends if no other was beside it at both, after three else; an answer counts against it. One host alone tries it again, later each time.

--- a/libraries/peers/datagram_format.hpp
+++ b/libraries/peers/datagram_format.hpp
@@ -17,6 +17,7 @@
     rollout_word = 4,   ///< of the holder of the duties
     rollout_report = 5, ///< of a host
     records = 6,        ///< `shared_records`
+    poison = 7,         ///< `poison_record`s
 };
 
 /// Tells formats apart by their first field, so that a datagram is decoded
@@ -38,6 +39,7 @@
     case datagram_format::rollout_word:
     case datagram_format::rollout_report:
     case datagram_format::records:
+    case datagram_format::poison:
         return static_cast<datagram_format>(bytes[1]);
     case datagram_format::none:
         break;
--- a/meta/generate.sh
+++ b/meta/generate.sh
@@ -5,4 +5,5 @@
 (cd protocol && protoc --cpp_out=generated peer.proto)
 (cd peers && protoc --cpp_out=generated machine.proto)
 (cd quotas && protoc --cpp_out=generated quota.proto)
+(cd poison && protoc --cpp_out=generated poison.proto)
 (cd rollouts && protoc --cpp_out=generated rollout.proto)
--- /dev/null
+++ b/tests/poison/poison_watch_test.cpp
@@ -0,0 +1,221 @@
+#include <gtest/gtest.h>
+
+#include <poison/poison_message.hpp>
+#include <poison/poison_watch.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+constexpr std::size_t servers = 9;
+
+absl::Time at(double seconds)
+{
+    return absl::UnixEpoch() + absl::Seconds(1000 + seconds);
+}
+
+server_life life(int number)
+{
+    return {upstream_id("s" + std::to_string(number)), {}};
+}
+
+suspect_request request(const std::string& name)
+{
+    return {request_print(name), 7, service_name("service")};
+}
+
+class poison_watch_test : public testing::Test
+{
+protected:
+    void end(const std::string& name, int server, double seconds,
+             double ran = 1)
+    {
+        m_watch.note_end(request(name), life(server), absl::Seconds(ran),
+                         at(seconds));
+    }
+
+    suspicion judge(const std::string& name, double seconds)
+    {
+        return m_watch.judge(request_print(name), servers, at(seconds));
+    }
+
+    poison_watch m_watch{poison_options()};
+};
+
+TEST_F(poison_watch_test, one_end_proves_nothing)
+{
+    end("a", 1, 0);
+    EXPECT_EQ(judge("a", 0), suspicion::suspect);
+    EXPECT_EQ(judge("b", 0), suspicion::none);
+    EXPECT_TRUE(m_watch.may_know(7));
+    EXPECT_FALSE(m_watch.may_know(8));
+}
+
+TEST_F(poison_watch_test, a_second_end_alone_in_its_time_proves_it)
+{
+    end("a", 1, 0);
+    end("a", 2, 1);
+    EXPECT_EQ(judge("a", 1), suspicion::proved);
+}
+
+TEST_F(poison_watch_test, one_that_was_beside_it_each_time_waits_for_a_third)
+{
+    for (const auto* name : {"a", "b"})
+    {
+        end(name, 1, 0);
+        end(name, 2, 1);
+    }
+    EXPECT_EQ(judge("a", 1), suspicion::suspect);
+    EXPECT_EQ(judge("b", 1), suspicion::suspect);
+    end("a", 3, 2);
+    EXPECT_EQ(judge("a", 2), suspicion::proved);
+    EXPECT_EQ(judge("b", 2), suspicion::suspect);
+}
+
+TEST_F(poison_watch_test, one_that_servers_answer_is_not_to_blame)
+{
+    end("a", 1, 0);
+    end("a", 2, 1);
+    EXPECT_FALSE(m_watch.note_whole(request_print("a"), life(3), at(1)));
+    EXPECT_FALSE(m_watch.note_whole(request_print("a"), life(4), at(1)));
+    EXPECT_EQ(judge("a", 1), suspicion::suspect);
+}
+
+// Three of nine servers end at once, and a second later three more: whoever
+// was at one of each had bad luck.
+TEST_F(poison_watch_test, ends_of_many_servers_at_once_prove_nothing)
+{
+    for (const double second : {0.0, 1.0})
+    {
+        const int first = second == 0 ? 1 : 4;
+        end("unlucky", first, second);
+        end("x" + std::to_string(first), first + 1, second + 0.1);
+        end("y" + std::to_string(first), first + 2, second + 0.2);
+    }
+    EXPECT_EQ(judge("unlucky", 2), suspicion::suspect);
+}
+
+TEST_F(poison_watch_test, what_is_old_is_forgotten_unless_it_is_proved)
+{
+    end("a", 1, 0);
+    end("b", 2, 5);
+    end("b", 3, 10);
+    EXPECT_EQ(judge("b", 10), suspicion::proved);
+    EXPECT_EQ(judge("a", 71), suspicion::none);
+    EXPECT_EQ(judge("b", 71), suspicion::proved);
+}
+
+TEST_F(poison_watch_test, one_host_alone_tries_a_proved_one_again)
+{
+    end("a", 1, 0);
+    end("a", 2, 1);
+    ASSERT_EQ(judge("a", 1), suspicion::proved);
+    const request_print print("a");
+    EXPECT_FALSE(m_watch.may_try(print, host_id("h1"), at(60)));
+    EXPECT_EQ(m_watch.time_to_trial(print, at(61)), absl::Seconds(60));
+    EXPECT_FALSE(m_watch.may_try(print, host_id("h1"), at(121)));
+    EXPECT_FALSE(m_watch.may_try(print, host_id("h1"), at(121.3)));
+    EXPECT_TRUE(m_watch.may_try(print, host_id("h1"), at(121.6)));
+    EXPECT_FALSE(m_watch.may_try(print, host_id("h1"), at(121.7)));
+    end("a", 3, 123);
+    EXPECT_FALSE(m_watch.may_try(print, host_id("h1"), at(124)));
+    EXPECT_EQ(m_watch.time_to_trial(print, at(123)), absl::Seconds(240));
+}
+
+TEST_F(poison_watch_test, of_two_claims_one_counts)
+{
+    end("a", 1, 0);
+    end("a", 2, 1);
+    ASSERT_EQ(judge("a", 1), suspicion::proved);
+    const request_print print("a");
+    poison_watch other{poison_options()};
+    ASSERT_TRUE(other.merge(*m_watch.find(print), at(1)));
+    EXPECT_FALSE(m_watch.may_try(print, host_id("h2"), at(121)));
+    EXPECT_FALSE(other.may_try(print, host_id("h1"), at(121)));
+    EXPECT_TRUE(m_watch.merge(*other.find(print), at(121.1)));
+    EXPECT_FALSE(other.merge(*m_watch.find(print), at(121.1)));
+    EXPECT_FALSE(m_watch.may_try(print, host_id("h2"), at(121.6)));
+    EXPECT_TRUE(other.may_try(print, host_id("h1"), at(121.6)));
+}
+
+TEST_F(poison_watch_test, one_that_is_answered_when_tried_again_comes_back)
+{
+    end("a", 1, 0);
+    end("a", 2, 1);
+    ASSERT_EQ(judge("a", 1), suspicion::proved);
+    const auto before = *m_watch.find(request_print("a"));
+    EXPECT_TRUE(m_watch.note_whole(request_print("a"), life(3), at(130)));
+    EXPECT_EQ(judge("a", 130), suspicion::none);
+    // Late words of before bring nothing back.
+    EXPECT_FALSE(m_watch.merge(before, at(131)));
+    EXPECT_EQ(judge("a", 131), suspicion::none);
+}
+
+TEST_F(poison_watch_test, evidence_of_several_hosts_adds_up_in_any_order)
+{
+    poison_watch first{poison_options()};
+    poison_watch second{poison_options()};
+    first.note_end(request("a"), life(1), absl::Seconds(1), at(0));
+    second.note_end(request("a"), life(2), absl::Seconds(1), at(1));
+    const auto told = encode_poison(first.take_news(10), at(1));
+    EXPECT_TRUE(first.take_news(10).empty());
+    const auto heard = decode_poison(told, at(1));
+    ASSERT_TRUE(heard);
+    ASSERT_EQ(heard->size(), 1);
+    EXPECT_TRUE(second.merge(heard->front(), at(1)));
+    EXPECT_FALSE(second.merge(heard->front(), at(1)));
+    EXPECT_EQ(second.judge(request_print("a"), servers, at(1)),
+              suspicion::proved);
+    for (const auto& record : second.take_news(10))
+    {
+        first.merge(record, at(1.1));
+    }
+    EXPECT_EQ(first.judge(request_print("a"), servers, at(1.1)),
+              suspicion::proved);
+    EXPECT_FALSE(decode_poison("torn", at(0)));
+}
+
+TEST_F(poison_watch_test, many_suspects_make_nobody_forget_a_proved_one)
+{
+    end("a", 1, 0);
+    end("a", 2, 1);
+    ASSERT_EQ(judge("a", 1), suspicion::proved);
+    for (int number = 0; number < 2000; ++number)
+    {
+        end("b" + std::to_string(number), 3, 2);
+    }
+    EXPECT_LE(m_watch.size(), poison_options().most_records);
+    EXPECT_EQ(judge("a", 2), suspicion::proved);
+}
+
+TEST(request_print_test, each_part_of_a_request_tells_it_from_others)
+{
+    const request_content content{workspace_id("w"), "h", "POST", "/x", "body"};
+    auto other = content;
+    EXPECT_EQ(print_of(other), print_of(content));
+    EXPECT_EQ(shape_of(other), shape_of(content));
+    other.body = "bodz";
+    EXPECT_EQ(shape_of(other), shape_of(content)) << "alike in all but bytes";
+    EXPECT_NE(print_of(other), print_of(content));
+    for (auto change : {0, 1, 2, 3})
+    {
+        other = content;
+        (change == 0   ? other.host
+         : change == 1 ? other.method
+                       : other.target) = "other";
+        if (change == 3)
+        {
+            other = content;
+            other.workspace = workspace_id("v");
+        }
+        EXPECT_NE(print_of(other), print_of(content)) << change;
+        EXPECT_NE(shape_of(other), shape_of(content)) << change;
+    }
+    // Parts cannot be shifted into one another.
+    const request_content shifted{workspace_id("wh"), "", "POST", "/x", "body"};
+    EXPECT_NE(print_of(shifted), print_of(content));
+}
+
+} // namespace
+} // namespace daleshelf
