gateway: Refuse requests that end the servers that run them

Change: after a broken attempt the server's port is asked whether anybody listens; a refused connection of a server that was not to leave is an end. The next try of such a request goes where the least else runs, beside no other one of its kind; what is proved is refused at once (503, it has not run, Retry-After until it is tried again; what ran gets the failure that it is), its quota is given back. Evidence goes to eight peers at random, who tell it on; what is proved is kept on the log by whoever saw the last end, and read at a start. Events 504 to 506, explain says why.

Tests of request_path and policy that counted connections to see that nothing is sent twice now count the requests that servers read: the check is a connection without one, so the count of connections no longer said what was meant.

--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -27,6 +27,11 @@
 // other servers of a cut hall are tried before those that failed themselves.
 constexpr double ms_for_avoided_hall = 3000;
 constexpr double ms_while_suspect = 100000;
+// A request under which a server has ended: what runs beside it would be broken
+// off as well, which costs each about a second; beside another one of its kind
+// it could not be told from that.
+constexpr double ms_per_neighbour = 1000;
+constexpr double ms_beside_suspect = 50000;
 // Hosts that know the same do not all choose the same among equals.
 constexpr double ms_of_jitter = 0.5;
 
@@ -325,6 +330,13 @@
     {
         cost += ms_for_cold_start;
     }
+    if (request.is_suspect)
+    {
+        cost += static_cast<double>(total_load(server.id).active) *
+                ms_per_neighbour;
+        cost +=
+            request.suspected_at.contains(server.id) ? ms_beside_suspect : 0;
+    }
     const auto known = m_health.find(server.id);
     if (m_policy.passes_over_suspects && known != m_health.end() &&
         now < known->second.suspect_until)
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -49,6 +49,10 @@
     absl::flat_hash_set<upstream_id> excluded; ///< tried before
     /// Where an attempt broke: the whole hall may be cut off.
     absl::flat_hash_set<hall_id> avoided_halls;
+    /// A server has ended under it: it goes where the least else runs.
+    bool is_suspect = false;
+    /// Where other such requests are, which are not to be taken for this one.
+    absl::flat_hash_set<upstream_id> suspected_at;
 };
 
 /// What a server probably has to do for a prompt, and before it.
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -29,7 +29,8 @@
         events::usage_settled,      events::usage_reported,
         events::duty_call_failed,   events::servers_ordered,
         events::lease_released,     events::wait_given_up,
-        events::upstream_rests,
+        events::upstream_rests,     events::upstream_ended,
+        events::poison_proved,      events::poison_cleared,
     };
     return catalogue;
 }
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -152,6 +152,19 @@
     "An upstream has turned a request away and wants nothing from this host "
     "for a time."};
 
+inline constexpr log_event upstream_ended{
+    504, log_severity::warning, "upstream_ended",
+    "An upstream has ended while a request was there; the fields give how many "
+    "have ended under that request and how strong the evidence is."};
+inline constexpr log_event poison_proved{
+    505, log_severity::warning, "poison_proved",
+    "A request ends the upstreams that run it, and is refused from now on; the "
+    "fields give the evidence and who knows it."};
+inline constexpr log_event poison_cleared{
+    506, log_severity::info, "poison_cleared",
+    "A request that was refused for ending upstreams has been tried again and "
+    "was answered."};
+
 inline constexpr log_event order_given{
     601, log_severity::info, "order_given",
     "The planner of the hall has given an order to an engine."};
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -56,6 +56,7 @@
     , m_duties(m_state, m_peers)
     , m_scaling(m_state, m_peers, m_duties)
     , m_rollouts(m_state, m_peers, m_duties)
+    , m_poison(m_state, m_peers)
     , m_clients(open_acceptor(context, m_state.settings.clients_address))
     , m_readiness(context, m_state.settings.readiness_address,
                   [this](const std::string&) { return answer_readiness(); })
@@ -109,6 +110,7 @@
     m_duties.start();
     m_scaling.start();
     m_rollouts.start();
+    m_poison.start();
     log(events::process_started,
         {{"host", m_state.self.value()},
          {"hall", m_state.hall.value()},
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "duty_service.hpp"
 #include "gateway_state.hpp"
 #include "peer_exchange.hpp"
+#include "poison_service.hpp"
 #include "rollout_service.hpp"
 #include "scale_service.hpp"
 #include "small_server.hpp"
@@ -69,6 +70,7 @@
     duty_service m_duties;
     scale_service m_scaling;
     rollout_service m_rollouts;
+    poison_service m_poison;
     asio::ip::tcp::acceptor m_clients;
     small_server m_readiness;
     std::unique_ptr<small_server> m_metrics;
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <ingress/decision_policy.hpp>
+#include <poison/poison_watch.hpp>
 #include <settings/setting.hpp>
 #include <span>
 #include <string>
@@ -35,6 +36,7 @@
     std::chrono::milliseconds usage_late{10000};
     double rollout_share = 0.1;
     double rollout_slack = 0;
+    poison_options poison;
 };
 
 /// @return every key that the gateway knows
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -61,6 +61,8 @@
     , quota(loop, shared_quota(self, hall, started, bound_of_quotas(settings)))
     , retries(retry_options(settings))
     , usage(absl::FromChrono(settings.usage_window))
+    , poison(settings.poison)
+    , poison_news(loop.get_executor())
 {
     clock.note(self, wall_time(), now());
 }
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -2,6 +2,7 @@
 /// What the gateway's parts share. All of them run on one event loop.
 #pragma once
 
+#include "async_event.hpp"
 #include "gateway_metrics.hpp"
 #include "gateway_settings.hpp"
 #include "quota_service.hpp"
@@ -19,6 +20,8 @@
 #include <ingress/server_directory.hpp>
 #include <memory>
 #include <peers/time_estimate.hpp>
+#include <poison/poison_watch.hpp>
+#include <poison/suspects_in_flight.hpp>
 #include <rollouts/rollout_watch.hpp>
 #include <scaling/prompt_samples.hpp>
 #include <string_view>
@@ -89,6 +92,9 @@
     engine_table engines;
     std::map<service_name, service_load> loads; ///< of engines
     skipped_records skipped;
+    poison_watch poison;
+    suspects_in_flight suspects;
+    async_event poison_news; ///< there is something to tell of `poison`
     bool has_servers = false;
     bool knows_hosts = false; ///< the list of hosts was read, with those that
                               ///< started together with this one
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -1,9 +1,11 @@
 #include "peer_exchange.hpp"
 
+#include <algorithm>
 #include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <base/text.hpp>
 #include <base/wall_clock.hpp>
+#include <iterator>
 #include <peers/datagram_format.hpp>
 #include <telemetry/log.hpp>
 
@@ -20,6 +22,9 @@
 constexpr milliseconds readers_change_pause{400};
 constexpr std::size_t largest_datagram = 60000;
 constexpr std::size_t most_named_machines = 4;
+// Told on by each, news reaches 580 hosts in four steps: of eight told at
+// random by every host one in 3,000 hears none.
+constexpr std::size_t told_at_once = 8;
 // A new machine counts once its state has gone to all, and a little later.
 constexpr absl::Duration join_margin = absl::Seconds(1);
 
@@ -317,11 +322,33 @@
             m_sharing.take_read(*read);
         }
         return;
+    case datagram_format::poison:
+        if (m_on_poison)
+        {
+            m_on_poison(bytes);
+        }
+        return;
     case datagram_format::none:
         return;
     }
 }
 
+void peer_exchange::tell_some(const std::string& bytes)
+{
+    std::vector<std::string> addresses;
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        addresses.push_back(peer.address);
+    }
+    std::vector<std::string> some;
+    std::sample(addresses.begin(), addresses.end(), std::back_inserter(some),
+                told_at_once, m_state.random);
+    for (const auto& address : some)
+    {
+        send_datagram(udp_endpoint(address), bytes);
+    }
+}
+
 void peer_exchange::receive_counts(std::string_view bytes,
                                    const asio::ip::udp::endpoint& sender)
 {
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -72,6 +72,15 @@
     /// Sends a datagram to every peer.
     void tell_all(const std::string& bytes);
 
+    /// Sends a datagram to a few peers, others at each call, who tell it on.
+    void tell_some(const std::string& bytes);
+
+    /// Sets who takes words of requests that may end servers.
+    void set_poison_listener(std::function<void(std::string_view)> take)
+    {
+        m_on_poison = std::move(take);
+    }
+
     /// Sets who takes words and reports of roll-outs.
     /// @param take returns the bytes of an answer to the sender, or none
     void set_rollout_listener(std::function<std::string(std::string_view)> take)
@@ -115,6 +124,7 @@
     topic_sharing m_sharing;
     std::function<void(std::int64_t, const host_id&)> m_on_counts_told;
     std::function<std::string(std::string_view)> m_on_rollout;
+    std::function<void(std::string_view)> m_on_poison;
     duty_state m_duty;
     /// Peers heard first since the last tick.
     name_batch m_joined{most_joined_named};
--- /dev/null
+++ b/services/gateway/poison_service.cpp
@@ -0,0 +1,258 @@
+#include "poison_service.hpp"
+
+#include "topic_list.hpp"
+
+#include <base/http_status.hpp>
+#include <base/text.hpp>
+#include <base/wall_clock.hpp>
+#include <poison/poison_message.hpp>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// News waits so long for more: four steps through the fleet take a fifth of a
+// second.
+constexpr milliseconds tell_pause{50};
+// Records of 0.1 KB: with eight peers told, 20 KB a tick at most, a seventh of
+// a link of 10 Mbit/s.
+constexpr std::size_t most_told = 16;
+// In a storm of ends each says little, and there are many.
+constexpr double least_told_weight = 1.6;
+constexpr milliseconds store_time{700};
+constexpr milliseconds read_pause{1000};
+// A port that nobody listens on answers within a round trip.
+constexpr milliseconds check_time{300};
+
+std::string text_of(double number)
+{
+    return std::to_string(number);
+}
+
+} // namespace
+
+poison_service::poison_service(gateway_state& state, peer_exchange& peers)
+    : m_state(state)
+    , m_peers(peers)
+    , m_store(state.context, state.settings.store_address)
+{
+    peers.set_poison_listener([this](std::string_view bytes) { take(bytes); });
+}
+
+void poison_service::start()
+{
+    asio::co_spawn(
+        m_state.context, [this] { return run(); }, asio::detached);
+}
+
+awaitable<void> poison_service::run()
+{
+    asio::steady_timer timer(m_state.context);
+    bool is_read = co_await read_log();
+    while (!is_read)
+    {
+        timer.expires_after(read_pause);
+        co_await timer.async_wait(use_result);
+        is_read = co_await read_log();
+    }
+    while (true)
+    {
+        co_await m_state.poison_news.wait_for(std::chrono::seconds(60));
+        timer.expires_after(tell_pause);
+        co_await timer.async_wait(use_result);
+        tell_news();
+    }
+}
+
+// @return whether the store has told what is kept there
+awaitable<bool> poison_service::read_log()
+{
+    const auto listed = co_await list_topic(
+        m_store, std::string(platform::poison_topic), store_time);
+    if (!listed)
+    {
+        co_return false;
+    }
+    for (const auto& record : listed->records)
+    {
+        take_record(record);
+    }
+    co_return true;
+}
+
+// A record's value is the time of day at which it was written, a blank, and
+// what hosts tell each other.
+void poison_service::take_record(const platform::keyed_record& record)
+{
+    const auto value = record.value.value_or("");
+    const auto blank = std::min(value.find(' '), value.size());
+    const auto written_ms = parse_integer(value.substr(0, blank));
+    const auto rest = std::min(blank + 1, value.size());
+    const auto age = wall_time() - absl::FromUnixMillis(written_ms.value_or(0));
+    const auto now = gateway_state::now();
+    const auto known = decode_poison(value.substr(rest),
+                                     now - std::max(age, absl::ZeroDuration()));
+    if (!written_ms || !known)
+    {
+        m_state.skipped.note(platform::poison_topic, record.key, record.offset,
+                             "no record of a request");
+        return;
+    }
+    for (const auto& told : *known)
+    {
+        m_state.poison.merge(told, now);
+        note_changes(told);
+    }
+}
+
+void poison_service::take(std::string_view bytes)
+{
+    const auto now = gateway_state::now();
+    const auto told = decode_poison(bytes, now);
+    if (!told)
+    {
+        return;
+    }
+    for (const auto& record : *told)
+    {
+        if (m_state.poison.merge(record, now))
+        {
+            m_state.poison_news.notify();
+        }
+    }
+}
+
+// What changed since the last tick goes to a few peers, who tell it on.
+void poison_service::tell_news()
+{
+    const auto now = gateway_state::now();
+    std::vector<poison_record> told;
+    for (const auto& record : m_state.poison.take_news(most_told))
+    {
+        const auto servers = m_state.servers.usable(record.service).size();
+        m_state.poison.judge(record.print, servers, now);
+        const auto* newest = m_state.poison.find(record.print);
+        if (newest == nullptr)
+        {
+            continue;
+        }
+        note_changes(*newest);
+        const bool says_much =
+            newest->is_proved || newest->epoch > 0 || !newest->whole.empty() ||
+            m_state.poison.weight(*newest, servers) >= least_told_weight;
+        if (says_much)
+        {
+            told.push_back(*newest);
+        }
+    }
+    if (!told.empty())
+    {
+        m_peers.tell_some(encode_poison(told, now));
+    }
+    if (m_state.poison.has_news())
+    {
+        m_state.poison_news.notify();
+    }
+}
+
+// Logs what is proved or void now; whoever saw the last end writes it down.
+void poison_service::note_changes(const poison_record& record)
+{
+    const bool is_known = m_proved.contains(record.print);
+    if (record.is_proved == is_known)
+    {
+        return;
+    }
+    const bool is_own = record.noted_at != absl::InfinitePast() &&
+                        record.noted_at >= record.last_end();
+    if (record.is_proved)
+    {
+        m_proved.insert(record.print);
+        const auto servers = m_state.servers.usable(record.service).size();
+        log(events::poison_proved,
+            {{"print", record.print.value()},
+             {"service", record.service.value()},
+             {"ends", std::to_string(record.ends.size())},
+             {"weight", text_of(m_state.poison.weight(record, servers))},
+             {"servers", std::to_string(servers)},
+             {"seen_here", is_own ? "true" : "false"}});
+    }
+    else
+    {
+        m_proved.erase(record.print);
+        log(events::poison_cleared, {{"print", record.print.value()}});
+    }
+    if (is_own)
+    {
+        asio::co_spawn(
+            m_state.context, [this, record] { return write(record); },
+            asio::detached);
+    }
+}
+
+awaitable<void> poison_service::write(poison_record record)
+{
+    std::string value;
+    if (record.is_proved)
+    {
+        value = concat(absl::ToUnixMillis(wall_time()), " ",
+                       encode_poison({record}, gateway_state::now()));
+    }
+    http_caller caller(m_state.context, m_state.settings.store_address);
+    auto append = platform::append_call(
+        platform::poison_topic,
+        {platform::encode_keyed(record.print.value(), value)}, std::nullopt);
+    const auto answer = co_await caller.call(std::move(append), store_time);
+    if (!answer || answer->status != http_status::ok)
+    {
+        log(events::log_unreachable,
+            {{"topic", std::string(platform::poison_topic)},
+             {"key", record.print.value()}});
+    }
+}
+
+awaitable<void> confirm_end(gateway_state& state, server_entry server,
+                            suspect_request request, absl::Duration ran)
+{
+    const auto endpoint = parse_endpoint(server.address);
+    const bool was_to_end =
+        !state.servers.is_usable(server.id) ||
+        !state.servers.versions().allows(server.service, server.version);
+    if (!endpoint || was_to_end)
+    {
+        co_return;
+    }
+    asio::ip::tcp::socket socket(state.context);
+    asio::steady_timer limit(state.context, check_time);
+    limit.async_wait(
+        [&socket](const error_code& error)
+        {
+            if (!error)
+            {
+                socket.cancel();
+            }
+        });
+    const auto [error] = co_await socket.async_connect(*endpoint, use_result);
+    limit.cancel();
+    if (error != asio::error::connection_refused)
+    {
+        co_return;
+    }
+    const auto now = gateway_state::now();
+    state.poison.note_end(request, {server.id, server.born}, ran, now);
+    state.poison_news.notify();
+    const auto* record = state.poison.find(request.print);
+    const auto servers = state.servers.usable(server.service).size();
+    log(events::upstream_ended,
+        {{"server", server.id.value()},
+         {"born", std::to_string(server.born.value())},
+         {"print", request.print.value()},
+         {"ends", std::to_string(record->ends.size())},
+         {"weight", text_of(state.poison.weight(*record, servers))},
+         {"ran_ms", std::to_string(absl::ToInt64Milliseconds(ran))}});
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/poison_service.hpp
@@ -0,0 +1,46 @@
+/// @file
+/// What this host does about requests that end servers.
+#pragma once
+
+#include "gateway_state.hpp"
+#include "http_call.hpp"
+#include "peer_exchange.hpp"
+
+#include <poison/poison_record.hpp>
+
+namespace daleshelf
+{
+
+/// Tells the fleet what is known of such requests, keeps what is proved on the
+/// log, and reads that when it starts. See docs/design/poison.md.
+class poison_service
+{
+public:
+    poison_service(gateway_state& state, peer_exchange& peers);
+
+    void start();
+
+private:
+    awaitable<void> run();
+    awaitable<bool> read_log();
+    awaitable<void> write(poison_record record);
+    void take(std::string_view bytes);
+    void take_record(const platform::keyed_record& record);
+    void tell_news();
+    void note_changes(const poison_record& record);
+
+    gateway_state& m_state;
+    peer_exchange& m_peers;
+    http_caller m_store;
+    absl::flat_hash_set<request_print> m_proved; ///< logged as such
+};
+
+/// Finds out whether a server has ended while a request was there, and notes it
+/// then: its port refuses connections. A cut, or one connection that was
+/// closed, is no end; neither is one of a server that was to leave.
+/// @param server as it was known when the request was sent to it
+/// @param ran how long the request had been there
+awaitable<void> confirm_end(gateway_state& state, server_entry server,
+                            suspect_request request, absl::Duration ran);
+
+} // namespace daleshelf
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -150,6 +150,12 @@
 {
     while (true)
     {
+        recognise();
+        const bool is_stopped = co_await is_stopped_as_poison();
+        if (is_stopped)
+        {
+            co_return;
+        }
         choice_request wanted;
         wanted.service = m_service->name;
         wanted.is_engine = m_service->is_engine;
@@ -157,6 +163,7 @@
         wanted.engine = m_state.engines.of(m_service->name).joint();
         wanted.excluded = m_tried;
         wanted.avoided_halls = m_broken_halls;
+        mark_suspect(wanted);
         const auto* server = choose_server(wanted);
         if (server == nullptr)
         {
@@ -173,8 +180,10 @@
         }
         m_tried.insert(chosen.id);
         m_server_hall = chosen.hall.value();
+        const auto sent_at = monotonic::now();
         const auto end = co_await attempt(chosen, wanted);
         log_attempt(chosen, end);
+        note_attempt(chosen, end, monotonic::now() - sent_at);
         if (end == attempt_end::broken || end == attempt_end::not_reached)
         {
             m_broken_halls.insert(chosen.hall);
@@ -211,6 +220,11 @@
     m_work =
         m_state.choice.start(server.life(), wanted, m_service->cache_tokens);
     m_seen = {};
+    const auto suspect = m_suspect;
+    if (suspect)
+    {
+        m_state.suspects.begin(suspect->print, server.id);
+    }
     count_work();
     const auto sent_at = monotonic::now();
     auto end = attempt_end::abandoned;
@@ -269,6 +283,10 @@
     note_version(server, end, monotonic::now() - sent_at);
     exchange.cancel();
     m_exchange = nullptr;
+    if (suspect)
+    {
+        m_state.suspects.end(suspect->print, server.id);
+    }
     m_state.choice.end(server.life());
     if (end != attempt_end::abandoned)
     {
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -10,6 +10,7 @@
 #include <ingress/request_facts.hpp>
 #include <memory>
 #include <optional>
+#include <poison/poison_record.hpp>
 #include <string>
 #include <telemetry/log_event.hpp>
 
@@ -89,6 +90,13 @@
                        monotonic::duration time);
     void learn_generating(std::int64_t events, monotonic::duration time);
     const server_entry* choose_server(choice_request& wanted);
+    [[nodiscard]] request_content content() const;
+    void recognise();
+    [[nodiscard]] bool must_wait(const request_print& print) const;
+    awaitable<bool> is_stopped_as_poison();
+    void mark_suspect(choice_request& wanted);
+    void note_attempt(const server_entry& server, attempt_end end,
+                      monotonic::duration time);
     void note_first(const response_head& head, monotonic::duration time);
     void note_version(const server_entry& server, attempt_end end,
                       monotonic::duration time);
@@ -123,6 +131,8 @@
     std::optional<std::int64_t> m_weights;
     server_exchange* m_exchange = nullptr;
     std::optional<std::pair<response_head, std::string>> m_error_answer;
+    /// Known of only if it may end servers.
+    std::optional<suspect_request> m_suspect;
 };
 
 } // namespace daleshelf
--- /dev/null
+++ b/services/gateway/request_poison.cpp
@@ -0,0 +1,133 @@
+// How a request's flow treats requests that may end servers. The steps are
+// those of docs/design/poison.md, "What is done".
+#include "poison_service.hpp"
+#include "request_flow.hpp"
+
+#include <base/http_status.hpp>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// Until the one that is on its way has shown what it does: the longest
+// objective of a first event in use is 1.2 s.
+constexpr milliseconds retry_when_suspected{1000};
+
+} // namespace
+
+request_content request_flow::content() const
+{
+    const auto* host = m_request.head.fields.find("Host");
+    return {m_tenant == nullptr ? workspace_id() : m_tenant->name,
+            host == nullptr ? "" : std::string_view(*host),
+            m_request.head.method, m_request.head.target, m_request.body};
+}
+
+// Step 1: most requests are alike to none that is known, which is cheap to see.
+void request_flow::recognise()
+{
+    if (m_suspect || m_state.poison.size() == 0)
+    {
+        return;
+    }
+    const auto shape = shape_of(content());
+    if (!m_state.poison.may_know(shape))
+    {
+        return;
+    }
+    const auto print = print_of(content());
+    if (m_state.poison.find(print) != nullptr)
+    {
+        m_suspect = suspect_request{print, shape, m_service->name};
+    }
+}
+
+// Whether it has ended several servers and another one is on its way.
+bool request_flow::must_wait(const request_print& print) const
+{
+    const auto* known = m_state.poison.find(print);
+    return known != nullptr && known->ends.size() > 1 && known->whole.empty() &&
+           m_state.suspects.has(print);
+}
+
+// Step 2: what is proved is refused at once, but for the one host that tries it
+// again; of what is suspected one at a time is sent.
+// @return whether the request has its final answer
+awaitable<bool> request_flow::is_stopped_as_poison()
+{
+    if (!m_suspect)
+    {
+        co_return false;
+    }
+    const auto now = gateway_state::now();
+    const auto& print = m_suspect->print;
+    const auto servers = m_state.servers.usable(m_service->name).size();
+    const auto judged = m_state.poison.judge(print, servers, now);
+    const bool is_proved = judged == suspicion::proved;
+    const bool may_go = is_proved
+                            ? m_state.poison.may_try(print, m_state.self, now)
+                            : !must_wait(print);
+    if (m_state.poison.has_news())
+    {
+        m_state.poison_news.notify();
+    }
+    if (may_go)
+    {
+        co_return false;
+    }
+    if (m_may_have_run || m_answer.has_begun())
+    {
+        co_await give_up(attempt_end::broken);
+        co_return true;
+    }
+    refund_quota();
+    const auto wait = is_proved ? absl::ToChronoMilliseconds(
+                                      m_state.poison.time_to_trial(print, now))
+                                : retry_when_suspected;
+    co_await refuse(http_status::unavailable,
+                    is_proved ? "ends_servers" : "may_end_servers",
+                    std::max(wait, retry_when_suspected));
+    co_return true;
+}
+
+// Step 3: its next server is one where it harms least.
+void request_flow::mark_suspect(choice_request& wanted)
+{
+    if (m_suspect)
+    {
+        wanted.is_suspect = true;
+        wanted.suspected_at = m_state.suspects.servers();
+    }
+}
+
+// Step 4: evidence for it, or against.
+void request_flow::note_attempt(const server_entry& server, attempt_end end,
+                                monotonic::duration time)
+{
+    if (end == attempt_end::answered && m_suspect)
+    {
+        const auto now = gateway_state::now();
+        m_state.poison.note_whole(m_suspect->print, {server.id, server.born},
+                                  now);
+        m_state.poison_news.notify();
+    }
+    if (end != attempt_end::broken)
+    {
+        return;
+    }
+    if (!m_suspect)
+    {
+        m_suspect = suspect_request{print_of(content()), shape_of(content()),
+                                    m_service->name};
+    }
+    asio::co_spawn(
+        m_state.context,
+        [&state = m_state, server, suspect = *m_suspect,
+         ran = absl::FromChrono(time)]
+        { return confirm_end(state, server, suspect, ran); },
+        asio::detached);
+}
+
+} // namespace daleshelf
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -87,6 +87,10 @@
     }
     auto message = m_input.substr(0, size);
     m_input.erase(0, message.size());
+    if (m_messages != nullptr && !message.empty())
+    {
+        ++*m_messages;
+    }
     return message;
 }
 
@@ -175,6 +179,7 @@
         ++m_count;
         const auto connection =
             std::make_shared<test_connection>(std::move(*socket));
+        connection->count_into(m_requests);
         {
             const std::lock_guard lock(m_mutex);
             m_open.push_back(connection);
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -42,6 +42,12 @@
         return m_was_reset;
     }
 
+    /// Sets what counts the whole messages that are read.
+    void count_into(std::atomic<int>& messages)
+    {
+        m_messages = &messages;
+    }
+
     /// Ends the connection in order.
     void close();
 
@@ -57,6 +63,7 @@
     asio::ip::tcp::socket m_socket;
     std::string m_input;
     bool m_was_reset = false;
+    std::atomic<int>* m_messages = nullptr;
 };
 
 /// A server: each connection is served by a function on its own thread.
@@ -78,6 +85,12 @@
         return m_count;
     }
 
+    /// @return requests read so far; a connection may bring none
+    [[nodiscard]] int requests() const
+    {
+        return m_requests;
+    }
+
 private:
     void accept_all();
 
@@ -85,6 +98,7 @@
     asio::io_context m_context;
     asio::ip::tcp::acceptor m_acceptor;
     std::atomic<int> m_count = 0;
+    std::atomic<int> m_requests = 0;
     std::atomic<bool> m_is_stopping = false;
     std::mutex m_mutex;
     std::vector<std::shared_ptr<test_connection>> m_open;
--- /dev/null
+++ b/tests/gateway/poison_path_test.cpp
@@ -0,0 +1,215 @@
+// One content, sent again and again by its callers, ended 21 servers within 9
+// s: each try of it went to the next server, and what else ran there was broken
+// off with it (`upstream_failed end=broken` of 4 to 11 requests at each end).
+#include "gateway_fixture.hpp"
+
+#include <base/text.hpp>
+#include <gateway/poison_service.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+/// A server that ends when it has read a request.
+class ending_server
+{
+public:
+    ending_server()
+        : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_address(
+              concat("127.0.0.1:",
+                     static_cast<int>(m_acceptor.local_endpoint().port())))
+        , m_thread([this] { serve(); })
+    {
+    }
+
+    ~ending_server()
+    {
+        {
+            // A connection of its own ends the wait for the next one.
+            error_code ignored;
+            asio::ip::tcp::socket last(m_context);
+            last.connect(*parse_endpoint(m_address), ignored);
+        }
+        m_thread.join();
+    }
+
+    ending_server(const ending_server&) = delete;
+    ending_server& operator=(const ending_server&) = delete;
+
+    [[nodiscard]] server_entry entry(const std::string& id) const
+    {
+        server_entry entry;
+        entry.id = upstream_id(id);
+        entry.service = service_name("service");
+        entry.address = m_address;
+        entry.hall = hall_id("here");
+        entry.slots = 4;
+        return entry;
+    }
+
+private:
+    void serve()
+    {
+        asio::ip::tcp::socket socket(m_context);
+        error_code ignored;
+        m_acceptor.accept(socket, ignored);
+        test_connection connection(std::move(socket));
+        connection.read_message();
+        m_acceptor.close(ignored);
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::string m_address;
+    std::thread m_thread;
+};
+
+class poison_path : public gateway_fixture
+{
+protected:
+    poison_path()
+        : m_sound(
+              [](test_connection& connection)
+              {
+                  while (true)
+                  {
+                      const auto request = connection.read_message();
+                      if (request.empty())
+                      {
+                          return;
+                      }
+                      connection.send(plain_answer(id_of(request), "good"));
+                  }
+              })
+    {
+        configure();
+    }
+
+    void list(const ending_server& server, const std::string& id)
+    {
+        on_loop([&] { m_state.servers.set(server.entry(id)); });
+    }
+
+    /// Waits until so many ends are known under one request.
+    void wait_for_ends(std::size_t count)
+    {
+        std::size_t known = 0;
+        while (known < count)
+        {
+            on_loop(
+                [&]
+                {
+                    for (const auto& record : m_state.poison.take_news(64))
+                    {
+                        known = std::max(known, record.ends.size());
+                    }
+                });
+        }
+    }
+
+    scripted_server m_sound;
+};
+
+TEST_F(poison_path, a_request_that_has_ended_two_servers_is_refused)
+{
+    const ending_server first;
+    const ending_server second;
+    list(first, "a");
+    list(second, "b");
+    EXPECT_TRUE(ask("/safe/deadly").starts_with("HTTP/1.1 502 "));
+    wait_for_ends(2);
+    add_server("c", m_sound);
+    const auto answer = ask("/safe/deadly");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    const auto at = answer.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos) << answer;
+    EXPECT_GT(std::stod(answer.substr(at + 13)), 60)
+        << "when it is tried again";
+    EXPECT_EQ(m_sound.requests(), 0);
+    on_loop(
+        [&]
+        {
+            m_state.servers.remove(upstream_id("a"));
+            m_state.servers.remove(upstream_id("b"));
+        });
+    EXPECT_TRUE(ask("/safe/other").ends_with("good"));
+}
+
+TEST_F(poison_path, a_closed_connection_is_no_end_of_a_server)
+{
+    const scripted_server closing([](test_connection& connection)
+                                  { connection.read_message(); });
+    add_server("a", closing);
+    ask("/unsafe/x");
+    // The check comes as a connection of its own.
+    while (closing.connections() < 2)
+    {
+    }
+    on_loop([] {});
+    std::size_t known = 1;
+    on_loop([&] { known = m_state.poison.size(); });
+    EXPECT_EQ(known, 0);
+}
+
+TEST_F(poison_path, an_end_of_a_server_that_was_to_leave_blames_nobody)
+{
+    const ending_server leaving;
+    list(leaving, "a");
+    bool is_blamed = true;
+    on_loop(
+        [&]
+        {
+            auto entry = leaving.entry("a");
+            entry.is_draining = true;
+            m_state.servers.set(entry);
+            asio::co_spawn(
+                m_context,
+                [&, entry]
+                {
+                    return confirm_end(
+                        m_state, entry,
+                        {request_print("p"), 1, service_name("service")},
+                        absl::Seconds(1));
+                },
+                [&](const std::exception_ptr&)
+                { is_blamed = m_state.poison.size() > 0; });
+        });
+    on_loop([] {});
+    EXPECT_FALSE(is_blamed);
+}
+
+TEST_F(poison_path, a_suspect_goes_where_nothing_else_runs)
+{
+    on_loop(
+        [&]
+        {
+            for (const auto* id : {"a", "b", "c"})
+            {
+                server_entry entry;
+                entry.id = upstream_id(id);
+                entry.service = service_name("service");
+                entry.hall =
+                    hall_id(entry.id.value() == "c" ? "there" : "here");
+                entry.slots = 4;
+                m_state.servers.set(entry);
+            }
+            const request_facts facts;
+            choice_request request;
+            request.service = service_name("service");
+            request.facts = &facts;
+            m_state.choice.start({upstream_id("a"), {}}, request, 0);
+            m_state.suspects.begin(request_print("p"), upstream_id("b"));
+            request.is_suspect = true;
+            request.suspected_at = m_state.suspects.servers();
+            const auto* chosen =
+                m_state.choice.choose(request, gateway_state::now());
+            EXPECT_EQ(chosen->id, upstream_id("c"));
+            m_state.suspects.end(request_print("p"), upstream_id("b"));
+            EXPECT_TRUE(m_state.suspects.servers().empty());
+        });
+}
+
+} // namespace
+} // namespace daleshelf
--- a/tests/gateway/policy_test.cpp
+++ b/tests/gateway/policy_test.cpp
@@ -69,7 +69,7 @@
     add_server("a", one);
     add_server("b", two);
     EXPECT_TRUE(has(ask("/safe/x"), "HTTP/1.1 502 "));
-    EXPECT_EQ(one.connections() + two.connections(), 1);
+    EXPECT_EQ(one.requests() + two.requests(), 1);
 }
 
 TEST_F(policy, without_resuming_a_broken_stream_ends)
@@ -84,7 +84,7 @@
     const auto client = connect();
     client->send(request_for("/stream/x"));
     EXPECT_FALSE(client->read_all().ends_with(last_chunk));
-    EXPECT_EQ(one.connections() + two.connections(), 1);
+    EXPECT_EQ(one.requests() + two.requests(), 1);
 }
 
 TEST_F(policy, learns_of_engines_from_whole_streams_only_if_it_may)
--- a/tests/gateway/request_path_test.cpp
+++ b/tests/gateway/request_path_test.cpp
@@ -140,7 +140,7 @@
     add_server("b", second);
     const auto answer = ask("/unsafe/x");
     EXPECT_TRUE(has(answer, "HTTP/1.1 502 ")) << answer;
-    EXPECT_EQ(first.connections() + second.connections(), 1);
+    EXPECT_EQ(first.requests() + second.requests(), 1);
 }
 
 TEST_F(request_path, a_safe_request_goes_to_another_server)
@@ -312,6 +312,10 @@
     {
         const auto request = connection.read_message();
         const bool is_first = requests.all().empty();
+        if (request.empty())
+        {
+            return;
+        }
         requests.add(request);
         if (is_first)
         {
@@ -360,7 +364,7 @@
     const auto answer = client->read_all();
     EXPECT_TRUE(has(answer, "data: a")) << answer;
     EXPECT_FALSE(answer.ends_with(last_chunk)) << "it must not look whole";
-    EXPECT_EQ(one.connections() + two.connections(), 1);
+    EXPECT_EQ(one.requests() + two.requests(), 1);
 }
 
 TEST_F(request_path, counts_requests_by_route_and_outcome)
--- a/utilities/daleshelf/explain.cpp
+++ b/utilities/daleshelf/explain.cpp
@@ -49,6 +49,11 @@
         {"servers_full",
          "refused: no server would take it; those asked stated so, or none "
          "may get new work"},
+        {"ends_servers",
+         "refused: requests like it have ended the servers that ran them"},
+        {"may_end_servers",
+         "refused: a server has ended under a request like it, and another one "
+         "is on its way"},
         {"servers_rest",
          "refused: every server that may get new work had turned requests away "
          "and asked for rest"},
