--- a/meta/measure.sh
+++ b/meta/measure.sh
@@ -7,6 +7,7 @@
 meta/build.sh
 bin="${BUILD_DIR:-build}/bin"
 "$bin/routing_benchmark" --benchmark_format=json
+"$bin/poison_benchmark" --benchmark_format=json
 "$bin/measure_overhead"
 "$bin/measure_control"
 for move in cheapest finish_only cache_only recompute_only; do
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -453,6 +453,10 @@
               static_cast<double>(m_state.servers.all().size()));
     meter.set("records_skipped", "Records of the store that cannot be read.",
               static_cast<double>(m_state.skipped.total()));
+    meter.set("requests_suspected", "Requests that may end servers, known now.",
+              static_cast<double>(m_state.poison.size()));
+    meter.set("requests_proved", "Of these, proved ones, which are refused.",
+              static_cast<double>(m_state.poison.proved().size()));
     meter.set("machines_known", "Gateways known, with this one.",
               static_cast<double>(m_peers.table().size()));
     meter.set("machines_reached", "Gateways heard lately, with this one.",
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -11,6 +11,10 @@
 constexpr std::int64_t most_servers = 100000;
 // The longest that clients are asked to wait for a quota.
 constexpr std::int64_t longest_quota_retry_ms = 5000;
+// Odds of e to the 50th: nothing would ever be proved beyond.
+constexpr std::int64_t most_proof = 50;
+// A record keeps sixteen.
+constexpr std::int64_t most_ends = 16;
 // Larger than any limit in use by a thousand times.
 constexpr std::int64_t most_quota_slack = 1000000000;
 
@@ -73,6 +77,19 @@
          optional, part},
         {"rollouts.slack", &settings::rollout_slack,
          "requests that such a version may get besides", optional, retries},
+        {"poison.proof", &settings::poison_proof,
+         "logarithm of the odds at which a request counts as one that ends "
+         "servers",
+         optional, setting_limits{1, most_proof, {}}},
+        {"poison.most_ends", &settings::poison_most_ends,
+         "ends after which less evidence is enough", optional,
+         setting_limits{2, most_ends, {}}},
+        {"poison.first_trial_ms", &settings::poison_first_trial,
+         "time until such a request is tried again by one host; twice as long "
+         "each time",
+         optional, time},
+        {"poison.longest_trial_ms", &settings::poison_longest_trial,
+         "the longest such time", optional, time},
         {"policy.routes_by_prompt", &settings::routes_by_prompt,
          "prefer servers that have read parts of a prompt"},
         {"policy.counts_peers", &settings::counts_peers,
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <ingress/decision_policy.hpp>
-#include <poison/poison_watch.hpp>
 #include <settings/setting.hpp>
 #include <span>
 #include <string>
@@ -36,7 +35,10 @@
     std::chrono::milliseconds usage_late{10000};
     double rollout_share = 0.1;
     double rollout_slack = 0;
-    poison_options poison;
+    double poison_proof = 9.2; ///< see poison_options, as all of these
+    std::int64_t poison_most_ends = 3;
+    std::chrono::milliseconds poison_first_trial{120000};
+    std::chrono::milliseconds poison_longest_trial{3600000};
 };
 
 /// @return every key that the gateway knows
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -25,6 +25,16 @@
     return options;
 }
 
+poison_options bound_of_poison(const gateway_settings& settings)
+{
+    poison_options options;
+    options.proof = settings.poison_proof;
+    options.most_ends = static_cast<std::size_t>(settings.poison_most_ends);
+    options.first_trial = absl::FromChrono(settings.poison_first_trial);
+    options.longest_trial = absl::FromChrono(settings.poison_longest_trial);
+    return options;
+}
+
 std::uint64_t seed_of(const gateway_settings& settings)
 {
     return std::hash<std::string>()(settings.host_id) ^
@@ -61,7 +71,7 @@
     , quota(loop, shared_quota(self, hall, started, bound_of_quotas(settings)))
     , retries(retry_options(settings))
     , usage(absl::FromChrono(settings.usage_window))
-    , poison(settings.poison)
+    , poison(bound_of_poison(settings))
     , poison_news(loop.get_executor())
 {
     clock.note(self, wall_time(), now());
