gateway: Tell hosts that start what is suspected

Change: who reads for a hall, or each host of a small fleet, tells it the newest records when it is first heard.

--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -387,6 +387,20 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
+std::vector<poison_record> poison_watch::newest(std::size_t most) const
+{
+    std::vector<poison_record> newest;
+    for (const auto& [print, record] : m_records)
+    {
+        newest.push_back(record);
+    }
+    std::sort(newest.begin(), newest.end(),
+              [](const auto& left, const auto& right)
+              { return left.changed_at > right.changed_at; });
+    newest.resize(std::min(newest.size(), most));
+    return newest;
+}
+
 std::vector<poison_record> poison_watch::proved() const
 {
     std::vector<poison_record> proved;
--- a/libraries/poison/poison_watch.hpp
+++ b/libraries/poison/poison_watch.hpp
@@ -138,6 +138,9 @@
     /// @return the record, or null
     [[nodiscard]] const poison_record* find(const request_print& print) const;
 
+    /// @return what changed last of all that is known
+    [[nodiscard]] std::vector<poison_record> newest(std::size_t most) const;
+
     /// @return the proved ones
     [[nodiscard]] std::vector<poison_record> proved() const;
 
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -333,6 +333,12 @@
     }
 }
 
+void peer_exchange::tell_one(const std::string& address,
+                             const std::string& bytes)
+{
+    send_datagram(udp_endpoint(address), bytes);
+}
+
 void peer_exchange::tell_some(const std::string& bytes)
 {
     std::vector<std::string> addresses;
@@ -397,6 +403,10 @@
     if (change.is_start)
     {
         m_joined.add(concat(name.value(), "=", newest.self.address));
+        if (m_on_peer_start)
+        {
+            m_on_peer_start(newest.self.address);
+        }
     }
     apply(newest);
 }
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -75,6 +75,15 @@
     /// Sends a datagram to a few peers, others at each call, who tell it on.
     void tell_some(const std::string& bytes);
 
+    /// Sends a datagram to one peer.
+    void tell_one(const std::string& address, const std::string& bytes);
+
+    /// Sets who is told that a peer is heard first, or first since it started.
+    void set_start_listener(std::function<void(const std::string&)> started)
+    {
+        m_on_peer_start = std::move(started);
+    }
+
     /// Sets who takes words of requests that may end servers.
     void set_poison_listener(std::function<void(std::string_view)> take)
     {
@@ -125,6 +134,7 @@
     std::function<void(std::int64_t, const host_id&)> m_on_counts_told;
     std::function<std::string(std::string_view)> m_on_rollout;
     std::function<void(std::string_view)> m_on_poison;
+    std::function<void(const std::string&)> m_on_peer_start;
     duty_state m_duty;
     /// Peers heard first since the last tick.
     name_batch m_joined{most_joined_named};
--- a/services/gateway/poison_service.cpp
+++ b/services/gateway/poison_service.cpp
@@ -40,6 +40,8 @@
     , m_store(state.context, state.settings.store_address)
 {
     peers.set_poison_listener([this](std::string_view bytes) { take(bytes); });
+    peers.set_start_listener([this](const std::string& address)
+                             { tell_starting(address); });
 }
 
 void poison_service::start()
@@ -158,6 +160,19 @@
     }
 }
 
+// A host that starts knows what is proved from the log, and nothing of what is
+// only suspected: those that read for their halls tell it, or all of a few.
+void poison_service::tell_starting(const std::string& address)
+{
+    const bool tells =
+        m_state.role == list_role::reader || m_state.role == list_role::alone;
+    const auto known = m_state.poison.newest(most_told);
+    if (tells && !known.empty())
+    {
+        m_peers.tell_one(address, encode_poison(known, gateway_state::now()));
+    }
+}
+
 // Logs what is proved or void now; whoever saw the last end writes it down.
 void poison_service::note_changes(const poison_record& record)
 {
--- a/services/gateway/poison_service.hpp
+++ b/services/gateway/poison_service.hpp
@@ -27,6 +27,7 @@
     void take(std::string_view bytes);
     void take_record(const platform::keyed_record& record);
     void tell_news();
+    void tell_starting(const std::string& address);
     void note_changes(const poison_record& record);
 
     gateway_state& m_state;
--- a/tests/poison/poison_fleet_test.cpp
+++ b/tests/poison/poison_fleet_test.cpp
@@ -164,7 +164,7 @@
         }
     }
 
-    // What is proved stands on the log.
+    // What is proved stands on the log; another host tells the rest.
     void restart_host(std::size_t index)
     {
         std::erase_if(m_runs,
@@ -174,6 +174,11 @@
         {
             m_hosts[index].watch.merge(record, at(m_now));
         }
+        const auto& teller = m_hosts[pick(m_hosts.size())];
+        for (const auto& record : teller.watch.newest(most_told))
+        {
+            m_hosts[index].watch.merge(record, at(m_now));
+        }
     }
 
     // All that runs there is broken off and, once, tried again.
--- a/tests/poison/poison_watch_test.cpp
+++ b/tests/poison/poison_watch_test.cpp
@@ -221,6 +221,17 @@
     EXPECT_FALSE(decode_poison("torn", at(0)));
 }
 
+TEST_F(poison_watch_test, names_what_changed_last)
+{
+    end("a", 1, 0);
+    end("b", 2, 1);
+    end("c", 3, 2);
+    const auto newest = m_watch.newest(2);
+    ASSERT_EQ(newest.size(), 2);
+    EXPECT_EQ(newest[0].print, request_print("c"));
+    EXPECT_EQ(newest[1].print, request_print("b"));
+}
+
 TEST_F(poison_watch_test, many_suspects_make_nobody_forget_a_proved_one)
 {
     end("a", 1, 0);
