--- a/benchmarks/poison_benchmark.cpp
+++ b/benchmarks/poison_benchmark.cpp
@@ -19,6 +19,7 @@
 {
     constexpr int contents = 10000;
     std::vector<std::string> targets;
+    targets.reserve(contents);
     for (int number = 0; number < contents; ++number)
     {
         targets.push_back("/reviews/" + std::to_string(number));
