tests: Fuzz what hosts tell of requests that end servers

Cause: a decoder of bytes from outside without a fuzz target. Change: the peers target reads, writes and reads it again, and gives it to the watch.

--- a/tests/fuzz/peers_fuzz.cpp
+++ b/tests/fuzz/peers_fuzz.cpp
@@ -8,6 +8,8 @@
 #include <peers/machine_state.hpp>
 #include <peers/topic_records.hpp>
 #include <peers/window_counts.hpp>
+#include <poison/poison_message.hpp>
+#include <poison/poison_watch.hpp>
 #include <quotas/quota_message.hpp>
 #include <rollouts/rollout_message.hpp>
 
@@ -31,10 +33,37 @@
     require(encode(*again) == written, "what was read twice is the same");
 }
 
-constexpr std::array readers{
-    &read_again<decode_machine_state>, &read_again<decode_shared_records>,
-    &read_again<decode_window_counts>, &read_again<decode_quota_message>,
-    &read_again<decode_rollout_word>,  &read_again<decode_rollout_report>};
+// What is told of requests goes with ages: one time for reading and writing.
+// Whatever comes, the watch takes it and can judge.
+void read_poison_again(std::string_view bytes)
+{
+    const auto now = absl::UnixEpoch() + absl::Hours(1000);
+    const auto records = decode_poison(bytes, now);
+    if (!records)
+    {
+        return;
+    }
+    const auto written = encode_poison(*records, now);
+    const auto again = decode_poison(written, now);
+    require(again.has_value(), "what was written can be read");
+    require(encode_poison(*again, now) == written,
+            "what was read twice is the same");
+    poison_watch watch{poison_options()};
+    for (const auto& record : *records)
+    {
+        watch.merge(record, now);
+        (void)watch.judge(record.print, 3, now);
+        (void)watch.time_to_trial(record.print, now);
+    }
+}
+
+constexpr std::array readers{&read_again<decode_machine_state>,
+                             &read_again<decode_shared_records>,
+                             &read_again<decode_window_counts>,
+                             &read_again<decode_quota_message>,
+                             &read_again<decode_rollout_word>,
+                             &read_again<decode_rollout_report>,
+                             &read_poison_again};
 
 } // namespace
 } // namespace daleshelf::fuzz
