poison: Keep which ends a proved request explains

Cause: each judgement looked through all records for each end, of the record and of all servers: with hundreds of suspects in a fleet of 86 a play stood still for ten minutes. Change: the ends of proved ones are kept in a set, and what is old is looked for five times a second.

--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -14,6 +14,8 @@
 constexpr double least_chance = 1e-4;
 // A connection and a wake-up lie between a request's end and its note.
 constexpr absl::Duration note_time = absl::Milliseconds(100);
+// What is old is looked for as often as that, of seconds that it is kept.
+constexpr absl::Duration forget_pause = absl::Milliseconds(200);
 // Of one request: more say nothing new.
 constexpr std::size_t most_lives = 16;
 
@@ -257,11 +259,25 @@
 // Whether a request that is proved was there.
 bool poison_watch::is_explained(const server_life& life) const
 {
-    return std::any_of(m_records.begin(), m_records.end(),
-                       [&](const auto& entry) {
-                           return entry.second.is_proved &&
-                                  entry.second.ends.contains(life);
-                       });
+    return m_explained.contains(life);
+}
+
+// Kept, not looked for each time: in a storm each of hundreds of records is
+// judged by each of as many ends.
+void poison_watch::explain_ends()
+{
+    m_explained.clear();
+    for (const auto& [print, record] : m_records)
+    {
+        if (!record.is_proved)
+        {
+            continue;
+        }
+        for (const auto& [life, end] : record.ends)
+        {
+            m_explained.insert(life);
+        }
+    }
 }
 
 // How likely it is that the server ended while the request was there, if that
@@ -460,6 +476,11 @@
 // What is older than the memory says nothing any more, unless it is proved.
 void poison_watch::forget_old(absl::Time now)
 {
+    if (now - m_forgotten_at < forget_pause)
+    {
+        return;
+    }
+    m_forgotten_at = now;
     const auto oldest = now - m_options.memory;
     std::erase_if(m_ends, [&](const auto& end) { return end.second < oldest; });
     std::vector<request_print> old;
@@ -490,6 +511,10 @@
 void poison_watch::tell(poison_record& record, absl::Time now)
 {
     record.changed_at = now;
+    if (record.is_proved || record.epoch > 0)
+    {
+        explain_ends();
+    }
     if (std::find(m_news.begin(), m_news.end(), record.print) == m_news.end())
     {
         m_news.push_back(record.print);
--- a/libraries/poison/poison_watch.hpp
+++ b/libraries/poison/poison_watch.hpp
@@ -168,6 +168,7 @@
     [[nodiscard]] bool is_told_from_others(const poison_record& record) const;
     [[nodiscard]] bool are_all_ends(const poison_record& record) const;
     [[nodiscard]] bool is_explained(const server_life& life) const;
+    void explain_ends();
     [[nodiscard]] bool has_rival(const poison_record& record) const;
     [[nodiscard]] absl::Duration wait_of(const poison_record& record) const;
     [[nodiscard]] bool is_trial_open(const poison_record& record,
@@ -178,6 +179,8 @@
     absl::flat_hash_map<request_shape, std::size_t> m_shapes; ///< records of it
     std::deque<request_print> m_news;
     std::map<server_life, absl::Time> m_ends; ///< of any cause
+    std::set<server_life> m_explained; ///< ends at which a proved one was
+    absl::Time m_forgotten_at = absl::InfinitePast();
     std::optional<std::int64_t> m_used_trial;
     answered_shapes m_answered;
 };
