poison: Let no word change the shape that a record is counted by

Cause: found by reading the change once more. A word of a later epoch took the whole record, its shape too; the count of shapes did not know that, and forgetting the record ended the process. Any inconsistent datagram could do so. Change: the record keeps its shape.

--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -95,7 +95,10 @@
     bool is_news = false;
     if (told.epoch > record.epoch)
     {
+        // Its shape is counted: what was told of it does not change that.
+        const auto shape = record.shape;
         record = told;
+        record.shape = shape;
         record.changed_at = now;
         is_news = true;
     }
--- a/tests/poison/poison_watch_test.cpp
+++ b/tests/poison/poison_watch_test.cpp
@@ -221,6 +221,20 @@
     EXPECT_FALSE(decode_poison("torn", at(0)));
 }
 
+// A word of a later epoch took the shape of a record with it, which the count
+// of shapes did not know: forgetting that record read beyond it.
+TEST_F(poison_watch_test, a_word_cannot_change_a_records_shape)
+{
+    end("a", 1, 0);
+    auto told = *m_watch.find(request_print("a"));
+    told.epoch = 1;
+    told.shape = 8;
+    m_watch.merge(told, at(1));
+    EXPECT_EQ(m_watch.find(request_print("a"))->shape, 7);
+    EXPECT_EQ(judge("a", 100), suspicion::none);
+    EXPECT_FALSE(m_watch.may_know(7));
+}
+
 TEST_F(poison_watch_test, names_what_changed_last)
 {
     end("a", 1, 0);
