--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -134,35 +134,38 @@
 scripted_server::scripted_server(script serve)
     : m_serve(std::move(serve))
     , m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0})
+    , m_address(concat("127.0.0.1:",
+                       static_cast<int>(m_acceptor.local_endpoint().port())))
     , m_accepting([this] { accept_all(); })
 {
 }
 
 scripted_server::~scripted_server()
 {
-    m_is_stopping = true;
-    // A connection of its own ends the wait for the next one.
-    error_code ignored;
-    asio::ip::tcp::socket last(m_context);
-    last.connect(m_acceptor.local_endpoint(), ignored);
-    m_accepting.join();
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const auto& connection : m_open)
-        {
-            connection->stop_reading();
-        }
-    }
+    end();
     for (auto& thread : m_threads)
     {
         thread.join();
     }
 }
 
-std::string scripted_server::address() const
+void scripted_server::end()
 {
-    return concat("127.0.0.1:",
-                  static_cast<int>(m_acceptor.local_endpoint().port()));
+    if (m_is_stopping.exchange(true))
+    {
+        return;
+    }
+    // A connection of its own ends the wait for the next one.
+    error_code ignored;
+    asio::ip::tcp::socket last(m_context);
+    last.connect(m_acceptor.local_endpoint(), ignored);
+    m_accepting.join();
+    m_acceptor.close(ignored);
+    const std::lock_guard lock(m_mutex);
+    for (const auto& connection : m_open)
+    {
+        connection->stop_reading();
+    }
 }
 
 void scripted_server::accept_all()
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -77,7 +77,13 @@
     scripted_server(const scripted_server&) = delete;
     scripted_server& operator=(const scripted_server&) = delete;
 
-    [[nodiscard]] std::string address() const;
+    /// Ends as a process does: its connections end, its port refuses others.
+    void end();
+
+    [[nodiscard]] std::string address() const
+    {
+        return m_address;
+    }
 
     /// @return connections taken so far
     [[nodiscard]] int connections() const
@@ -97,6 +103,7 @@
     script m_serve;
     asio::io_context m_context;
     asio::ip::tcp::acceptor m_acceptor;
+    std::string m_address;
     std::atomic<int> m_count = 0;
     std::atomic<int> m_requests = 0;
     std::atomic<bool> m_is_stopping = false;
--- /dev/null
+++ b/tests/gateway/server_ends_test.cpp
@@ -0,0 +1,123 @@
+// A request that ends servers was sent on and on: its callers had left, 20 to
+// 55 ms after they had asked, before the server under it ended. Seven servers
+// ended; the hosts noted three ends, and of the other four nothing (no
+// `upstream_failed`, no `upstream_ended`, only `request_ended
+// outcome=client_left`).
+#include "gateway_fixture.hpp"
+
+#include <base/text.hpp>
+#include <future>
+
+namespace daleshelf
+{
+namespace
+{
+
+/// Takes requests that it never answers, and says what becomes of the first.
+class silent_server
+{
+public:
+    silent_server()
+        : m_server(
+              [this](test_connection& connection)
+              {
+                  connection.read_message();
+                  const bool is_first = !m_has_read.exchange(true);
+                  if (is_first)
+                  {
+                      m_read.set_value();
+                  }
+                  connection.read_all();
+                  if (is_first)
+                  {
+                      m_left.set_value();
+                  }
+              })
+    {
+    }
+
+    void wait_until_read()
+    {
+        m_read.get_future().wait();
+    }
+
+    void wait_until_left()
+    {
+        m_left.get_future().wait();
+    }
+
+    scripted_server& server()
+    {
+        return m_server;
+    }
+
+private:
+    std::atomic<bool> m_has_read = false;
+    std::promise<void> m_read;
+    std::promise<void> m_left;
+    scripted_server m_server; // ends first: its threads use the others
+};
+
+class server_ends : public gateway_fixture
+{
+protected:
+    server_ends()
+    {
+        configure();
+    }
+
+    static request_content content_of(const std::string& path)
+    {
+        return {{}, "h", "GET", path, ""};
+    }
+
+    bool is_suspected(const std::string& path)
+    {
+        bool is_known = false;
+        on_loop(
+            [&] {
+                is_known = m_state.poison.find(print_of(content_of(path))) !=
+                           nullptr;
+            });
+        return is_known;
+    }
+
+    /// Asks, and leaves once the server has read the request.
+    void ask_and_leave(const std::string& path, silent_server& server)
+    {
+        const auto client = connect();
+        client->send(request_for(path));
+        server.wait_until_read();
+        client->close();
+        server.wait_until_left();
+    }
+};
+
+TEST_F(server_ends, a_request_whose_caller_left_before_the_end_is_suspected)
+{
+    silent_server server;
+    add_server("a", server.server());
+    ask_and_leave("/unsafe/deadly", server);
+    EXPECT_FALSE(is_suspected("/unsafe/deadly"));
+    server.server().end();
+    EXPECT_TRUE(ask("/unsafe/other").starts_with("HTTP/1.1 503 "));
+    EXPECT_TRUE(is_suspected("/unsafe/deadly"));
+    EXPECT_FALSE(is_suspected("/unsafe/other")) << "it has never run";
+}
+
+TEST_F(server_ends, a_request_whose_time_was_over_is_suspected)
+{
+    silent_server server;
+    add_server("a", server.server());
+    const auto client = connect();
+    client->send("GET /unsafe/deadly HTTP/1.1\r\nHost: h\r\n"
+                 "X-Attempt-Id: 1\r\nX-Deadline-Ms: 100\r\n\r\n");
+    EXPECT_TRUE(client->read_message().starts_with("HTTP/1.1 504 "));
+    server.wait_until_left();
+    server.server().end();
+    EXPECT_TRUE(ask("/unsafe/other").starts_with("HTTP/1.1 503 "));
+    EXPECT_TRUE(is_suspected("/unsafe/deadly"));
+}
+
+} // namespace
+} // namespace daleshelf
