gateway: Take what ends a server for evidence whoever waits for it

What callers saw: servers ended one after the other, and what else ran there was broken off with them. Cause: only an attempt that broke was evidence. One whose caller left, or whose time was over, is closed by the host itself; if its server ended right after, nobody asked. The test of leaving servers asked a server that had not ended, and could not fail: it asks one that has now.

--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -339,6 +339,12 @@
     const upstream_id id(record.key);
     if (!record.value)
     {
+        const auto* listed = m_state.servers.find(id);
+        if (listed != nullptr && !listed->is_draining)
+        {
+            // Gone without a word: it may serve on, or have ended.
+            m_state.ends.ask_soon(*listed, end_sign::listed);
+        }
         if (m_state.servers.remove(id))
         {
             m_state.pool.drop(id);
@@ -369,6 +375,9 @@
     m_state.servers.versions().note_server(entry.service, entry.version,
                                            !m_state.has_servers,
                                            gateway_state::now());
+    const auto* before = m_state.servers.find(entry.id);
+    const bool was_to_stay = before != nullptr && !before->is_draining;
+    const auto born_before = was_to_stay ? before->born : entry.born;
     const auto change = m_state.servers.set(entry);
     if (change == entry_change::none)
     {
@@ -378,6 +387,10 @@
     {
         m_state.choice.forget(entry.id);
         m_state.pool.drop(entry.id);
+        if (was_to_stay)
+        {
+            m_state.ends.note_over({entry.id, born_before}, end_sign::listed);
+        }
     }
     const std::string_view state = entry.is_draining ? "draining" : "ready";
     const std::string_view again =
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -7,6 +7,7 @@
 #include "gateway_settings.hpp"
 #include "quota_service.hpp"
 #include "server_connection.hpp"
+#include "server_ends.hpp"
 #include "skipped_records.hpp"
 
 #include <absl/random/random.h>
@@ -95,6 +96,7 @@
     poison_watch poison;
     suspects_in_flight suspects;
     async_event poison_news; ///< there is something to tell of `poison`
+    server_ends ends;
     bool has_servers = false;
     bool knows_hosts = false; ///< the list of hosts was read, with those that
                               ///< started together with this one
--- a/services/gateway/http_call.cpp
+++ b/services/gateway/http_call.cpp
@@ -89,9 +89,10 @@
     {
         co_return false;
     }
-    m_channel = co_await connect_channel(
+    const auto result = co_await connect_channel(
         m_context, *endpoint,
         std::min(deadline, monotonic::now() + connect_time));
+    m_channel = result.channel;
     co_return m_channel != nullptr;
 }
 
--- a/services/gateway/poison_service.cpp
+++ b/services/gateway/poison_service.cpp
@@ -24,8 +24,6 @@
 constexpr double least_told_weight = 1.6;
 constexpr milliseconds store_time{700};
 constexpr milliseconds read_pause{1000};
-// A port that nobody listens on answers within a round trip.
-constexpr milliseconds check_time{300};
 
 std::string text_of(double number)
 {
@@ -124,6 +122,11 @@
         {
             m_state.poison_news.notify();
         }
+        // Its server has ended under others of this host as well.
+        for (const auto& [life, end] : record.ends)
+        {
+            m_state.ends.note_over(life, end_sign::told);
+        }
     }
 }
 
@@ -229,45 +232,4 @@
     }
 }
 
-awaitable<void> confirm_end(gateway_state& state, server_entry server,
-                            suspect_request request, absl::Duration ran)
-{
-    const auto endpoint = parse_endpoint(server.address);
-    const bool was_to_end =
-        !state.servers.is_usable(server.id) ||
-        !state.servers.versions().allows(server.service, server.version);
-    if (!endpoint || was_to_end)
-    {
-        co_return;
-    }
-    asio::ip::tcp::socket socket(state.context);
-    asio::steady_timer limit(state.context, check_time);
-    limit.async_wait(
-        [&socket](const error_code& error)
-        {
-            if (!error)
-            {
-                socket.cancel();
-            }
-        });
-    const auto [error] = co_await socket.async_connect(*endpoint, use_result);
-    limit.cancel();
-    if (error != asio::error::connection_refused)
-    {
-        co_return;
-    }
-    const auto now = gateway_state::now();
-    state.poison.note_end(request, {server.id, server.born}, ran, now);
-    state.poison_news.notify();
-    const auto* record = state.poison.find(request.print);
-    const auto servers = state.servers.usable(server.service).size();
-    log(events::upstream_ended,
-        {{"server", server.id.value()},
-         {"born", std::to_string(server.born.value())},
-         {"print", request.print.value()},
-         {"ends", std::to_string(record->ends.size())},
-         {"weight", text_of(state.poison.weight(*record, servers))},
-         {"ran_ms", std::to_string(absl::ToInt64Milliseconds(ran))}});
-}
-
 } // namespace daleshelf
--- a/services/gateway/poison_service.hpp
+++ b/services/gateway/poison_service.hpp
@@ -36,12 +36,4 @@
     absl::flat_hash_set<request_print> m_proved; ///< logged as such
 };
 
-/// Finds out whether a server has ended while a request was there, and notes it
-/// then: its port refuses connections. A cut, or one connection that was
-/// closed, is no end; neither is one of a server that was to leave.
-/// @param server as it was known when the request was sent to it
-/// @param ran how long the request had been there
-awaitable<void> confirm_end(gateway_state& state, server_entry server,
-                            suspect_request request, absl::Duration ran);
-
 } // namespace daleshelf
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -183,7 +183,7 @@
         const auto sent_at = monotonic::now();
         const auto end = co_await attempt(chosen, wanted);
         log_attempt(chosen, end);
-        note_attempt(chosen, end, monotonic::now() - sent_at);
+        note_attempt(chosen, end, sent_at);
         if (end == attempt_end::broken || end == attempt_end::not_reached)
         {
             m_broken_halls.insert(chosen.hall);
@@ -235,7 +235,8 @@
     }
     heed(m_state, server, exchange.notice());
     m_state.choice.prompt_read(server.life(), m_work.tokens);
-    if (exchange.known_verdict() != verdict::not_run)
+    m_was_sent = exchange.known_verdict() != verdict::not_run;
+    if (m_was_sent)
     {
         ++m_attempts;
         m_state.rollouts.note_sent(server.service, server.version);
@@ -283,7 +284,14 @@
     note_version(server, end, monotonic::now() - sent_at);
     exchange.cancel();
     m_exchange = nullptr;
-    if (suspect)
+    const bool is_let_go = m_was_sent && (end == attempt_end::abandoned ||
+                                          end == attempt_end::late);
+    if (suspect && is_let_go)
+    {
+        // It may still end the server: nobody else sends it meanwhile.
+        m_state.ends.ask_later(server, *suspect);
+    }
+    else if (suspect)
     {
         m_state.suspects.end(suspect->print, server.id);
     }
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -96,7 +96,9 @@
     awaitable<bool> is_stopped_as_poison();
     void mark_suspect(choice_request& wanted);
     void note_attempt(const server_entry& server, attempt_end end,
-                      monotonic::duration time);
+                      monotonic::time_point began);
+    void note_open(const server_entry& server, attempt_end end,
+                   monotonic::time_point began);
     void note_first(const response_head& head, monotonic::duration time);
     void note_version(const server_entry& server, attempt_end end,
                       monotonic::duration time);
@@ -117,6 +119,7 @@
     double m_quota_cost = 0;
     std::string m_quota_verdict; ///< how it was found, for logs
     bool m_was_counted = false;
+    bool m_was_sent = false; ///< in the last attempt, to the server
     std::string m_server_hall;
     bool m_is_cancelled = false;
     bool m_may_have_run = false;
--- a/services/gateway/request_poison.cpp
+++ b/services/gateway/request_poison.cpp
@@ -1,6 +1,5 @@
 // How a request's flow treats requests that may end servers. The steps are
 // those of docs/design/poison.md, "What is done".
-#include "poison_service.hpp"
 #include "request_flow.hpp"
 
 #include <base/http_status.hpp>
@@ -106,35 +105,46 @@
 
 // Step 4: evidence for it, or against.
 void request_flow::note_attempt(const server_entry& server, attempt_end end,
-                                monotonic::duration time)
+                                monotonic::time_point began)
 {
+    if (end != attempt_end::answered)
+    {
+        note_open(server, end, began);
+        return;
+    }
     const whole_answer given{{server.id, server.born}, m_state.self};
-    if (end == attempt_end::answered && m_suspect)
+    const auto now = gateway_state::now();
+    if (m_suspect)
     {
-        m_state.poison.note_whole(m_suspect->print, given,
-                                  gateway_state::now());
+        m_state.poison.note_whole(m_suspect->print, given, now);
         m_state.poison_news.notify();
     }
-    else if (end == attempt_end::answered)
+    else
     {
-        m_state.poison.note_answered(shape_of(content()), given,
-                                     gateway_state::now());
+        m_state.poison.note_answered(shape_of(content()), given, now);
     }
-    if (end != attempt_end::broken)
+}
+
+// It is evidence if the server ends; whether that shows at once, or only when
+// another request comes there, does not hang on who waits for this one.
+void request_flow::note_open(const server_entry& server, attempt_end end,
+                             monotonic::time_point began)
+{
+    const bool is_broken = end == attempt_end::broken;
+    const bool is_open =
+        is_broken || end == attempt_end::abandoned || end == attempt_end::late;
+    if (!is_open || !m_was_sent)
     {
         return;
     }
-    if (!m_suspect)
+    const auto request = m_suspect.value_or(suspect_request{
+        print_of(content()), shape_of(content()), m_service->name});
+    m_state.ends.note_open(server, request, gateway_state::to_time(began));
+    if (is_broken)
     {
-        m_suspect = suspect_request{print_of(content()), shape_of(content()),
-                                    m_service->name};
+        m_suspect = request;
+        m_state.ends.ask_soon(server, end_sign::broken);
     }
-    asio::co_spawn(
-        m_state.context,
-        [&state = m_state, server, suspect = *m_suspect,
-         ran = absl::FromChrono(time)]
-        { return confirm_end(state, server, suspect, ran); },
-        asio::detached);
 }
 
 } // namespace daleshelf
--- a/services/gateway/server_connection.cpp
+++ b/services/gateway/server_connection.cpp
@@ -53,6 +53,7 @@
         }
         auto taken = std::move(newest);
         connections.pop_back();
+        taken->channel->set_end_handler(nullptr);
         if (is_sound)
         {
             return taken;
@@ -73,15 +74,19 @@
     }
     const auto id = server.id;
     ++m_made;
-    const auto channel =
+    const auto result =
         co_await connect_channel(m_context, *endpoint, deadline);
-    if (channel == nullptr)
+    if (result.channel == nullptr)
     {
+        if (result.is_refused)
+        {
+            tell_end(id, true);
+        }
         co_return nullptr;
     }
     auto connection = std::make_unique<server_connection>();
     connection->server = id;
-    connection->channel = channel;
+    connection->channel = result.channel;
     co_return connection;
 }
 
@@ -93,6 +98,8 @@
         return;
     }
     connection->idle_since = monotonic::now();
+    connection->channel->set_end_handler([this, server = connection->server]
+                                         { tell_end(server, false); });
     m_idle[connection->server].push_back(std::move(connection));
 }
 
@@ -110,6 +117,7 @@
                           {
                               return false;
                           }
+                          connection->channel->set_end_handler(nullptr);
                           connection->channel->close();
                           return true;
                       });
@@ -127,11 +135,20 @@
     }
     for (auto& connection : found->second)
     {
+        connection->channel->set_end_handler(nullptr);
         connection->channel->close();
     }
     m_idle.erase(found);
 }
 
+void connection_pool::tell_end(const upstream_id& server, bool is_refused)
+{
+    if (m_end_listener)
+    {
+        m_end_listener(server, is_refused);
+    }
+}
+
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& text)
 {
     const auto colon = text.rfind(':');
@@ -154,9 +171,9 @@
     return asio::ip::tcp::endpoint(address, static_cast<unsigned short>(*port));
 }
 
-awaitable<std::shared_ptr<byte_channel>>
-connect_channel(asio::io_context& context, asio::ip::tcp::endpoint endpoint,
-                monotonic::time_point deadline)
+awaitable<connect_result> connect_channel(asio::io_context& context,
+                                          asio::ip::tcp::endpoint endpoint,
+                                          monotonic::time_point deadline)
 {
     auto socket = std::make_shared<asio::ip::tcp::socket>(context);
     asio::steady_timer timer(context, deadline);
@@ -171,14 +188,16 @@
         });
     const auto [error] = co_await socket->async_connect(endpoint, use_result);
     timer.cancel();
+    connect_result result;
+    result.is_refused = error == asio::error::connection_refused;
     if (error || !socket->is_open())
     {
-        co_return nullptr;
+        co_return result;
     }
     detect_silent_peer(*socket);
-    auto channel = std::make_shared<byte_channel>(std::move(*socket));
-    channel->start();
-    co_return channel;
+    result.channel = std::make_shared<byte_channel>(std::move(*socket));
+    result.channel->start();
+    co_return result;
 }
 
 void detect_silent_peer(asio::ip::tcp::socket& socket)
--- a/services/gateway/server_connection.hpp
+++ b/services/gateway/server_connection.hpp
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <functional>
 #include <ingress/server_directory.hpp>
 #include <memory>
 #include <optional>
@@ -27,8 +28,18 @@
 class connection_pool
 {
 public:
+    using end_listener =
+        std::function<void(const upstream_id& server, bool is_refused)>;
+
     explicit connection_pool(asio::io_context& context) : m_context(context) {}
 
+    /// Sets who hears that a server refuses a connection, or has ended one
+    /// that was kept.
+    void set_end_listener(end_listener listener)
+    {
+        m_end_listener = std::move(listener);
+    }
+
     /// @param is_repeatable whether the request may be sent again if the
     /// server closes the connection just as the request leaves
     /// @return an idle connection, or null
@@ -54,7 +65,10 @@
     }
 
 private:
+    void tell_end(const upstream_id& server, bool is_refused);
+
     asio::io_context& m_context;
+    end_listener m_end_listener;
     absl::flat_hash_map<upstream_id,
                         std::vector<std::unique_ptr<server_connection>>>
         m_idle;
@@ -66,11 +80,17 @@
 [[nodiscard]] std::optional<asio::ip::tcp::endpoint>
 parse_endpoint(const std::string& text);
 
+/// How opening a connection has ended.
+struct connect_result
+{
+    std::shared_ptr<byte_channel> channel; ///< null: there is none
+    bool is_refused = false;               ///< nobody listens there
+};
+
 /// Opens a connection that is always read.
-/// @return the connection, or null if there is none before the deadline
-awaitable<std::shared_ptr<byte_channel>>
-connect_channel(asio::io_context& context, asio::ip::tcp::endpoint endpoint,
-                monotonic::time_point deadline);
+awaitable<connect_result> connect_channel(asio::io_context& context,
+                                          asio::ip::tcp::endpoint endpoint,
+                                          monotonic::time_point deadline);
 
 /// Makes a connection fail within about a second when its peer is silent: a
 /// host without power, or behind a cut, answers nothing.
--- a/tests/gateway/poison_path_test.cpp
+++ b/tests/gateway/poison_path_test.cpp
@@ -4,7 +4,6 @@
 #include "gateway_fixture.hpp"
 
 #include <base/text.hpp>
-#include <gateway/poison_service.hpp>
 
 namespace daleshelf
 {
@@ -166,24 +165,23 @@
 
 TEST_F(poison_path, an_end_of_a_server_that_was_to_leave_blames_nobody)
 {
-    const ending_server leaving;
-    list(leaving, "a");
+    scripted_server leaving([](test_connection&) {});
+    add_server("a", leaving);
+    leaving.end();
     bool is_blamed = true;
     on_loop(
         [&]
         {
-            auto entry = leaving.entry("a");
+            auto entry = *m_state.servers.find(upstream_id("a"));
             entry.is_draining = true;
             m_state.servers.set(entry);
+            m_state.ends.note_open(
+                entry, {request_print("p"), 1, service_name("service")},
+                gateway_state::now() - absl::Seconds(1));
             asio::co_spawn(
                 m_context,
                 [&, entry]
-                {
-                    return confirm_end(
-                        m_state, entry,
-                        {request_print("p"), 1, service_name("service")},
-                        absl::Seconds(1));
-                },
+                { return m_state.ends.ask(entry, end_sign::broken); },
                 [&](const std::exception_ptr&)
                 { is_blamed = m_state.poison.size() > 0; });
         });
--- a/tests/gateway/server_ends_test.cpp
+++ b/tests/gateway/server_ends_test.cpp
@@ -2,7 +2,8 @@
 // 55 ms after they had asked, before the server under it ended. Seven servers
 // ended; the hosts noted three ends, and of the other four nothing (no
 // `upstream_failed`, no `upstream_ended`, only `request_ended
-// outcome=client_left`).
+// outcome=client_left`): only an attempt that broke was evidence, and one whose
+// caller leaves is closed by the host itself before its server ends.
 #include "gateway_fixture.hpp"
 
 #include <base/text.hpp>
@@ -76,8 +77,8 @@
         bool is_known = false;
         on_loop(
             [&] {
-                is_known = m_state.poison.find(print_of(content_of(path))) !=
-                           nullptr;
+                is_known =
+                    m_state.poison.find(print_of(content_of(path))) != nullptr;
             });
         return is_known;
     }
@@ -119,5 +120,74 @@
     EXPECT_TRUE(is_suspected("/unsafe/deadly"));
 }
 
+// Nobody else asks for anything there: what shows the end is a connection that
+// is kept for the next request.
+TEST_F(server_ends, a_kept_connection_that_ends_shows_it)
+{
+    std::promise<void> read;
+    std::promise<void> left;
+    scripted_server server(
+        [&](test_connection& connection)
+        {
+            const auto first = connection.read_message();
+            if (!first.starts_with("GET /unsafe/deadly "))
+            {
+                connection.send(plain_answer(id_of(first), "good"));
+                connection.read_all();
+                return;
+            }
+            read.set_value();
+            connection.read_all();
+            left.set_value();
+        });
+    add_server("a", server);
+    const auto client = connect();
+    client->send(request_for("/unsafe/deadly"));
+    read.get_future().wait();
+    EXPECT_TRUE(ask("/unsafe/other").ends_with("good"));
+    client->close();
+    left.get_future().wait();
+    server.end();
+    while (!is_suspected("/unsafe/deadly"))
+    {
+    }
+    EXPECT_FALSE(is_suspected("/unsafe/other")) << "it was answered";
+}
+
+// At a server that nobody else uses nothing shows the end: where a request is
+// suspected already, the host asks by itself, and sends it nowhere else before.
+TEST_F(server_ends, a_suspect_that_was_let_go_is_under_way_until_its_end_shows)
+{
+    const auto path = "/unsafe/deadly";
+    const auto print = print_of(content_of(path));
+    const server_life elsewhere{upstream_id("z"), {}};
+    on_loop(
+        [&]
+        {
+            const auto now = gateway_state::now();
+            m_state.poison.note_end(
+                {print, shape_of(content_of(path)), service_name("service")},
+                elsewhere, absl::Seconds(1), now - absl::Seconds(1));
+        });
+    silent_server server;
+    add_server("a", server.server());
+    ask_and_leave(path, server);
+    server.server().end();
+    bool is_under_way = false;
+    on_loop([&] { is_under_way = m_state.suspects.has(print); });
+    EXPECT_TRUE(is_under_way);
+    std::size_t ends = 1;
+    while (is_under_way)
+    {
+        on_loop(
+            [&]
+            {
+                is_under_way = m_state.suspects.has(print);
+                ends = m_state.poison.find(print)->ends.size();
+            });
+    }
+    EXPECT_EQ(ends, 2);
+}
+
 } // namespace
 } // namespace daleshelf
