poison: Let the first proved request not clear the second

Cause: of two that end servers at a time each is at ends of the other. The first to be proved explained the shared ends, so that the other had too few left; and what is asked for all the time was proved before either. A request whose third end had not settled was refused, though most of those are innocent. Change: an end is explained only by what is stronger or was answered less; what explains ends better is judged first; such requests are held for 0.3 s; records are sorted.

--- /dev/null
+++ b/libraries/poison/poison_evidence.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// What the ends of servers say about one request.
+#pragma once
+
+#include "poison_options.hpp"
+#include "poison_record.hpp"
+
+#include <map>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// How strongly a request is blamed.
+struct blame
+{
+    std::size_t ends = 0; ///< that nothing proved explains better
+    double weight = 0;    ///< logarithm of the odds, by these ends
+};
+
+/// Weighs ends: a request is blamed for one by how unlikely it is that the
+/// server ended just then for another reason. See docs/design/poison.md.
+class poison_evidence
+{
+public:
+    explicit poison_evidence(const poison_options& options) : m_options(options)
+    {
+    }
+
+    /// Notes an end of any cause; the earliest time that is told holds.
+    void note(const server_life& life, absl::Time at);
+
+    /// Forgets what ended before a time.
+    void forget_before(absl::Time oldest);
+
+    /// Sets which requests are proved: ends at which they were say little about
+    /// others.
+    void set_proved(std::vector<poison_record> proved)
+    {
+        m_proved = std::move(proved);
+    }
+
+    /// @param servers of the request's service, there now
+    [[nodiscard]] blame weigh(const poison_record& record,
+                              std::size_t servers) const;
+
+    /// @return whether no other server has ended lately that nothing proved
+    /// explains
+    [[nodiscard]] bool are_all_ends(const poison_record& record) const;
+
+private:
+    [[nodiscard]] bool is_explained(const server_life& life) const;
+    [[nodiscard]] bool is_explained_better(const server_life& life,
+                                           const poison_record& record,
+                                           double strength,
+                                           std::size_t servers) const;
+    [[nodiscard]] double strength_of(const poison_record& record,
+                                     std::size_t servers) const;
+    [[nodiscard]] double chance_of(const poison_record& record,
+                                   const server_end& end,
+                                   std::size_t servers) const;
+
+    poison_options m_options;
+    std::map<server_life, absl::Time> m_ends; ///< of any cause
+    std::vector<poison_record> m_proved;
+};
+
+} // namespace daleshelf
--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -1,7 +1,7 @@
 #include "poison_watch.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <tuple>
 
 namespace daleshelf
 {
@@ -9,11 +9,6 @@
 namespace
 {
 
-// No end is taken for less likely by chance: what is not known of a server's
-// life may be worth that much.
-constexpr double least_chance = 1e-4;
-// A connection and a wake-up lie between a request's end and its note.
-constexpr absl::Duration note_time = absl::Milliseconds(100);
 // What is old is looked for as often as that, of seconds that it is kept.
 constexpr absl::Duration forget_pause = absl::Milliseconds(200);
 // Of one request: more say nothing new.
@@ -36,7 +31,7 @@
                             absl::Time now)
 {
     forget_old(now);
-    note_global_end(life, now);
+    m_evidence.note(life, now);
     auto& record = open(request, now);
     record.noted_at = now;
     if (const auto answered =
@@ -85,7 +80,7 @@
     forget_old(now);
     for (const auto& [life, end] : told.ends)
     {
-        note_global_end(life, end.at);
+        m_evidence.note(life, end.at);
     }
     auto& record = open({told.print, told.shape, told.service}, now);
     if (told.epoch < record.epoch)
@@ -148,13 +143,66 @@
     {
         return suspicion::proved;
     }
-    if (is_certain(settled_part(record, now), servers))
+    if (!is_certain(settled_part(record, now), servers))
     {
-        record.is_proved = true;
-        tell(record, now);
-        return suspicion::proved;
+        return suspicion::suspect;
+    }
+    prove_stronger(record, servers, now);
+    if (!is_certain(settled_part(record, now), servers))
+    {
+        return suspicion::suspect;
+    }
+    prove(record, now);
+    return suspicion::proved;
+}
+
+void poison_watch::prove(poison_record& record, absl::Time now)
+{
+    record.is_proved = true;
+    tell(record, now);
+}
+
+// Whoever was beside a request that ends servers looks like one, the more so
+// the oftener it is asked for: what explains the same ends better is judged
+// first. What is answered less does, then what was at more of them.
+void poison_watch::prove_stronger(const poison_record& record,
+                                  std::size_t servers, absl::Time now)
+{
+    using rank = std::tuple<int, std::size_t, double>;
+    const auto rank_of = [&](const poison_record& ranked)
+    {
+        const auto found = m_evidence.weigh(ranked, servers);
+        return rank(-static_cast<int>(ranked.whole.size()), found.ends,
+                    found.weight);
+    };
+    const auto own_rank = rank_of(record);
+    std::vector<std::pair<rank, poison_record*>> stronger;
+    for (auto& [print, other] : m_records)
+    {
+        const bool is_there =
+            std::any_of(record.ends.begin(), record.ends.end(),
+                        [&other](const auto& end)
+                        { return other.ends.contains(end.first); });
+        if (!is_there || other.is_proved || print == record.print)
+        {
+            continue;
+        }
+        const auto other_rank = rank_of(other);
+        if (other_rank > own_rank)
+        {
+            stronger.emplace_back(other_rank, &other);
+        }
+    }
+    std::sort(stronger.begin(), stronger.end(),
+              [](const auto& left, const auto& right)
+              { return left.first > right.first; });
+    for (const auto& [other_rank, other] : stronger)
+    {
+        if (is_certain(settled_part(*other, now), servers))
+        {
+            prove(*other, now);
+        }
     }
-    return suspicion::suspect;
 }
 
 bool poison_watch::goes_alone(const request_print& print, std::size_t servers,
@@ -174,10 +222,14 @@
                              absl::Time now) const
 {
     const auto* record = find(print);
-    return record != nullptr && came_twice(*record) && record->whole.empty() &&
-           record->ends.size() >= m_options.most_ends &&
-           settled_part(*record, now).ends.size() < record->ends.size() &&
-           weight(*record, servers) >= m_options.proof / 3;
+    if (record == nullptr || !came_twice(*record) || !record->whole.empty() ||
+        settled_part(*record, now).ends.size() == record->ends.size())
+    {
+        return false;
+    }
+    const auto found = m_evidence.weigh(*record, servers);
+    return found.ends >= m_options.most_ends &&
+           found.weight >= m_options.proof / 3;
 }
 
 // The ends of whose time it is known what other hosts saw: until then one
@@ -197,16 +249,17 @@
 bool poison_watch::is_certain(const poison_record& seen,
                               std::size_t servers) const
 {
+    const auto found = m_evidence.weigh(seen, servers);
     const bool is_enough =
-        seen.whole.empty() && seen.ends.size() >= m_options.most_ends;
+        seen.whole.empty() && found.ends >= m_options.most_ends;
     const bool came_at_once = !came_twice(seen);
     if (seen.whole.size() >= seen.ends.size() ||
-        (came_at_once && !(is_enough && are_all_ends(seen))))
+        (came_at_once && !(is_enough && m_evidence.are_all_ends(seen))))
     {
         return false;
     }
     const auto needed = is_enough ? m_options.proof / 3 : m_options.proof;
-    return weight(seen, servers) >= needed && is_told_from_others(seen);
+    return found.weight >= needed && is_told_from_others(seen, found);
 }
 
 // Whether its ends came at more than one moment: what is asked for all the time
@@ -223,88 +276,21 @@
 
 // Two ends tell it only where nothing else ends servers, and nothing else was
 // at both; three do, also beside another one.
-bool poison_watch::is_told_from_others(const poison_record& record) const
+bool poison_watch::is_told_from_others(const poison_record& record,
+                                       const blame& found) const
 {
-    if (record.ends.size() >= m_options.most_ends)
+    if (found.ends >= m_options.most_ends)
     {
         return true;
     }
-    return record.ends.size() >= 2 && are_all_ends(record) &&
+    return record.ends.size() >= 2 && m_evidence.are_all_ends(record) &&
            !has_rival(record);
 }
 
-// Whether no other server has ended lately that nothing proved explains.
-bool poison_watch::are_all_ends(const poison_record& record) const
-{
-    const auto last = record.last_end() + m_options.storm;
-    return std::all_of(m_ends.begin(), m_ends.end(),
-                       [&](const auto& end)
-                       {
-                           return end.second > last ||
-                                  record.ends.contains(end.first) ||
-                                  is_explained(end.first);
-                       });
-}
-
 double poison_watch::weight(const poison_record& record,
                             std::size_t servers) const
 {
-    double weight = 0;
-    for (const auto& [life, end] : record.ends)
-    {
-        const bool is_of_other = !record.is_proved && is_explained(life);
-        weight -= is_of_other ? 0 : std::log(chance_of(record, end, servers));
-    }
-    return weight -
-           static_cast<double>(record.whole.size()) * m_options.answered_odds;
-}
-
-// Whether a request that is proved was there.
-bool poison_watch::is_explained(const server_life& life) const
-{
-    return m_explained.contains(life);
-}
-
-// Kept, not looked for each time: in a storm each of hundreds of records is
-// judged by each of as many ends.
-void poison_watch::explain_ends()
-{
-    m_explained.clear();
-    for (const auto& [print, record] : m_records)
-    {
-        if (!record.is_proved)
-        {
-            continue;
-        }
-        for (const auto& [life, end] : record.ends)
-        {
-            m_explained.insert(life);
-        }
-    }
-}
-
-// How likely it is that the server ended while the request was there, if that
-// has nothing to do with it.
-double poison_watch::chance_of(const poison_record& record,
-                               const server_end& end, std::size_t servers) const
-{
-    const auto count = static_cast<double>(std::max<std::size_t>(servers, 1));
-    double at_once = 0;
-    double lately = 0;
-    for (const auto& [life, at] : m_ends)
-    {
-        if (record.ends.contains(life) || is_explained(life))
-        {
-            continue;
-        }
-        at_once += absl::AbsDuration(at - end.at) <= m_options.storm ? 1 : 0;
-        lately += absl::AbsDuration(at - end.at) <= m_options.memory ? 1 : 0;
-    }
-    const auto memory_s = absl::ToDoubleSeconds(m_options.memory);
-    const auto rate = 1 / absl::ToDoubleSeconds(m_options.usual_life) +
-                      lately / (memory_s * count);
-    const auto by_rate = rate * absl::ToDoubleSeconds(end.ran + note_time);
-    return std::clamp(std::max(by_rate, at_once / count), least_chance, 1.0);
+    return m_evidence.weigh(record, servers).weight;
 }
 
 // Whether another request was there at each of the ends, and was never
@@ -470,12 +456,6 @@
     drop(print);
 }
 
-void poison_watch::note_global_end(const server_life& life, absl::Time at)
-{
-    const auto [place, is_new] = m_ends.try_emplace(life, at);
-    place->second = std::min(place->second, at);
-}
-
 // What is older than the memory says nothing any more, unless it is proved.
 void poison_watch::forget_old(absl::Time now)
 {
@@ -485,7 +465,7 @@
     }
     m_forgotten_at = now;
     const auto oldest = now - m_options.memory;
-    std::erase_if(m_ends, [&](const auto& end) { return end.second < oldest; });
+    m_evidence.forget_before(oldest);
     std::vector<request_print> old;
     for (const auto& [print, record] : m_records)
     {
@@ -516,7 +496,7 @@
     record.changed_at = now;
     if (record.is_proved || record.epoch > 0)
     {
-        explain_ends();
+        m_evidence.set_proved(proved());
     }
     if (std::find(m_news.begin(), m_news.end(), record.print) == m_news.end())
     {
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -93,6 +93,7 @@
     [[nodiscard]] request_content content() const;
     void recognise();
     [[nodiscard]] bool must_wait(const request_print& print) const;
+    awaitable<void> hold_until_told();
     awaitable<bool> is_stopped_as_poison();
     void mark_suspect(choice_request& wanted);
     void note_attempt(const server_entry& server, attempt_end end,
--- a/services/gateway/request_poison.cpp
+++ b/services/gateway/request_poison.cpp
@@ -13,6 +13,10 @@
 // Until the one that is on its way has shown what it does: the longest
 // objective of a first event in use is 1.2 s.
 constexpr milliseconds retry_when_suspected{1000};
+// In which other hosts' words have come, and the tick in which they are read.
+constexpr milliseconds hold_time{300};
+// Whoever has less time than so many holds is told at once to come back.
+constexpr int least_holds_left = 3;
 
 } // namespace
 
@@ -53,6 +57,23 @@
            (!is_alone && m_state.poison.goes_alone(print, servers, now));
 }
 
+// What other hosts saw of its last end is there in a moment: most that wait for
+// it are innocent, and a refusal would cost them a second.
+awaitable<void> request_flow::hold_until_told()
+{
+    const auto servers = m_state.servers.usable(m_service->name).size();
+    const auto judged =
+        m_state.poison.judge(m_suspect->print, servers, gateway_state::now());
+    const bool has_time = time_left() > hold_time * least_holds_left;
+    if (judged != suspicion::suspect || !must_wait(m_suspect->print) ||
+        !has_time)
+    {
+        co_return;
+    }
+    asio::steady_timer timer(m_state.context, hold_time);
+    co_await timer.async_wait(use_result);
+}
+
 // Step 2: what is proved is refused at once, but for the one host that tries it
 // again; of what is suspected one at a time is sent.
 // @return whether the request has its final answer
@@ -62,6 +83,12 @@
     {
         co_return false;
     }
+    co_await hold_until_told();
+    if (m_is_cancelled)
+    {
+        // The attempt that follows sends nothing.
+        co_return false;
+    }
     const auto now = gateway_state::now();
     const auto& print = m_suspect->print;
     const auto servers = m_state.servers.usable(m_service->name).size();
