--- a/tests/poison/poison_watch_test.cpp
+++ b/tests/poison/poison_watch_test.cpp
@@ -87,6 +87,35 @@
     EXPECT_DOUBLE_EQ(m_watch.weight(*beside, servers), 0);
 }
 
+// Either may have ended the servers: the first to be proved had cleared the
+// other, which then ended two more.
+TEST_F(poison_watch_test,
+       of_two_that_were_always_together_none_clears_the_other)
+{
+    for (int server = 1; server <= 3; ++server)
+    {
+        end("a", server, server);
+        end("b", server, server);
+    }
+    EXPECT_EQ(judge("a", 3.5), suspicion::proved);
+    EXPECT_EQ(judge("b", 3.5), suspicion::proved);
+}
+
+// What is asked for all the time is at ends of one that ends servers.
+TEST_F(poison_watch_test, what_explains_the_ends_better_is_judged_first)
+{
+    for (int server = 1; server <= 4; ++server)
+    {
+        end("deadly", server, server);
+    }
+    for (int server = 1; server <= 3; ++server)
+    {
+        end("beside", server, server);
+    }
+    EXPECT_EQ(judge("beside", 4.5), suspicion::suspect);
+    EXPECT_EQ(judge("deadly", 4.5), suspicion::proved);
+}
+
 TEST_F(poison_watch_test, one_that_was_beside_it_each_time_waits_for_a_third)
 {
     for (const auto* name : {"a", "b"})
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import struct
 import sys
 from pathlib import Path
 
@@ -91,10 +92,29 @@
         self.settings = fleet.folder / f"gateway-{index + 1}.toml"
         self._fleet = fleet
         name = f"gateway-{index + 1}"
+        environment = {**os.environ, "DALESHELF_BOOT": str(self.settings)}
+        self._suspended = fleet.folder / f"{name}.suspended"
+        self._suspended_ns = 0
+        if fleet.clock_library:
+            self._write_suspended()
+            environment["LD_PRELOAD"] = str(fleet.clock_library)
+            environment["SOAK_SUSPENDED_NS"] = str(self._suspended)
         super().__init__(name, [str(fleet.program), "gateway"],
                          fleet.folder / f"{name}.log", fleet.on_line,
-                         {**os.environ,
-                          "DALESHELF_BOOT": str(self.settings)})
+                         environment)
+
+    def _write_suspended(self):
+        mode = "r+b" if self._suspended.exists() else "wb"
+        with open(self._suspended, mode) as file:  # mapped: stays in place
+            file.write(struct.pack("=q", self._suspended_ns))
+
+    async def suspend(self, seconds):
+        """Stops it; its steady clock does not count the time."""
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self._suspended_ns += int(seconds * 1e9)
+        self._write_suspended()
+        self.send(signal.SIGCONT)
 
     def write_settings(self):
         seeds = [f"{self._fleet.ip(1, seed + 1)}:{PEER_PORT}"
@@ -168,6 +188,8 @@
         self.program = Path(options.program).resolve()
         self.gateway_count = options.gateways
         self.resting = options.resting
+        self.clock_library = (Path(options.suspensions).resolve()
+                              if options.suspensions else None)
         self.on_line = on_line
         self.store_address = (self.ip(4, 1), STORE_PORT)
         self.store = Process("store", [
--- a/tests/soak/run_ci.sh
+++ b/tests/soak/run_ci.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # One short seed, then every seed that has ever failed.
-# usage: run_ci.sh PROGRAM
+# usage: run_ci.sh PROGRAM CLOCK_LIBRARY
 set -euo pipefail
 here="$(dirname "$0")"
 program="$1"
+clock="$2"
 export PYTHONDONTWRITEBYTECODE=1
 /usr/bin/python3 "$here/soak.py" --program "$program" --seed 1 --seconds 8 \
     --resting 0.03
@@ -11,6 +12,8 @@
     --rollouts
 /usr/bin/python3 "$here/soak.py" --program "$program" --seed 3 --seconds 16 \
     --rebirths
+/usr/bin/python3 "$here/soak.py" --program "$program" --seed 4 --seconds 16 \
+    --suspensions "$clock"
 while IFS= read -r line; do
     arguments="${line%%:*}"
     if [ -z "$arguments" ] || [ "${line:0:1}" = "#" ]; then
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -41,6 +41,7 @@
 LISTED_AFTER_CRASH = 3.6
 LONGEST_STOP = 60.0  # seconds; bounds a hang
 LONGEST_CALL = 30.0
+SUSPENSION_PART = 2.0  # of a pause's time: longer than a lease
 
 
 class Soak:
@@ -236,7 +237,14 @@
         await gateway.start()
 
     async def pause_gateway(self, trouble):
-        await self.pause(self.gateway(trouble), trouble.seconds)
+        gateway = self.gateway(trouble)
+        if not self.options.suspensions:
+            await self.pause(gateway, trouble.seconds)
+            return
+        seconds = trouble.seconds * SUSPENSION_PART
+        self.count("suspensions")
+        self.disturb(gateway.name, seconds + 0.5)
+        await gateway.suspend(seconds)
 
     async def pause_server(self, trouble):
         server = self.running_server(trouble)
@@ -469,6 +477,9 @@
     parser.add_argument("--rebirths", action="store_true",
                         help="let servers start again under their ids, and "
                         "others write entries, beside the troubles")
+    parser.add_argument("--suspensions", metavar="LIBRARY",
+                        help="suspend gateways in place of pausing them, "
+                        "with this stand-in of the clocks")
     parser.add_argument("--resting", type=float, default=0.0,
                         help="part of the requests that servers turn away, "
                         "with rest asked for")
