--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -177,13 +177,14 @@
     };
     const auto own_rank = rank_of(record);
     std::vector<std::pair<rank, poison_record*>> stronger;
-    for (auto& [print, other] : m_records)
+    for (auto& entry : m_records)
     {
+        auto& other = entry.second;
         const bool is_there =
             std::any_of(record.ends.begin(), record.ends.end(),
                         [&other](const auto& end)
                         { return other.ends.contains(end.first); });
-        if (!is_there || other.is_proved || print == record.print)
+        if (!is_there || other.is_proved || other.print == record.print)
         {
             continue;
         }
--- a/services/gateway/poison_service.cpp
+++ b/services/gateway/poison_service.cpp
@@ -25,11 +25,6 @@
 constexpr milliseconds store_time{700};
 constexpr milliseconds read_pause{1000};
 
-std::string text_of(double number)
-{
-    return std::to_string(number);
-}
-
 } // namespace
 
 poison_service::poison_service(gateway_state& state, peer_exchange& peers)
@@ -194,7 +189,7 @@
             {{"print", record.print.value()},
              {"service", record.service.value()},
              {"ends", std::to_string(record.ends.size())},
-             {"weight", text_of(m_state.poison.weight(record, servers))},
+             {"weight", std::to_string(m_state.poison.weight(record, servers))},
              {"servers", std::to_string(servers)},
              {"seen_here", is_own ? "true" : "false"}});
     }
