poison: Keep which ends the proved requests explain

Cause: each end of each suspect was looked up in every proved record, found by a reading. Change: their ends are kept in a set.

--- a/libraries/poison/poison_evidence.cpp
+++ b/libraries/poison/poison_evidence.cpp
@@ -28,6 +28,21 @@
     std::erase_if(m_ends, [&](const auto& end) { return end.second < oldest; });
 }
 
+// Each end of each suspect is held against all ends: what explains them is
+// kept.
+void poison_evidence::set_proved(std::vector<poison_record> proved)
+{
+    m_proved = std::move(proved);
+    m_explained.clear();
+    for (const auto& record : m_proved)
+    {
+        for (const auto& [life, end] : record.ends)
+        {
+            m_explained.insert(life);
+        }
+    }
+}
+
 blame poison_evidence::weigh(const poison_record& record,
                              std::size_t servers) const
 {
@@ -61,9 +76,7 @@
 
 bool poison_evidence::is_explained(const server_life& life) const
 {
-    return std::any_of(m_proved.begin(), m_proved.end(),
-                       [&](const auto& other)
-                       { return other.ends.contains(life); });
+    return m_explained.contains(life);
 }
 
 // Two that end servers at the same time are at ends of one another: the first
--- a/libraries/poison/poison_evidence.hpp
+++ b/libraries/poison/poison_evidence.hpp
@@ -6,6 +6,7 @@
 #include "poison_record.hpp"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace daleshelf
@@ -35,10 +36,7 @@
 
     /// Sets which requests are proved: ends at which they were say little about
     /// others.
-    void set_proved(std::vector<poison_record> proved)
-    {
-        m_proved = std::move(proved);
-    }
+    void set_proved(std::vector<poison_record> proved);
 
     /// @param servers of the request's service, there now
     [[nodiscard]] blame weigh(const poison_record& record,
@@ -63,6 +61,7 @@
     poison_options m_options;
     std::map<server_life, absl::Time> m_ends; ///< of any cause
     std::vector<poison_record> m_proved;
+    std::set<server_life> m_explained; ///< ends at which one of them was
 };
 
 } // namespace daleshelf
