poison: Hold a request whose unsettled evidence would confirm it

Callers saw one server more end than the bound of three allows.

must_wait now asks the rule that confirms, with the unsettled ends included: what that would confirm waits 0.3 s and is judged again.

--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -228,9 +228,7 @@
     {
         return false;
     }
-    const auto found = m_evidence.weigh(*record, servers);
-    return found.ends >= m_options.most_ends &&
-           found.weight >= m_options.proof / 3;
+    return is_certain(*record, servers);
 }
 
 // The ends of whose time it is known what other hosts saw: until then one
--- a/tests/poison/poison_watch_test.cpp
+++ b/tests/poison/poison_watch_test.cpp
@@ -154,6 +154,27 @@
     EXPECT_TRUE(later.find(request_print("rare"))->whole.empty());
 }
 
+// A deadly request that shared its first ends with a confirmed one was sent on
+// while the report of its last end was outstanding.
+TEST_F(poison_watch_test, an_end_that_would_confirm_a_request_holds_it_back)
+{
+    for (const auto* name : {"first", "second"})
+    {
+        end(name, 1, 0);
+        end(name, 2, 1);
+    }
+    for (const int server : {3, 4, 5, 6})
+    {
+        end("first", server, 2);
+    }
+    ASSERT_EQ(judge("first", 2.25), suspicion::proved);
+    end("second", 7, 4);
+    end("second", 8, 5);
+    const request_print second("second");
+    EXPECT_TRUE(m_watch.must_wait(second, servers, at(5.05)));
+    EXPECT_EQ(judge("second", 5.25), suspicion::proved);
+}
+
 // Three of nine servers end at once, and a second later three more: whoever
 // was at one of each had bad luck.
 TEST_F(poison_watch_test, ends_of_many_servers_at_once_prove_nothing)
