poison: Count ends that a confirmed request shares towards three

Callers saw servers end under a request that three servers had already ended with. Cause: an end at which a confirmed, stronger request had been was taken off every other suspect, so that a deadly request with two such ends and one of its own counted one end, and was sent again until it had three of its own.

A request that was never answered is now confirmed at three ends of which at least one is unexplained, by the weight of all three.

The new test fails without the change (suspect, not confirmed).

--- a/libraries/poison/poison_evidence.cpp
+++ b/libraries/poison/poison_evidence.cpp
@@ -46,11 +46,11 @@
 blame poison_evidence::weigh(const poison_record& record,
                              std::size_t servers) const
 {
-    const auto strength = m_proved.empty() ? 0 : strength_of(record, servers);
     blame found;
+    found.strength = strength_of(record, servers);
     for (const auto& [life, end] : record.ends)
     {
-        if (is_explained_better(life, record, strength, servers))
+        if (is_explained_better(life, record, found.strength, servers))
         {
             continue;
         }
--- a/libraries/poison/poison_evidence.hpp
+++ b/libraries/poison/poison_evidence.hpp
@@ -16,7 +16,8 @@
 struct blame
 {
     std::size_t ends = 0; ///< that nothing proved explains better
-    double weight = 0;    ///< logarithm of the odds, by these ends
+    double weight = 0;    ///< logarithm of the odds, by these ends and answers
+    double strength = 0;  ///< logarithm of the odds, by all ends alone
 };
 
 /// Weighs ends: a request is blamed for one by how unlikely it is that the
--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -244,21 +244,24 @@
 
 // What servers answer as often as not ends none of them. Of one that was never
 // answered less evidence is enough: three ends at different moments would be
-// that unlikely for it alone.
+// that unlikely for it alone. A confirmed request that was at some of them may
+// have been there by chance, so that these still count towards the three.
 bool poison_watch::is_certain(const poison_record& seen,
                               std::size_t servers) const
 {
     const auto found = m_evidence.weigh(seen, servers);
-    const bool is_enough =
-        seen.whole.empty() && found.ends >= m_options.most_ends;
+    const bool is_enough = seen.whole.empty() &&
+                           seen.ends.size() >= m_options.most_ends &&
+                           found.ends > 0;
     const bool came_at_once = !came_twice(seen);
     if (seen.whole.size() >= seen.ends.size() ||
         (came_at_once && !(is_enough && m_evidence.are_all_ends(seen))))
     {
         return false;
     }
-    const auto needed = is_enough ? m_options.proof / 3 : m_options.proof;
-    return found.weight >= needed && is_told_from_others(seen, found);
+    const bool is_strong = is_enough ? found.strength >= m_options.proof / 3
+                                     : found.weight >= m_options.proof;
+    return is_strong && is_told_from_others(seen, found);
 }
 
 // Whether its ends came at more than one moment: what is asked for all the time
@@ -274,13 +277,13 @@
 }
 
 // Two ends tell it only where nothing else ends servers, and nothing else was
-// at both; three do, also beside another one.
+// at both; three do if at least one of them is not explained by another request.
 bool poison_watch::is_told_from_others(const poison_record& record,
                                        const blame& found) const
 {
-    if (found.ends >= m_options.most_ends)
+    if (record.ends.size() >= m_options.most_ends)
     {
-        return true;
+        return found.ends > 0;
     }
     return record.ends.size() >= 2 && m_evidence.are_all_ends(record) &&
            !has_rival(record);
--- a/tests/poison/poison_watch_test.cpp
+++ b/tests/poison/poison_watch_test.cpp
@@ -175,6 +175,25 @@
     EXPECT_EQ(judge("second", 5.25), suspicion::proved);
 }
 
+// A deadly request was sent a fourth time because a confirmed one had also been
+// at two of its three ends.
+TEST_F(poison_watch_test, ends_shared_with_a_confirmed_request_count_to_three)
+{
+    for (const auto* name : {"first", "second"})
+    {
+        end(name, 1, 0);
+        end(name, 2, 1);
+    }
+    for (const int server : {3, 4, 5, 6})
+    {
+        end("first", server, 2);
+    }
+    ASSERT_EQ(judge("first", 2.25), suspicion::proved);
+    EXPECT_EQ(judge("second", 2.25), suspicion::suspect);
+    end("second", 7, 4);
+    EXPECT_EQ(judge("second", 4.25), suspicion::proved);
+}
+
 // Three of nine servers end at once, and a second later three more: whoever
 // was at one of each had bad luck.
 TEST_F(poison_watch_test, ends_of_many_servers_at_once_prove_nothing)
