poison: Report earlier answers to requests that another host suspects

Callers of popular requests were refused for the ends of a deadly one. Cause: only the host that saw a server end looked up whether the request had been answered in the last minute.

A host that merges a suspect now adds its own earlier answer, unless another one is known. One answer raises the evidence that is needed, and no more, since the request may have become deadly after it: a host no longer adds an answer at each end.

The new test fails without the change.

--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -34,20 +34,29 @@
     m_evidence.note(life, now);
     auto& record = open(request, now);
     record.noted_at = now;
-    if (const auto answered =
-            m_answered.find(request.shape, now - m_options.memory))
-    {
-        record.whole.insert(*answered);
-    }
-    const bool is_news =
+    const bool is_new_end =
         record.ends.size() < most_lives &&
         record.ends.try_emplace(life, server_end{now, ran}).second;
-    if (is_news)
+    const bool has_answer = add_earlier_answer(record, now);
+    if (is_new_end || has_answer)
     {
         tell(record, now);
     }
 }
 
+// An answer from before the first crash is weak evidence: the request may have
+// become deadly since. One such answer calls for stronger evidence, no more.
+bool poison_watch::add_earlier_answer(poison_record& record, absl::Time now)
+{
+    if (record.ends.empty() || !record.whole.empty())
+    {
+        return false;
+    }
+    const auto answered =
+        m_answered.find(record.shape, now - m_options.memory);
+    return answered && record.whole.insert(*answered).second;
+}
+
 bool poison_watch::note_whole(const request_print& print,
                               const whole_answer& given, absl::Time now)
 {
@@ -109,6 +118,7 @@
                    record.whole.insert(given).second) ||
                   is_news;
     }
+    is_news = add_earlier_answer(record, now) || is_news;
     if (told.is_proved && !record.is_proved)
     {
         record.is_proved = true;
--- a/libraries/poison/poison_watch.hpp
+++ b/libraries/poison/poison_watch.hpp
@@ -120,6 +120,7 @@
 
 private:
     poison_record& open(const suspect_request& request, absl::Time now);
+    bool add_earlier_answer(poison_record& record, absl::Time now);
     void make_room();
     void forget_old(absl::Time now);
     void drop(const request_print& print);
--- a/tests/poison/poison_watch_test.cpp
+++ b/tests/poison/poison_watch_test.cpp
@@ -194,6 +194,33 @@
     EXPECT_EQ(judge("second", 4.25), suspicion::proved);
 }
 
+// A popular request was refused for the ends of a deadly one: the hosts that
+// saw the servers end were not those that had received its answers.
+TEST_F(poison_watch_test, a_host_reports_its_earlier_answer_to_a_suspect)
+{
+    poison_watch other{poison_options()};
+    other.note_answered(7, answer(5), at(-20));
+    end("popular", 1, 0);
+    const request_print popular("popular");
+    other.merge(*m_watch.find(popular), at(0.1));
+    EXPECT_EQ(other.find(popular)->whole, std::set<whole_answer>{answer(5)});
+    const auto reported = other.take_news(1);
+    ASSERT_EQ(reported.size(), 1);
+    EXPECT_TRUE(m_watch.merge(reported.front(), at(0.2)));
+    EXPECT_EQ(m_watch.find(popular)->whole.size(), 1);
+}
+
+TEST_F(poison_watch_test, one_earlier_answer_does_not_excuse_a_deadly_request)
+{
+    m_watch.note_answered(7, answer(8), at(-20));
+    for (int server = 1; server <= 3; ++server)
+    {
+        end("a", server, server);
+    }
+    EXPECT_EQ(m_watch.find(request_print("a"))->whole.size(), 1);
+    EXPECT_EQ(judge("a", 3.25), suspicion::proved);
+}
+
 // Three of nine servers end at once, and a second later three more: whoever
 // was at one of each had bad luck.
 TEST_F(poison_watch_test, ends_of_many_servers_at_once_prove_nothing)
