meta: Build only what quickstart runs

A user's first command built all programs, tests and benchmarks among them, and printed nothing meanwhile. quickstart now builds its five programs; on a terminal ninja shows its progress. build.sh takes the targets, everything without any.

--- a/meta/build.sh
+++ b/meta/build.sh
@@ -1,7 +1,12 @@
 #!/usr/bin/env bash
-# Configures and builds into the folder `build` (or $BUILD_DIR).
+# build.sh [TARGET...]: configures and builds the targets, or everything, in the
+# folder `build` (or $BUILD_DIR).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build="${BUILD_DIR:-build}"
 cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
-ninja -C "$build" --quiet
+quiet=(--quiet)
+if [ -t 1 ]; then
+    quiet=()
+fi
+ninja -C "$build" "${quiet[@]}" "$@"
--- a/meta/quickstart.sh
+++ b/meta/quickstart.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 meta/install.sh
-meta/build.sh
+meta/build.sh daleshelfd daleshelf standin-platform standin-engine standin-service
 bin="$(cd "${BUILD_DIR:-build}" && pwd)/bin"
 work="$(mktemp -d)"
 pids=()
