--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -52,8 +52,7 @@
     {
         return false;
     }
-    const auto answered =
-        m_answered.find(record.shape, now - m_options.memory);
+    const auto answered = m_answered.find(record.shape, now - m_options.memory);
     return answered && record.whole.insert(*answered).second;
 }
 
@@ -287,7 +286,7 @@
 }
 
 // Two ends tell it only where nothing else ends servers, and nothing else was
-// at both; three do if at least one of them is not explained by another request.
+// at both; three do if at least one of them has no other explanation.
 bool poison_watch::is_told_from_others(const poison_record& record,
                                        const blame& found) const
 {
