--- a/libraries/base/boot_clock.hpp
+++ b/libraries/base/boot_clock.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The clock for whatever must not outlive a suspension of the machine.
+/// A monotonic clock that includes the time for which the machine is suspended.
 #pragma once
 
 #include <chrono>
@@ -8,10 +8,9 @@
 namespace daleshelf
 {
 
-/// Steady, and goes on while the machine is suspended, which the standard
-/// library's steady clock does not: by that one a host that sleeps for longer
-/// than its lease lasts believes on waking up that it still holds it. The times
-/// of the two cannot be mixed.
+/// Wraps CLOCK_BOOTTIME. std::chrono::steady_clock stops during a suspension,
+/// so that a host could take an expired lease for a valid one after it resumes.
+/// Time points of the two clocks cannot be mixed.
 class boot_clock
 {
 public:
--- a/libraries/poison/open_attempts.hpp
+++ b/libraries/poison/open_attempts.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Requests that were at a server lately and have no answer from it.
+/// Recent attempts that ended without a response.
 #pragma once
 
 #include "poison_record.hpp"
--- a/libraries/poison/poison_evidence.cpp
+++ b/libraries/poison/poison_evidence.cpp
@@ -9,8 +9,7 @@
 namespace
 {
 
-// No end is taken for less likely by chance: what is not known of a server's
-// life may be worth that much.
+// Lower bound of the probability that a server crashed for an unrelated reason.
 constexpr double least_chance = 1e-4;
 // A connection and a wake-up lie between a request's end and its note.
 constexpr absl::Duration note_time = absl::Milliseconds(100);
@@ -28,8 +27,8 @@
     std::erase_if(m_ends, [&](const auto& end) { return end.second < oldest; });
 }
 
-// Each end of each suspect is held against all ends: what explains them is
-// kept.
+// Caches the ends that confirmed requests explain: weighing looks them up for
+// every end.
 void poison_evidence::set_proved(std::vector<poison_record> proved)
 {
     m_proved = std::move(proved);
@@ -97,7 +96,7 @@
                        });
 }
 
-// Of all its ends, whatever explains them.
+// The log-likelihood ratio over all ends, explained or not.
 double poison_evidence::strength_of(const poison_record& record,
                                     std::size_t servers) const
 {
--- a/libraries/poison/poison_evidence.hpp
+++ b/libraries/poison/poison_evidence.hpp
@@ -29,7 +29,7 @@
     {
     }
 
-    /// Notes an end of any cause; the earliest time that is told holds.
+    /// Records a server crash of any cause; keeps the earliest reported time.
     void note(const server_life& life, absl::Time at);
 
     /// Forgets what ended before a time.
@@ -43,8 +43,8 @@
     [[nodiscard]] blame weigh(const poison_record& record,
                               std::size_t servers) const;
 
-    /// @return whether no other server has ended lately that nothing proved
-    /// explains
+    /// @return whether every recent crash was under this request or is
+    /// explained by a confirmed one
     [[nodiscard]] bool are_all_ends(const poison_record& record) const;
 
 private:
--- a/tests/poison/poison_watch_test.cpp
+++ b/tests/poison/poison_watch_test.cpp
@@ -40,6 +40,20 @@
                          at(seconds));
     }
 
+    // Both were at two ends, and the first at four more.
+    void share_two_ends()
+    {
+        for (const auto* name : {"first", "second"})
+        {
+            end(name, 1, 0);
+            end(name, 2, 1);
+        }
+        for (const int server : {3, 4, 5, 6})
+        {
+            end("first", server, 2);
+        }
+    }
+
     suspicion judge(const std::string& name, double seconds)
     {
         return m_watch.judge(request_print(name), servers, at(seconds));
@@ -158,15 +172,7 @@
 // while the report of its last end was outstanding.
 TEST_F(poison_watch_test, an_end_that_would_confirm_a_request_holds_it_back)
 {
-    for (const auto* name : {"first", "second"})
-    {
-        end(name, 1, 0);
-        end(name, 2, 1);
-    }
-    for (const int server : {3, 4, 5, 6})
-    {
-        end("first", server, 2);
-    }
+    share_two_ends();
     ASSERT_EQ(judge("first", 2.25), suspicion::proved);
     end("second", 7, 4);
     end("second", 8, 5);
@@ -179,15 +185,7 @@
 // at two of its three ends.
 TEST_F(poison_watch_test, ends_shared_with_a_confirmed_request_count_to_three)
 {
-    for (const auto* name : {"first", "second"})
-    {
-        end(name, 1, 0);
-        end(name, 2, 1);
-    }
-    for (const int server : {3, 4, 5, 6})
-    {
-        end("first", server, 2);
-    }
+    share_two_ends();
     ASSERT_EQ(judge("first", 2.25), suspicion::proved);
     EXPECT_EQ(judge("second", 2.25), suspicion::suspect);
     end("second", 7, 4);
