upstream_limits: Log the limits that upstreams name

No host logged what an answer says of a limit, so logs could not tell a field that nobody reads from one that each host keeps to by itself.

An answer's Server-Limit is decoded in platform/ (a decimal number, stated once; anything else says nothing and is logged once a start of the upstream), and the newest record of each upstream is kept by its incarnation. Event 507 logs each change, with its origin; event 508 a limit that cannot be read. An answer without the field ends a limit only if it is signed, not misdirected, and its request was sent after the limit was known.

--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -55,6 +55,8 @@
         events::upstream_ended,
         events::poison_proved,
         events::poison_cleared,
+        events::upstream_limit_changed,
+        events::upstream_limit_unreadable,
     };
     return catalogue;
 }
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -169,6 +169,15 @@
     "A request that was refused for ending upstreams has been tried again and "
     "was answered."};
 
+inline constexpr log_event upstream_limit_changed{
+    507, log_severity::info, "upstream_limit_changed",
+    "An upstream names another limit of requests a second from the whole "
+    "fleet, or none any more; the fields give both, and who has told it."};
+inline constexpr log_event upstream_limit_unreadable{
+    508, log_severity::warning, "upstream_limit_unreadable",
+    "An upstream names a limit that is no decimal number; it is ignored. One "
+    "line for each start of the upstream."};
+
 inline constexpr log_event order_given{
     601, log_severity::info, "order_given",
     "The planner of the hall has given an order to an engine."};
--- a/meta/generate.sh
+++ b/meta/generate.sh
@@ -7,3 +7,4 @@
 (cd quotas && protoc --cpp_out=generated quota.proto)
 (cd poison && protoc --cpp_out=generated poison.proto)
 (cd rollouts && protoc --cpp_out=generated rollout.proto)
+(cd upstream_limits && protoc --cpp_out=generated limit.proto)
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "server_connection.hpp"
 #include "server_ends.hpp"
 #include "skipped_records.hpp"
+#include "upstream_limiter.hpp"
 
 #include <absl/random/random.h>
 
@@ -97,6 +98,7 @@
     suspects_in_flight suspects;
     async_event poison_news; ///< there is something to tell of `poison`
     server_ends ends;
+    upstream_limiter limits;
     bool has_servers = false;
     bool knows_hosts = false; ///< the list of hosts was read, with those that
                               ///< started together with this one
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -233,7 +233,7 @@
     {
         state = co_await exchange.start();
     }
-    heed(m_state, server, exchange.notice());
+    heed(m_state, server, exchange.notice(), gateway_state::to_time(sent_at));
     m_state.choice.prompt_read(server.life(), m_work.tokens);
     m_was_sent = exchange.known_verdict() != verdict::not_run;
     if (m_was_sent)
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -193,11 +193,11 @@
         if (!m_is_foreign)
         {
             m_head = m_parser->take_head();
-            note(platform::read_notice(m_head));
             const auto answered = platform::answered_id(m_head.fields);
             m_is_foreign = (answered && *answered != m_request.id) ||
                            (m_head.status >= http_status::first_informational &&
                             m_head.status < http_status::ok);
+            note(platform::read_notice(m_head), m_is_foreign);
         }
         if (!m_is_foreign)
         {
@@ -214,8 +214,14 @@
     }
 }
 
-void server_exchange::note(const platform::server_notice& notice)
+// An answer to an earlier request may be older than the limit that is known.
+void server_exchange::note(const platform::server_notice& notice,
+                           bool is_foreign)
 {
+    m_notice.limit = notice.limit ? notice.limit : m_notice.limit;
+    m_notice.ends_limit = notice.ends_limit && !is_foreign;
+    m_notice.has_faulty_limit =
+        m_notice.has_faulty_limit || notice.has_faulty_limit;
     m_notice.is_leaving = m_notice.is_leaving || notice.is_leaving;
     if (notice.rest)
     {
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -90,7 +90,7 @@
     awaitable<exchange_state> read_head();
     void make_parser();
     bool parse_input();
-    void note(const platform::server_notice& notice);
+    void note(const platform::server_notice& notice, bool is_foreign);
     exchange_state fail();
     void release();
 
--- a/services/gateway/server_notices.cpp
+++ b/services/gateway/server_notices.cpp
@@ -26,8 +26,9 @@
 } // namespace
 
 void heed(gateway_state& state, const server_entry& server,
-          const platform::server_notice& notice)
+          const platform::server_notice& notice, absl::Time sent_at)
 {
+    state.limits.record_answer(server, notice, sent_at);
     // The list may be silent for longer than a server takes to leave: its own
     // word came up to 12 s before the list's.
     if (notice.is_leaving)
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -113,6 +113,49 @@
     }
 }
 
+TEST(request_format, reads_the_limit_that_a_server_names)
+{
+    response_head head;
+    head.status = 200;
+    head.fields.fields = {{"server-limit", " 2.5 "}};
+    EXPECT_EQ(read_notice(head).limit, 2.5);
+    head.status = 503;
+    head.fields.fields = {{"Server-Limit", "0"}};
+    EXPECT_EQ(read_notice(head).limit, 0.0);
+}
+
+TEST(request_format, a_limit_that_is_no_decimal_number_says_nothing)
+{
+    response_head head;
+    head.status = 200;
+    for (const auto& text :
+         {std::string(), std::string("-1"), std::string("nan"),
+          std::string("inf"), std::string("1e309"), std::string("5 a second"),
+          std::string(20'000, '9')})
+    {
+        head.fields.fields = {{"Server-Limit", text}, {"X-Server-Seal", "s"}};
+        const auto notice = read_notice(head);
+        EXPECT_FALSE(notice.limit) << text;
+        EXPECT_FALSE(notice.ends_limit) << text;
+        EXPECT_TRUE(notice.has_faulty_limit) << text;
+    }
+    head.fields.fields = {{"Server-Limit", "1"}, {"Server-Limit", "2"}};
+    EXPECT_TRUE(read_notice(head).has_faulty_limit);
+}
+
+TEST(request_format, only_an_answer_of_the_server_itself_ends_its_limit)
+{
+    response_head head;
+    head.status = 200;
+    EXPECT_FALSE(read_notice(head).ends_limit) << "without a signature";
+    head.fields.fields = {{"X-Server-Seal", "s"}};
+    EXPECT_TRUE(read_notice(head).ends_limit);
+    head.status = 421;
+    EXPECT_FALSE(read_notice(head).ends_limit);
+    head.status = 100;
+    EXPECT_FALSE(read_notice(head).ends_limit);
+}
+
 TEST(request_format, reads_how_long_a_server_keeps_a_connection)
 {
     EXPECT_EQ(idle_time(make_fields({{"Keep-Alive", "timeout=5, max=9"}})),
