quotas: Keep pools for upstreams beside those of workspaces

An upstream's limit is the same kind of bound as a workspace's quota: what the whole fleet uses within a window, with hosts killed, cut off or frozen at any moment. A quota's subject is now either; an upstream's pool earns its limit, holds what 1.4 times the limit and 4 requests in 4 s leave over, and grants whole requests, since parts of one in many hands are of no use. An ask carries the limit that its sender knows, so a keeper that has not heard of it grants by it at once; one that knows it has ended grants all.

--- a/libraries/quotas/forward.hpp
+++ b/libraries/quotas/forward.hpp
@@ -12,5 +12,6 @@
 class shared_quota;
 struct quota_message;
 struct quota_options;
+struct quota_subject;
 
 } // namespace daleshelf
--- a/libraries/quotas/quota_claim.hpp
+++ b/libraries/quotas/quota_claim.hpp
@@ -4,6 +4,7 @@
 
 #include "forward.hpp"
 #include "quota_message.hpp"
+#include "quota_subject.hpp"
 
 #include <optional>
 #include <utility>
@@ -23,9 +24,9 @@
 class quota_claim
 {
 public:
-    quota_claim(workspace_id workspace, double cost,
+    quota_claim(quota_subject subject, double cost,
                 std::vector<host_id> keepers)
-        : m_workspace(std::move(workspace))
+        : m_subject(std::move(subject))
         , m_cost(cost)
         , m_keepers(std::move(keepers))
     {
@@ -47,7 +48,7 @@
 private:
     friend class shared_quota;
 
-    workspace_id m_workspace;
+    quota_subject m_subject;
     double m_cost;
     std::vector<host_id> m_keepers;
     std::size_t m_next = 0;
--- a/libraries/quotas/quota_message.cpp
+++ b/libraries/quotas/quota_message.cpp
@@ -25,7 +25,7 @@
            kind >= static_cast<int>(quota_message_kind::deposit) &&
            kind <= static_cast<int>(quota_message_kind::give_back) &&
            is_amount(message.share()) && is_amount(message.credit()) &&
-           is_amount(message.amount());
+           is_amount(message.amount()) && is_amount(message.upstream_limit());
 }
 
 } // namespace
@@ -45,6 +45,13 @@
     bytes.set_share(message.share);
     bytes.set_credit(message.credit);
     bytes.set_workspace(message.workspace.value());
+    bytes.set_upstream(message.upstream.value());
+    if (message.limit && message.limit->per_second)
+    {
+        bytes.set_born(message.limit->server.born.value());
+        bytes.set_upstream_limit(*message.limit->per_second);
+        bytes.set_named_at_ms(absl::ToUnixMillis(message.limit->named_at));
+    }
     bytes.set_amount(message.amount);
     bytes.set_answer_to(message.answer_to);
     return bytes.SerializeAsString();
@@ -70,6 +77,13 @@
     message.share = read.share();
     message.credit = read.credit();
     message.workspace = workspace_id(read.workspace());
+    message.upstream = upstream_id(read.upstream());
+    if (read.has_upstream_limit())
+    {
+        message.limit = {{message.upstream, upstream_birth(read.born())},
+                         read.upstream_limit(),
+                         absl::FromUnixMillis(read.named_at_ms())};
+    }
     message.amount = read.amount();
     message.answer_to = read.answer_to();
     return message;
--- a/libraries/quotas/quota_message.hpp
+++ b/libraries/quotas/quota_message.hpp
@@ -2,11 +2,14 @@
 /// What hosts tell each other of quotas.
 #pragma once
 
+#include "quota_subject.hpp"
+
 #include <base/identifiers.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <upstream_limits/limit_record.hpp>
 
 namespace daleshelf
 {
@@ -35,8 +38,24 @@
     double share = 0;           ///< of the fleet
     double credit = 0;          ///< seconds of the whole fleet, for that start
     workspace_id workspace;
-    double amount = 0; ///< in the workspace's unit
+    upstream_id upstream; ///< in place of a workspace
+    /// The limit of that upstream, as the sender of an ask knows it.
+    std::optional<limit_record> limit;
+    double amount = 0; ///< in the subject's unit
     std::int64_t answer_to = 0;
+
+    /// @return whose quota is meant
+    [[nodiscard]] quota_subject subject() const
+    {
+        return upstream.empty() ? quota_subject(workspace)
+                                : quota_subject(upstream);
+    }
+
+    void set_subject(const quota_subject& subject)
+    {
+        workspace = subject.workspace;
+        upstream = subject.upstream;
+    }
 };
 
 /// @return the bytes of a datagram
--- a/libraries/quotas/quota_pool.cpp
+++ b/libraries/quotas/quota_pool.cpp
@@ -1,5 +1,7 @@
 #include "quota_pool.hpp"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
 
 namespace daleshelf
@@ -25,6 +27,9 @@
 // This part of what a pool may hold is overdrawn instead, so that large
 // requests of a workspace at its limit find as much as small ones.
 constexpr double overdraft_part = 0.3;
+// Requests a second that an upstream gets at the least: one in five seconds
+// stays within what is borne of a limit of 0.
+constexpr double least_upstream_rate = 0.2;
 
 } // namespace
 
@@ -32,23 +37,37 @@
 
 void quota_pool::set_limits(const std::vector<ingress_tenant>& workspaces)
 {
-    absl::flat_hash_map<workspace_id, account> accounts;
+    absl::flat_hash_set<workspace_id> limited;
     for (const auto& workspace : workspaces)
     {
         if (workspace.limit.rate_per_second <= 0)
         {
             continue;
         }
-        account made;
-        const auto known = m_accounts.find(workspace.name);
-        if (known != m_accounts.end())
-        {
-            made = known->second;
-        }
-        made.limit = workspace.limit;
-        accounts[workspace.name] = made;
+        limited.insert(workspace.name);
+        auto& of = m_accounts[workspace.name];
+        of.limit = workspace.limit;
+        of.bound = m_options;
     }
-    m_accounts = std::move(accounts);
+    absl::erase_if(m_accounts,
+                   [&](const auto& entry)
+                   {
+                       const auto& subject = entry.first;
+                       return !subject.is_upstream() &&
+                              !limited.contains(subject.workspace);
+                   });
+}
+
+void quota_pool::limit_upstream(const upstream_id& upstream, double per_second)
+{
+    auto& of = m_accounts[upstream];
+    of.limit = {std::max(per_second, least_upstream_rate), 0};
+    of.bound = upstream_bound;
+}
+
+void quota_pool::lift_limit(const upstream_id& upstream)
+{
+    m_accounts.erase(upstream);
 }
 
 void quota_pool::deposit(const deposit_report& report, absl::Time now)
@@ -75,7 +94,7 @@
     from.share = report.share;
     from.heard_at = now;
     const auto part = weight(now);
-    for (auto& [workspace, of] : m_accounts)
+    for (auto& [subject, of] : m_accounts)
     {
         of.pool.balance =
             std::min(held(of, part) * (1 - overdraft_part),
@@ -83,33 +102,35 @@
     }
 }
 
-double quota_pool::take(const workspace_id& workspace, double wanted,
+double quota_pool::take(const quota_subject& subject, double wanted,
                         absl::Time now)
 {
-    const auto found = m_accounts.find(workspace);
+    const auto found = m_accounts.find(subject);
     if (found == m_accounts.end())
     {
         return 0;
     }
     auto& of = found->second;
-    const auto part = weight(now);
-    of.pool.balance =
-        std::min(of.pool.balance, held(of, part) * (1 - overdraft_part));
-    const auto granted =
-        of.pool.balance <= 0
-            ? 0.0
-            : std::min(wanted,
-                       of.pool.balance + held(of, part) * overdraft_part);
+    const auto most = held(of, weight(now));
+    const auto overdraft = most * overdraft_part;
+    of.pool.balance = std::min(of.pool.balance, most - overdraft);
+    auto granted = of.pool.balance <= 0
+                       ? 0.0
+                       : std::min(wanted, of.pool.balance + overdraft);
+    if (subject.is_upstream() && granted < std::min(wanted, most))
+    {
+        granted = 0;
+    }
     of.pool.balance -= granted;
     of.pool.granted += granted;
     of.pool.refused += wanted - granted;
     return granted;
 }
 
-void quota_pool::give_back(const workspace_id& workspace, double amount,
+void quota_pool::give_back(const quota_subject& subject, double amount,
                            absl::Time now)
 {
-    const auto found = m_accounts.find(workspace);
+    const auto found = m_accounts.find(subject);
     if (found != m_accounts.end())
     {
         auto& of = found->second;
@@ -118,9 +139,9 @@
     }
 }
 
-double quota_pool::rate_of(const workspace_id& workspace) const
+double quota_pool::rate_of(const quota_subject& subject) const
 {
-    const auto found = m_accounts.find(workspace);
+    const auto found = m_accounts.find(subject);
     return found == m_accounts.end() ? 0.0
                                      : found->second.limit.rate_per_second;
 }
@@ -138,39 +159,42 @@
 std::map<workspace_id, quota_pool::state> quota_pool::states() const
 {
     std::map<workspace_id, state> states;
-    for (const auto& [workspace, of] : m_accounts)
+    for (const auto& [subject, of] : m_accounts)
     {
-        states[workspace] = of.pool;
+        if (!subject.is_upstream())
+        {
+            states[subject.workspace] = of.pool;
+        }
     }
     return states;
 }
 
 // As much as the limit comes to a second, unless too little would be left of
 // the bound for what pools hold.
-double quota_pool::earned_a_second(const account& of) const
+double quota_pool::earned_a_second(const account& of)
 {
-    const auto window = absl::ToDoubleSeconds(m_options.window);
+    const auto window = absl::ToDoubleSeconds(of.bound.window);
     return std::min(limit_of_window(of) / window,
                     bound_of_window(of) /
                         (window + margin_seconds + least_held_seconds));
 }
 
-double quota_pool::held(const account& of, double weight) const
+double quota_pool::held(const account& of, double weight)
 {
-    const auto window = absl::ToDoubleSeconds(m_options.window);
+    const auto window = absl::ToDoubleSeconds(of.bound.window);
     const auto given = earned_a_second(of) * (window + margin_seconds);
     return (bound_of_window(of) - given) * weight;
 }
 
-double quota_pool::limit_of_window(const account& of) const
+double quota_pool::limit_of_window(const account& of)
 {
-    return of.limit.rate_per_second * absl::ToDoubleSeconds(m_options.window) +
+    return of.limit.rate_per_second * absl::ToDoubleSeconds(of.bound.window) +
            of.limit.burst;
 }
 
-double quota_pool::bound_of_window(const account& of) const
+double quota_pool::bound_of_window(const account& of)
 {
-    return limit_of_window(of) * (1 + m_options.overshoot) + m_options.slack;
+    return limit_of_window(of) * (1 + of.bound.overshoot) + of.bound.slack;
 }
 
 } // namespace daleshelf
--- a/libraries/quotas/quota_pool.hpp
+++ b/libraries/quotas/quota_pool.hpp
@@ -1,7 +1,9 @@
 /// @file
-/// What a keeper holds of each workspace's quota.
+/// What a keeper holds of each workspace's quota, and of each upstream's limit.
 #pragma once
 
+#include "quota_subject.hpp"
+
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
@@ -23,6 +25,11 @@
     double slack = 0;
 };
 
+/// The bound on requests to an upstream that has named a limit. It is tighter
+/// than the platform's rule (half as much again and 5 requests), since a
+/// request may arrive later than it was granted.
+inline constexpr quota_options upstream_bound{absl::Seconds(4), 0.4, 4};
+
 /// A keeper's pools, one for each workspace. The time that hosts give to the
 /// keeper fills them at the rate that a window's limit comes to, and they hold
 /// no more than the keeper's part of what is borne beyond the limit. So within
@@ -35,9 +42,18 @@
 public:
     explicit quota_pool(const quota_options& options);
 
-    /// Takes the limits of a new configuration.
+    /// Takes the limits of a new configuration. Those of upstreams stay.
     void set_limits(const std::vector<ingress_tenant>& workspaces);
 
+    /// Sets the requests a second that an upstream takes from the whole fleet.
+    /// Of an upstream that was not limited nothing is granted at first.
+    /// @param per_second below the least rate it counts as that: a limit that
+    /// nothing is sent under could not be seen to end
+    void limit_upstream(const upstream_id& upstream, double per_second);
+
+    /// Ends the limit of an upstream.
+    void lift_limit(const upstream_id& upstream);
+
     /// What a host gives.
     struct deposit_report
     {
@@ -52,23 +68,25 @@
     /// in it, one that is late for nothing, then or later.
     void deposit(const deposit_report& report, absl::Time now);
 
-    /// @param wanted in the workspace's unit
+    /// Grants a workspace as much of what is wanted as there is, and an
+    /// upstream all of it, or all that the pool can hold, or nothing: parts of
+    /// a request in many hands would be of no use to any.
+    /// @param wanted in the subject's unit
     /// @return what is granted of it
-    [[nodiscard]] double take(const workspace_id& workspace, double wanted,
+    [[nodiscard]] double take(const quota_subject& subject, double wanted,
                               absl::Time now);
 
     /// Puts back what was granted and not used.
-    void give_back(const workspace_id& workspace, double amount,
-                   absl::Time now);
+    void give_back(const quota_subject& subject, double amount, absl::Time now);
 
-    /// @return whether the workspace has a limit
-    [[nodiscard]] bool is_limited(const workspace_id& workspace) const
+    /// @return whether the subject has a limit
+    [[nodiscard]] bool is_limited(const quota_subject& subject) const
     {
-        return m_accounts.contains(workspace);
+        return m_accounts.contains(subject);
     }
 
-    /// @return tokens or requests that the workspace may have a second
-    [[nodiscard]] double rate_of(const workspace_id& workspace) const;
+    /// @return tokens or requests that the subject may have a second
+    [[nodiscard]] double rate_of(const quota_subject& subject) const;
 
     /// @return the part of the fleet that gives to this keeper
     [[nodiscard]] double weight(absl::Time now) const;
@@ -81,12 +99,14 @@
         double refused = 0; ///< since this start
     };
 
+    /// @return the pools of workspaces
     [[nodiscard]] std::map<workspace_id, state> states() const;
 
 private:
     struct account
     {
         tenant_limit limit;
+        quota_options bound;
         state pool;
     };
 
@@ -98,13 +118,13 @@
         absl::Time heard_at = absl::InfinitePast();
     };
 
-    [[nodiscard]] double limit_of_window(const account& of) const;
-    [[nodiscard]] double bound_of_window(const account& of) const;
-    [[nodiscard]] double earned_a_second(const account& of) const;
-    [[nodiscard]] double held(const account& of, double weight) const;
+    [[nodiscard]] static double limit_of_window(const account& of);
+    [[nodiscard]] static double bound_of_window(const account& of);
+    [[nodiscard]] static double earned_a_second(const account& of);
+    [[nodiscard]] static double held(const account& of, double weight);
 
     quota_options m_options;
-    absl::flat_hash_map<workspace_id, account> m_accounts;
+    absl::flat_hash_map<quota_subject, account> m_accounts;
     std::map<host_id, depositor> m_depositors;
 };
 
--- a/libraries/quotas/shared_quota.cpp
+++ b/libraries/quotas/shared_quota.cpp
@@ -56,9 +56,48 @@
     m_roster.stop();
 }
 
+void shared_quota::record_answer(const limit_table::answer& seen,
+                                 absl::Time now, absl::Time time_of_day)
+{
+    if (m_limits.record_answer(seen, now, time_of_day))
+    {
+        apply_limit(seen.server.id);
+    }
+}
+
+void shared_quota::merge_limit(const limit_record& told, absl::Time now)
+{
+    if (m_limits.merge(told, now))
+    {
+        apply_limit(told.server.id);
+    }
+}
+
+void shared_quota::evict_limits(
+    const std::function<bool(const upstream_life&)>& is_gone, absl::Time now)
+{
+    for (const auto& upstream : m_limits.evict(is_gone, now))
+    {
+        apply_limit(upstream);
+    }
+}
+
+void shared_quota::apply_limit(const upstream_id& upstream)
+{
+    if (const auto limit = m_limits.limit_of(upstream))
+    {
+        m_pool.limit_upstream(upstream, *limit);
+        return;
+    }
+    m_pool.lift_limit(upstream);
+    m_unspent.erase(upstream);
+}
+
 std::vector<addressed_quota_message> shared_quota::tick(absl::Time now)
 {
     m_roster.strike_gone(now);
+    std::erase_if(m_short_until,
+                  [now](const auto& entry) { return entry.second <= now; });
     m_meter.set_share(share_at(now), now);
     std::vector<addressed_quota_message> messages;
     const auto keeper = m_roster.keepers(now).front();
@@ -140,11 +179,11 @@
 }
 
 addressed_quota_message shared_quota::return_to(const host_id& keeper,
-                                                const workspace_id& workspace,
+                                                const quota_subject& subject,
                                                 double amount)
 {
     auto message = new_message(quota_message_kind::give_back);
-    message.workspace = workspace;
+    message.set_subject(subject);
     message.amount = amount;
     return {keeper, std::move(message)};
 }
@@ -155,16 +194,16 @@
     std::vector<addressed_quota_message>& messages)
 {
     const auto unused = std::exchange(m_unspent, {});
-    for (const auto& [workspace, amount] : unused)
+    for (const auto& [subject, amount] : unused)
     {
         if (keeper == m_self)
         {
-            m_pool.give_back(workspace, amount, now);
+            m_pool.give_back(subject, amount, now);
             continue;
         }
         if (amount > least_amount)
         {
-            messages.push_back(return_to(keeper, workspace, amount));
+            messages.push_back(return_to(keeper, subject, amount));
         }
     }
 }
@@ -193,10 +232,14 @@
     }
     case quota_message_kind::ask:
     {
+        if (message.limit)
+        {
+            merge_limit(*message.limit, now);
+        }
         auto grant = new_message(quota_message_kind::grant);
         grant.answer_to = message.sequence;
-        grant.workspace = message.workspace;
-        grant.amount = m_pool.take(message.workspace, message.amount, now);
+        grant.set_subject(message.subject());
+        grant.amount = granted_for(message, now);
         return grant;
     }
     case quota_message_kind::seen:
@@ -223,6 +266,15 @@
     return std::nullopt;
 }
 
+// An upstream whose limit has ended gets whatever is asked for.
+double shared_quota::granted_for(const quota_message& ask, absl::Time now)
+{
+    const auto subject = ask.subject();
+    const bool is_unlimited =
+        subject.is_upstream() && !m_pool.is_limited(subject);
+    return is_unlimited ? ask.amount : m_pool.take(subject, ask.amount, now);
+}
+
 // Whether this process has sent that message a short while ago, by its own
 // clock: what names it has not waited for this process to go on again.
 bool shared_quota::is_recent(std::int64_t sequence, absl::Time now)
@@ -250,7 +302,7 @@
     }
     if (m_late_asks.erase(message.answer_to) > 0)
     {
-        m_unspent[message.workspace] += message.amount;
+        m_unspent[message.subject()] += message.amount;
     }
 }
 
@@ -261,20 +313,20 @@
     if (last < order)
     {
         last = order;
-        m_pool.give_back(message.workspace, message.amount, now);
+        m_pool.give_back(message.subject(), message.amount, now);
     }
 }
 
-quota_claim shared_quota::open_claim(const workspace_id& workspace, double cost,
+quota_claim shared_quota::open_claim(const quota_subject& subject, double cost,
                                      absl::Time now) const
 {
-    return {workspace, cost, m_roster.keepers(now)};
+    return {subject, cost, m_roster.keepers(now)};
 }
 
 claim_step shared_quota::advance(quota_claim& claim, absl::Time now)
 {
-    // 1. A workspace without a limit is not counted.
-    if (!m_pool.is_limited(claim.m_workspace))
+    // 1. A subject without a limit is not counted.
+    if (!m_pool.is_limited(claim.m_subject))
     {
         return {claim_step::outcome::granted, std::nullopt};
     }
@@ -287,22 +339,26 @@
         if (claim.m_next == claim.m_keepers.size())
         {
             // 4. Nobody has the rest: what was collected is for others.
-            m_unspent[claim.m_workspace] += claim.m_collected;
+            m_unspent[claim.m_subject] += claim.m_collected;
             return {claim_step::outcome::refused, std::nullopt};
         }
         const auto keeper = claim.m_keepers[claim.m_next++];
         const auto missing = claim.m_cost - claim.m_collected;
         if (keeper == m_self)
         {
-            claim.m_collected += m_pool.take(claim.m_workspace, missing, now);
+            claim.m_collected += m_pool.take(claim.m_subject, missing, now);
             continue;
         }
-        if (is_short(keeper, claim.m_workspace, now))
+        if (is_short(keeper, claim.m_subject, now))
         {
             continue;
         }
         auto ask = new_message(quota_message_kind::ask);
-        ask.workspace = claim.m_workspace;
+        ask.set_subject(claim.m_subject);
+        if (const auto* limit = m_limits.find(claim.m_subject.upstream))
+        {
+            ask.limit = *limit;
+        }
         ask.amount = missing;
         claim.m_open_ask = ask.sequence;
         claim.m_open_keeper = keeper;
@@ -340,14 +396,14 @@
     claim.m_collected += *granted;
     if (*granted + least_amount < claim.m_open_amount)
     {
-        m_short_until[{claim.m_open_keeper, claim.m_workspace}] =
+        m_short_until[{claim.m_open_keeper, claim.m_subject}] =
             now + short_time;
     }
 }
 
 void shared_quota::spend_unspent(quota_claim& claim)
 {
-    const auto found = m_unspent.find(claim.m_workspace);
+    const auto found = m_unspent.find(claim.m_subject);
     if (found == m_unspent.end())
     {
         return;
@@ -358,11 +414,11 @@
     claim.m_collected += spent;
 }
 
-void shared_quota::refund(const workspace_id& workspace, double cost)
+void shared_quota::refund(const quota_subject& subject, double cost)
 {
-    if (m_pool.is_limited(workspace))
+    if (m_pool.is_limited(subject))
     {
-        m_unspent[workspace] += cost;
+        m_unspent[subject] += cost;
     }
 }
 
@@ -372,17 +428,17 @@
     return open != m_answers.end() && open->second.has_value();
 }
 
-absl::Duration shared_quota::time_to_earn(const workspace_id& workspace,
+absl::Duration shared_quota::time_to_earn(const quota_subject& subject,
                                           double cost) const
 {
-    const auto rate = m_pool.rate_of(workspace);
+    const auto rate = m_pool.rate_of(subject);
     return rate > 0 ? absl::Seconds(cost / rate) : absl::ZeroDuration();
 }
 
-bool shared_quota::is_short(const host_id& keeper,
-                            const workspace_id& workspace, absl::Time now) const
+bool shared_quota::is_short(const host_id& keeper, const quota_subject& subject,
+                            absl::Time now) const
 {
-    const auto found = m_short_until.find({keeper, workspace});
+    const auto found = m_short_until.find({keeper, subject});
     return found != m_short_until.end() && now < found->second;
 }
 
--- a/libraries/quotas/shared_quota.hpp
+++ b/libraries/quotas/shared_quota.hpp
@@ -6,11 +6,14 @@
 #include "quota_claim.hpp"
 #include "quota_message.hpp"
 #include "quota_pool.hpp"
+#include "quota_subject.hpp"
 #include "share_meter.hpp"
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <set>
+#include <upstream_limits/limit_table.hpp>
 #include <utility>
 #include <vector>
 
@@ -51,6 +54,29 @@
     /// then all others count it already
     void note_fleet(bool was_listed, absl::Time now);
 
+    /// Notes what an answer of an upstream says of its limit.
+    /// @param time_of_day as the fleet agrees on it
+    void record_answer(const limit_table::answer& seen, absl::Time now,
+                       absl::Time time_of_day);
+
+    /// Merges what another host knows of an upstream's limit.
+    void merge_limit(const limit_record& told, absl::Time now);
+
+    /// Forgets limits of upstreams that are gone.
+    void evict_limits(const std::function<bool(const upstream_life&)>& is_gone,
+                      absl::Time now);
+
+    /// @return the limits of upstreams, as far as known here
+    [[nodiscard]] limit_table& limits()
+    {
+        return m_limits;
+    }
+
+    [[nodiscard]] const limit_table& limits() const
+    {
+        return m_limits;
+    }
+
     /// A peer is heard.
     void hear(const quota_peer& peer, absl::Time now);
 
@@ -78,7 +104,7 @@
     receive(const quota_message& message, absl::Time now);
 
     /// Begins to take a request's cost.
-    [[nodiscard]] quota_claim open_claim(const workspace_id& workspace,
+    [[nodiscard]] quota_claim open_claim(const quota_subject& subject,
                                          double cost, absl::Time now) const;
 
     /// Goes on: at first, when an answer has come, and when none has come in
@@ -86,13 +112,13 @@
     [[nodiscard]] claim_step advance(quota_claim& claim, absl::Time now);
 
     /// Gives back what a request took that has not run.
-    void refund(const workspace_id& workspace, double cost);
+    void refund(const quota_subject& subject, double cost);
 
     /// @return whether the answer to an ask has come
     [[nodiscard]] bool has_answer(std::int64_t ask) const;
 
-    /// @return the time in which the workspace's whole quota earns the cost
-    [[nodiscard]] absl::Duration time_to_earn(const workspace_id& workspace,
+    /// @return the time in which the subject's whole quota earns the cost
+    [[nodiscard]] absl::Duration time_to_earn(const quota_subject& subject,
                                               double cost) const;
 
     /// @return what this host keeps for others
@@ -118,7 +144,7 @@
     }
 
 private:
-    using short_key = std::pair<host_id, workspace_id>;
+    using short_key = std::pair<host_id, quota_subject>;
 
     /// The newest message of a keeper.
     struct keeper_echo
@@ -133,17 +159,19 @@
     [[nodiscard]] addressed_quota_message deposit_to(const host_id& keeper,
                                                      absl::Time now);
     [[nodiscard]] addressed_quota_message
-    return_to(const host_id& keeper, const workspace_id& workspace,
+    return_to(const host_id& keeper, const quota_subject& subject,
               double amount);
     void give_back_unused(const host_id& keeper, absl::Time now,
                           std::vector<addressed_quota_message>& messages);
+    void apply_limit(const upstream_id& upstream);
+    [[nodiscard]] double granted_for(const quota_message& ask, absl::Time now);
     [[nodiscard]] bool is_recent(std::int64_t sequence, absl::Time now);
     void take_grant(const quota_message& message);
     void take_back(const quota_message& message, absl::Time now);
     void close_ask(quota_claim& claim, absl::Time now);
     void spend_unspent(quota_claim& claim);
     [[nodiscard]] bool is_short(const host_id& keeper,
-                                const workspace_id& workspace,
+                                const quota_subject& subject,
                                 absl::Time now) const;
 
     host_id m_self;
@@ -153,6 +181,7 @@
     fleet_roster m_roster;
     share_meter m_meter;
     quota_pool m_pool;
+    limit_table m_limits;
     std::int64_t m_sequence = 0;
     absl::Duration m_join_time;
     absl::Time m_fleet_known_at = absl::InfiniteFuture();
@@ -167,7 +196,7 @@
     keeper_echo m_echo;
     /// What this keeper has answered lately: sequences and times.
     std::deque<std::pair<std::int64_t, absl::Time>> m_seen_sent;
-    std::map<workspace_id, double> m_unspent;
+    std::map<quota_subject, double> m_unspent;
     /// Granted amounts of open asks, by sequence; nothing: no answer yet.
     std::map<std::int64_t, std::optional<double>> m_answers;
     std::set<std::int64_t> m_late_asks;
