gateway: Send an upstream no more than the limit that it has named

Callers of an upstream in need kept being sent to it: 12 requests in 4 s where a limit of 1 a second allows 11, with eight hosts that each passed on its answers.

A request to a limited upstream now takes its part from the hosts that keep the limit before it is sent. server_exchange cannot be built without a send_permit, which upstream_limiter alone issues, so first tries, repeats, resumes and trial requests are all counted in one place; what was not sent goes back. An upstream without room is passed over for a while; when no other is left, the request is rejected at once with a Retry-After that spreads returns over what the limits allow.

--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -85,7 +85,8 @@
     auto best_cost = std::numeric_limits<double>::infinity();
     for (const auto* server : candidates(request))
     {
-        if (request.excluded.contains(server->id) || now < rest_end(server->id))
+        if (request.excluded.contains(server->id) ||
+            now < rest_end(server->id) || is_passed_over(server->id, now))
         {
             continue;
         }
@@ -176,6 +177,30 @@
     m_rests[server.id] = end;
 }
 
+void server_choice::pass_over(const upstream_life& server, absl::Time until)
+{
+    if (!is_over(server))
+    {
+        m_passed_over[server.id] = until;
+    }
+}
+
+bool server_choice::passes_over_any(const service_name& service,
+                                    absl::Time now) const
+{
+    const auto servers = m_directory.usable(service);
+    return std::any_of(servers.begin(), servers.end(),
+                       [&](const auto* server)
+                       { return is_passed_over(server->id, now); });
+}
+
+bool server_choice::is_passed_over(const upstream_id& server,
+                                   absl::Time now) const
+{
+    const auto found = m_passed_over.find(server);
+    return found != m_passed_over.end() && now < found->second;
+}
+
 absl::Time server_choice::rest_end(const upstream_id& server) const
 {
     const auto rest = m_rests.find(server);
@@ -202,6 +227,7 @@
 {
     m_own.erase(server);
     m_rests.erase(server);
+    m_passed_over.erase(server);
     m_health.erase(server);
     m_prompts.erase(server);
 }
@@ -287,6 +313,7 @@
     { return m_directory.find(entry.first) == nullptr; };
     absl::erase_if(m_health, is_unlisted);
     absl::erase_if(m_prompts, is_unlisted);
+    absl::erase_if(m_passed_over, is_unlisted);
     absl::erase_if(m_own, [&](const auto& entry)
                    { return entry.second.active == 0 && is_unlisted(entry); });
 }
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -111,6 +111,14 @@
     void note_rest(const upstream_life& server, absl::Time until,
                    absl::Time now);
 
+    /// Chooses other servers until then, since this one has no room within its
+    /// limit.
+    void pass_over(const upstream_life& server, absl::Time until);
+
+    /// @return whether some server of the service is passed over now
+    [[nodiscard]] bool passes_over_any(const service_name& service,
+                                       absl::Time now) const;
+
     /// @return when the first of a service's servers may be asked again, if
     /// all that may get new work want nothing now
     [[nodiscard]] std::optional<absl::Time>
@@ -148,6 +156,8 @@
 
     [[nodiscard]] bool is_over(const upstream_life& server) const;
     [[nodiscard]] absl::Time rest_end(const upstream_id& server) const;
+    [[nodiscard]] bool is_passed_over(const upstream_id& server,
+                                      absl::Time now) const;
     [[nodiscard]] std::vector<const server_entry*>
     candidates(const choice_request& request) const;
     double cost_of(const server_entry& server, const choice_request& request,
@@ -174,7 +184,8 @@
         m_peers;
     absl::flat_hash_map<upstream_id, server_load> m_peers_sum;
     absl::flat_hash_map<upstream_id, health> m_health;
-    absl::flat_hash_map<upstream_id, absl::Time> m_rests; ///< their ends
+    absl::flat_hash_map<upstream_id, absl::Time> m_rests;       ///< their ends
+    absl::flat_hash_map<upstream_id, absl::Time> m_passed_over; ///< until when
     absl::flat_hash_map<upstream_id, prompt_memory> m_prompts;
 };
 
--- a/libraries/peers/datagram_format.hpp
+++ b/libraries/peers/datagram_format.hpp
@@ -18,6 +18,7 @@
     rollout_report = 5, ///< of a host
     records = 6,        ///< `shared_records`
     poison = 7,         ///< `poison_record`s
+    limits = 8,         ///< `limit_record`s
 };
 
 /// Tells formats apart by their first field, so that a datagram is decoded
@@ -40,6 +41,7 @@
     case datagram_format::rollout_report:
     case datagram_format::records:
     case datagram_format::poison:
+    case datagram_format::limits:
         return static_cast<datagram_format>(bytes[1]);
     case datagram_format::none:
         break;
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -57,6 +57,7 @@
         events::poison_cleared,
         events::upstream_limit_changed,
         events::upstream_limit_unreadable,
+        events::upstream_limit_reached,
     };
     return catalogue;
 }
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -178,6 +178,12 @@
     "An upstream names a limit that is no decimal number; it is ignored. One "
     "line for each start of the upstream."};
 
+inline constexpr log_event upstream_limit_reached{
+    509, log_severity::info, "upstream_limit_reached",
+    "Requests were sent elsewhere, or rejected, since upstreams had no room "
+    "within their limits; the fields give how many times, and the first of "
+    "them."};
+
 inline constexpr log_event order_given{
     601, log_severity::info, "order_given",
     "The planner of the hall has given an order to an engine."};
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -57,6 +57,7 @@
     , m_scaling(m_state, m_peers, m_duties)
     , m_rollouts(m_state, m_peers, m_duties)
     , m_poison(m_state, m_peers)
+    , m_limits(m_state, m_peers)
     , m_clients(open_acceptor(context, m_state.settings.clients_address))
     , m_readiness(context, m_state.settings.readiness_address,
                   [this](const std::string&) { return answer_readiness(); })
@@ -111,6 +112,7 @@
     m_scaling.start();
     m_rollouts.start();
     m_poison.start();
+    m_limits.start();
     log(events::process_started,
         {{"host", m_state.self.value()},
          {"hall", m_state.hall.value()},
@@ -187,6 +189,7 @@
             gateway_state::to_time(m_configuration.known_at()));
         m_state.pool.sweep(now);
         m_state.choice.drop_unlisted();
+        m_state.limits.run_maintenance();
         for (const auto& session : m_sessions)
         {
             session->close_if_stuck(now);
@@ -486,6 +489,8 @@
               static_cast<double>(m_state.poison.size()));
     meter.set("requests_proved", "Of these, proved ones, which are refused.",
               static_cast<double>(m_state.poison.proved().size()));
+    meter.set("upstreams_limited", "Upstreams that name a limit now.",
+              static_cast<double>(m_state.quota.shared().limits().limited()));
     meter.set("machines_known", "Gateways known, with this one.",
               static_cast<double>(m_peers.table().size()));
     meter.set("machines_reached", "Gateways heard lately, with this one.",
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "client_session.hpp"
 #include "duty_service.hpp"
 #include "gateway_state.hpp"
+#include "limit_service.hpp"
 #include "peer_exchange.hpp"
 #include "poison_service.hpp"
 #include "rollout_service.hpp"
@@ -73,6 +74,7 @@
     scale_service m_scaling;
     rollout_service m_rollouts;
     poison_service m_poison;
+    limit_service m_limits;
     asio::ip::tcp::acceptor m_clients;
     small_server m_readiness;
     std::unique_ptr<small_server> m_metrics;
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -73,6 +73,7 @@
     , usage(absl::FromChrono(settings.usage_window))
     , poison(bound_of_poison(settings))
     , poison_news(loop.get_executor())
+    , limit_updates(loop.get_executor())
     , ends(*this)
     , limits(*this)
 {
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -96,7 +96,8 @@
     skipped_records skipped;
     poison_watch poison;
     suspects_in_flight suspects;
-    async_event poison_news; ///< there is something to tell of `poison`
+    async_event poison_news;   ///< there is something to tell of `poison`
+    async_event limit_updates; ///< limits of upstreams have changed
     server_ends ends;
     upstream_limiter limits;
     bool has_servers = false;
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -295,6 +295,10 @@
         if (const auto message = decode_quota_message(bytes))
         {
             const auto reply = m_state.quota.receive(*message);
+            if (m_state.quota.shared().limits().has_updates())
+            {
+                m_state.limit_updates.notify();
+            }
             if (!reply.empty())
             {
                 send_datagram(sender, reply);
@@ -327,6 +331,12 @@
             m_on_poison(bytes);
         }
         return;
+    case datagram_format::limits:
+        if (m_on_limits)
+        {
+            m_on_limits(bytes);
+        }
+        return;
     case datagram_format::none:
         return;
     }
@@ -339,6 +349,16 @@
 }
 
 void peer_exchange::tell_some(const std::string& bytes)
+{
+    send_to_random(told_at_once, bytes);
+}
+
+void peer_exchange::tell_any(const std::string& bytes)
+{
+    send_to_random(1, bytes);
+}
+
+void peer_exchange::send_to_random(std::size_t count, const std::string& bytes)
 {
     std::vector<std::string> addresses;
     for (const auto& [name, peer] : m_table.peers())
@@ -347,7 +367,7 @@
     }
     std::vector<std::string> some;
     std::sample(addresses.begin(), addresses.end(), std::back_inserter(some),
-                told_at_once, m_state.random);
+                count, m_state.random);
     for (const auto& address : some)
     {
         send_datagram(udp_endpoint(address), bytes);
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -75,13 +75,22 @@
     /// Sends a datagram to a few peers, others at each call, who tell it on.
     void tell_some(const std::string& bytes);
 
+    /// Sends a datagram to one peer at random.
+    void tell_any(const std::string& bytes);
+
     /// Sends a datagram to one peer.
     void tell_one(const std::string& address, const std::string& bytes);
 
-    /// Sets who is told that a peer is heard first, or first since it started.
-    void set_start_listener(std::function<void(const std::string&)> started)
+    /// Adds who is told that a peer is heard first, or first since it started.
+    void add_start_listener(std::function<void(const std::string&)> started)
+    {
+        m_on_peer_start.push_back(std::move(started));
+    }
+
+    /// Sets who takes limits of upstreams.
+    void set_limit_listener(std::function<void(std::string_view)> take)
     {
-        m_on_peer_start = std::move(started);
+        m_on_limits = std::move(take);
     }
 
     /// Sets who takes words of requests that may end servers.
@@ -120,6 +129,7 @@
                        const std::string& bytes);
     void send_to_some(const std::string& bytes);
     void send_to_candidates(const std::string& bytes);
+    void send_to_random(std::size_t count, const std::string& bytes);
     [[nodiscard]] machine_state own_state();
     [[nodiscard]] std::int64_t store_answer_age_ms() const;
     [[nodiscard]] std::vector<machine_address> some_machines();
@@ -134,7 +144,8 @@
     std::function<void(std::int64_t, const host_id&)> m_on_counts_told;
     std::function<std::string(std::string_view)> m_on_rollout;
     std::function<void(std::string_view)> m_on_poison;
-    std::function<void(const std::string&)> m_on_peer_start;
+    std::function<void(std::string_view)> m_on_limits;
+    std::vector<std::function<void(const std::string&)>> m_on_peer_start;
     duty_state m_duty;
     /// Peers heard first since the last tick.
     name_batch m_joined{most_joined_named};
--- a/services/gateway/peer_states.cpp
+++ b/services/gateway/peer_states.cpp
@@ -64,9 +64,9 @@
     if (change.is_start)
     {
         m_joined.add(concat(name.value(), "=", newest.self.address));
-        if (m_on_peer_start)
+        for (const auto& listener : m_on_peer_start)
         {
-            m_on_peer_start(newest.self.address);
+            listener(newest.self.address);
         }
     }
     apply(newest);
--- a/services/gateway/poison_service.cpp
+++ b/services/gateway/poison_service.cpp
@@ -33,7 +33,7 @@
     , m_store(state.context, state.settings.store_address)
 {
     peers.set_poison_listener([this](std::string_view bytes) { take(bytes); });
-    peers.set_start_listener([this](const std::string& address)
+    peers.add_start_listener([this](const std::string& address)
                              { tell_starting(address); });
 }
 
--- a/services/gateway/quota_service.cpp
+++ b/services/gateway/quota_service.cpp
@@ -25,10 +25,9 @@
 {
 }
 
-awaitable<quota_verdict> quota_service::take(workspace_id workspace,
-                                             double cost)
+awaitable<quota_verdict> quota_service::take(quota_subject subject, double cost)
 {
-    auto claim = m_quota.open_claim(workspace, cost, now());
+    auto claim = m_quota.open_claim(subject, cost, now());
     while (true)
     {
         const auto step = m_quota.advance(claim, now());
--- a/services/gateway/quota_service.hpp
+++ b/services/gateway/quota_service.hpp
@@ -15,7 +15,7 @@
 namespace daleshelf
 {
 
-/// Whether a request is within its workspace's quota, and how that was found.
+/// Whether a request is within a quota, and how that was found.
 struct quota_verdict
 {
     bool is_within = false;
@@ -45,9 +45,14 @@
         return m_quota;
     }
 
+    [[nodiscard]] const shared_quota& shared() const
+    {
+        return m_quota;
+    }
+
     /// Takes a request's cost, from as many keepers as are needed.
-    /// @param cost in the workspace's unit
-    awaitable<quota_verdict> take(workspace_id workspace, double cost);
+    /// @param cost in the subject's unit
+    awaitable<quota_verdict> take(quota_subject subject, double cost);
 
     /// Sends what is due; to be called several times a second.
     void tick();
--- /dev/null
+++ b/services/gateway/request_choice.cpp
@@ -0,0 +1,100 @@
+// How a request's flow chooses a server, and takes its part of that server's
+// limit.
+#include "request_flow.hpp"
+
+#include <algorithm>
+#include <base/http_status.hpp>
+
+namespace daleshelf
+{
+
+choice_request request_flow::next_choice()
+{
+    choice_request wanted;
+    wanted.service = m_service->name;
+    wanted.is_engine = m_service->is_engine;
+    wanted.facts = &m_facts;
+    wanted.engine = m_state.engines.of(m_service->name).joint();
+    wanted.excluded = m_tried;
+    wanted.avoided_halls = m_broken_halls;
+    mark_suspect(wanted);
+    return wanted;
+}
+
+// A few first attempts are tried with the version that the service may move to;
+// one that cannot be goes the usual way.
+// @param wanted its version is set if the request is tried with that
+const server_entry* request_flow::choose_server(choice_request& wanted)
+{
+    const auto now = gateway_state::now();
+    if (m_tried.empty())
+    {
+        wanted.trial = m_state.rollouts.pick_target(m_service->name, now);
+    }
+    const auto* server = m_state.choice.choose(wanted, now);
+    const bool is_tried_in_vain =
+        wanted.trial && (server == nullptr || hopeless_for(*server, wanted));
+    if (!is_tried_in_vain)
+    {
+        return server;
+    }
+    wanted.trial.reset();
+    return m_state.choice.choose(wanted, now);
+}
+
+// The best server that has room within its limit.
+// @param wanted takes those that have none
+awaitable<std::optional<request_flow::permitted_server>>
+request_flow::choose_permitted(choice_request& wanted)
+{
+    while (true)
+    {
+        const auto* server = choose_server(wanted);
+        if (server == nullptr)
+        {
+            co_return std::nullopt;
+        }
+        const auto chosen = *server;
+        auto permit = co_await m_state.limits.acquire(chosen);
+        if (!permit)
+        {
+            wanted.excluded.insert(chosen.id);
+            continue;
+        }
+        // It may have begun to leave while its limit was asked for.
+        if (m_state.servers.is_usable(chosen.id))
+        {
+            co_return permitted_server{chosen, std::move(*permit)};
+        }
+        m_state.limits.refund(std::move(*permit));
+    }
+}
+
+// No server has taken the request. Its client may come back when the first of
+// them is to be asked again.
+awaitable<void> request_flow::refuse_unserved(attempt_end end)
+{
+    refund_quota();
+    const auto now = gateway_state::now();
+    if (const auto rest = m_state.choice.all_rest_until(m_service->name, now))
+    {
+        co_await refuse(http_status::unavailable, "servers_rest",
+                        std::clamp(absl::ToChronoMilliseconds(*rest - now),
+                                   retry_when_full, longest_retry));
+        co_return;
+    }
+    if (m_state.choice.passes_over_any(m_service->name, now))
+    {
+        const auto wait = m_state.limits.reserve_return(m_service->name);
+        co_await refuse(http_status::unavailable, "servers_limited",
+                        std::clamp(absl::ToChronoMilliseconds(wait),
+                                   retry_when_full, longest_retry));
+        co_return;
+    }
+    co_await refuse(http_status::unavailable,
+                    end == attempt_end::not_reached ? "no_server_reached"
+                                                    : "servers_full",
+                    retry_when_full);
+}
+
+} // namespace daleshelf
--- a/services/gateway/request_engines.cpp
+++ b/services/gateway/request_engines.cpp
@@ -28,27 +28,6 @@
     return expected - m_route->objective;
 }
 
-// A few first attempts are tried with the version that the service may move to;
-// one that cannot be goes the usual way.
-// @param wanted its version is set if the request is tried with that
-const server_entry* request_flow::choose_server(choice_request& wanted)
-{
-    const auto now = gateway_state::now();
-    if (m_tried.empty())
-    {
-        wanted.trial = m_state.rollouts.pick_target(m_service->name, now);
-    }
-    const auto* server = m_state.choice.choose(wanted, now);
-    const bool is_tried_in_vain =
-        wanted.trial && (server == nullptr || hopeless_for(*server, wanted));
-    if (!is_tried_in_vain)
-    {
-        return server;
-    }
-    wanted.trial.reset();
-    return m_state.choice.choose(wanted, now);
-}
-
 // What the head's time, which is that of the first event, shows of a version.
 void request_flow::note_first(const response_head& head,
                               monotonic::duration time)
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -23,8 +23,6 @@
 
 // When a client may come back, by why it was refused.
 constexpr milliseconds retry_when_unconfigured{1000};
-constexpr milliseconds retry_when_full{250};
-constexpr milliseconds longest_retry{5000};
 
 } // namespace
 
@@ -156,23 +154,17 @@
         {
             co_return;
         }
-        choice_request wanted;
-        wanted.service = m_service->name;
-        wanted.is_engine = m_service->is_engine;
-        wanted.facts = &m_facts;
-        wanted.engine = m_state.engines.of(m_service->name).joint();
-        wanted.excluded = m_tried;
-        wanted.avoided_halls = m_broken_halls;
-        mark_suspect(wanted);
-        const auto* server = choose_server(wanted);
-        if (server == nullptr)
+        auto wanted = next_choice();
+        auto target = co_await choose_permitted(wanted);
+        if (!target)
         {
             co_await give_up(attempt_end::not_run);
             co_return;
         }
-        const auto chosen = *server;
+        const auto chosen = target->server;
         if (const auto wait = hopeless_for(chosen, wanted))
         {
+            m_state.limits.refund(std::move(target->permit));
             refund_quota();
             co_await refuse(http_status::unavailable, "too_late",
                             std::clamp(*wait, retry_when_full, longest_retry));
@@ -181,7 +173,7 @@
         m_tried.insert(chosen.id);
         m_server_hall = chosen.hall.value();
         const auto sent_at = monotonic::now();
-        const auto end = co_await attempt(chosen, wanted);
+        const auto end = co_await attempt(*target, wanted);
         log_attempt(chosen, end);
         note_attempt(chosen, end, sent_at);
         if (end == attempt_end::broken || end == attempt_end::not_reached)
@@ -201,17 +193,22 @@
     }
 }
 
-awaitable<request_flow::attempt_end>
-request_flow::attempt(const server_entry& server, const choice_request& wanted)
+server_request request_flow::request_to(permitted_server& target) const
 {
-    server_request sent;
-    sent.server = server;
+    server_request sent(std::move(target.permit), target.server);
     sent.id = m_facts.id.value();
-    sent.bytes = bytes_for(server);
+    sent.bytes = bytes_for(target.server);
     sent.is_repeatable = may_repeat(*m_route);
     sent.has_no_answer_body = m_request.head.method == "HEAD";
     sent.deadline = m_deadline;
-    server_exchange exchange(m_state.pool, std::move(sent));
+    return sent;
+}
+
+awaitable<request_flow::attempt_end>
+request_flow::attempt(permitted_server& target, const choice_request& wanted)
+{
+    const auto& server = target.server;
+    server_exchange exchange(m_state.pool, request_to(target));
     m_exchange = &exchange;
     m_expected_first_ms =
         m_service->is_engine && m_state.rollouts.is_watching(m_service->name)
@@ -241,6 +238,10 @@
         ++m_attempts;
         m_state.rollouts.note_sent(server.service, server.version);
     }
+    else
+    {
+        m_state.limits.refund(exchange.take_permit());
+    }
     auto outcome = attempt_outcome::answered;
     if (m_is_cancelled)
     {
@@ -366,25 +367,6 @@
                   is_late ? "deadline" : "may_have_run");
 }
 
-// No server has taken the request. While all of them want rest, its client may
-// come back when the first of them is to be asked again.
-awaitable<void> request_flow::refuse_unserved(attempt_end end)
-{
-    refund_quota();
-    const auto now = gateway_state::now();
-    if (const auto rest = m_state.choice.all_rest_until(m_service->name, now))
-    {
-        co_await refuse(http_status::unavailable, "servers_rest",
-                        std::clamp(absl::ToChronoMilliseconds(*rest - now),
-                                   retry_when_full, longest_retry));
-        co_return;
-    }
-    co_await refuse(http_status::unavailable,
-                    end == attempt_end::not_reached ? "no_server_reached"
-                                                    : "servers_full",
-                    retry_when_full);
-}
-
 // The request has not run and never will.
 awaitable<void> request_flow::refuse(int status, std::string_view reason,
                                      std::optional<milliseconds> retry_after)
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -57,9 +57,21 @@
         abandoned,    ///< the client has left
     };
 
+    /// A server that may get the request, within its limit.
+    struct permitted_server
+    {
+        server_entry server;
+        send_permit permit;
+    };
+
+    // When a client may come back that was refused.
+    static constexpr milliseconds retry_when_full{250};
+    static constexpr milliseconds longest_retry{5000};
+
     awaitable<bool> admit();
     awaitable<void> try_servers();
-    awaitable<attempt_end> attempt(const server_entry& server,
+    [[nodiscard]] server_request request_to(permitted_server& target) const;
+    awaitable<attempt_end> attempt(permitted_server& target,
                                    const choice_request& wanted);
     awaitable<attempt_end> relay(server_exchange& exchange);
     awaitable<attempt_end> relay_whole(server_exchange& exchange);
@@ -89,7 +101,10 @@
     void learn_reading(const server_entry& server, const response_head& head,
                        monotonic::duration time);
     void learn_generating(std::int64_t events, monotonic::duration time);
+    choice_request next_choice();
     const server_entry* choose_server(choice_request& wanted);
+    awaitable<std::optional<permitted_server>>
+    choose_permitted(choice_request& wanted);
     [[nodiscard]] request_content content() const;
     void recognise();
     [[nodiscard]] bool must_wait(const request_print& print) const;
--- /dev/null
+++ b/services/gateway/send_permit.hpp
@@ -0,0 +1,30 @@
+/// @file
+/// The right to send one request to one upstream.
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <utility>
+
+namespace daleshelf
+{
+
+/// Issued by `upstream_limiter` alone, and needed to begin an exchange: no
+/// request reaches an upstream uncounted.
+class send_permit
+{
+public:
+    send_permit(const send_permit&) = delete;
+    send_permit& operator=(const send_permit&) = delete;
+    send_permit(send_permit&&) noexcept = default;
+    send_permit& operator=(send_permit&&) noexcept = default;
+    ~send_permit() = default;
+
+private:
+    friend class upstream_limiter;
+
+    explicit send_permit(upstream_id counted) : m_counted(std::move(counted)) {}
+
+    upstream_id m_counted; ///< empty: the upstream has no limit
+};
+
+} // namespace daleshelf
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -2,6 +2,7 @@
 /// One attempt of a request at one server.
 #pragma once
 
+#include "send_permit.hpp"
 #include "server_connection.hpp"
 
 #include <base/verdict.hpp>
@@ -16,6 +17,12 @@
 /// What is sent to a server.
 struct server_request
 {
+    server_request(send_permit right, server_entry to)
+        : permit(std::move(right)), server(std::move(to))
+    {
+    }
+
+    send_permit permit;
     server_entry server;
     std::string id;    ///< as the client gave it
     std::string bytes; ///< head and body
@@ -69,6 +76,12 @@
         return m_notice;
     }
 
+    /// @return the permit, to be returned if nothing was sent
+    [[nodiscard]] send_permit take_permit()
+    {
+        return std::move(m_request.permit);
+    }
+
     /// @return whether the body is sent with a length or in chunks
     [[nodiscard]] bool is_framed() const
     {
--- a/services/gateway/upstream_limiter.cpp
+++ b/services/gateway/upstream_limiter.cpp
@@ -4,6 +4,7 @@
 
 #include <platform/request_format.hpp>
 #include <telemetry/log.hpp>
+#include <upstream_limits/limit_pacing.hpp>
 
 namespace daleshelf
 {
@@ -12,7 +13,6 @@
 {
 
 constexpr std::size_t most_faulty = 1024;
-
 std::string text_of(const std::optional<double>& limit)
 {
     return limit ? std::to_string(*limit) : "none";
@@ -32,13 +32,80 @@
     {
         return;
     }
-    const limit_table::answer seen{server.life(), notice.limit, sent_at};
-    (void)m_limits.record_answer(seen, gateway_state::now(),
-                                 m_state.time_of_day());
-    for (const auto& update : m_limits.take_updates(1))
+    auto& quota = m_state.quota.shared();
+    quota.record_answer({server.life(), notice.limit, sent_at},
+                        gateway_state::now(), m_state.time_of_day());
+    if (quota.limits().has_updates())
+    {
+        m_state.limit_updates.notify();
+    }
+}
+
+std::optional<double>
+upstream_limiter::limit_of(const upstream_life& server) const
+{
+    const auto& limits = std::as_const(m_state.quota).shared().limits();
+    const auto* known = limits.find(server.id);
+    const bool is_current = known != nullptr && !server.is_after(known->server);
+    return is_current ? known->per_second : std::nullopt;
+}
+
+awaitable<std::optional<send_permit>>
+upstream_limiter::acquire(server_entry server)
+{
+    const auto limit = limit_of(server.life());
+    if (!limit)
+    {
+        co_return send_permit(upstream_id());
+    }
+    const auto verdict = co_await m_state.quota.take(server.id, 1);
+    if (verdict.is_within)
+    {
+        co_return send_permit(server.id);
+    }
+    m_passed_over.add(server.id.value());
+    const auto pause =
+        pass_over_time(*limit, m_state.quota.shared().fleet_size(),
+                       absl::Uniform(m_state.random, 0.0, 1.0));
+    m_state.choice.pass_over(server.life(), gateway_state::now() + pause);
+    co_return std::nullopt;
+}
+
+void upstream_limiter::refund(send_permit permit)
+{
+    if (!permit.m_counted.empty())
+    {
+        m_state.quota.shared().refund(permit.m_counted, 1);
+    }
+}
+
+absl::Duration upstream_limiter::reserve_return(const service_name& service)
+{
+    double per_second = 0;
+    for (const auto* server : m_state.servers.usable(service))
+    {
+        per_second += limit_of(server->life()).value_or(0);
+    }
+    const auto hosts = static_cast<double>(m_state.quota.shared().fleet_size());
+    return m_returns[service].reserve(per_second / hosts, gateway_state::now());
+}
+
+void upstream_limiter::run_maintenance()
+{
+    if (!m_passed_over.is_empty())
     {
-        log_limit_change(update);
+        log(events::upstream_limit_reached,
+            {{"count", std::to_string(m_passed_over.count())},
+             {"servers", m_passed_over.names()}});
+        m_passed_over.clear();
     }
+    m_state.quota.shared().evict_limits(
+        [this](const upstream_life& server)
+        {
+            const auto* listed = m_state.servers.find(server.id);
+            return listed == nullptr || listed->life().is_after(server);
+        },
+        gateway_state::now());
 }
 
 void upstream_limiter::log_faulty(const server_entry& server)
@@ -60,16 +127,19 @@
          {"born", std::to_string(server.born.value())}});
 }
 
-void log_limit_change(const limit_update& update)
+void apply_limit_change(gateway_state& state, const limit_update& update)
 {
     const auto& record = update.record;
     const bool is_own = update.origin == limit_origin::answer;
+    const auto age = state.time_of_day() - record.named_at;
     log(events::upstream_limit_changed,
         {{"server", record.server.id.value()},
          {"born", std::to_string(record.server.born.value())},
          {"limit", text_of(record.per_second)},
          {"before", text_of(update.before)},
-         {"origin", is_own ? "answer" : "peer"}});
+         {"origin", is_own ? "answer" : "peer"},
+         {"age_ms", std::to_string(absl::ToInt64Milliseconds(age))}});
+    state.choice.pass_over(record.server, absl::InfinitePast());
 }
 
 } // namespace daleshelf
--- a/tests/gateway/server_limit_test.cpp
+++ b/tests/gateway/server_limit_test.cpp
@@ -117,15 +117,38 @@
         configure();
     }
 
-    void ask_often(const std::string& path)
+    void ask_often(const std::string& path, int requests = 200)
     {
-        constexpr int requests = 200;
         for (int index = 0; index < requests; ++index)
         {
             ask(path);
         }
     }
 
+    /// Lets this host be the whole fleet for a while.
+    void earn()
+    {
+        on_loop(
+            [&]
+            {
+                auto& quota = m_state.quota.shared();
+                quota.note_fleet(true, gateway_state::now());
+                m_state.quota.tick();
+            });
+    }
+
+    void tell(std::optional<double> limit, std::int64_t named_at_ms)
+    {
+        const limit_record record{{upstream_id("a"), upstream_birth()},
+                                  limit,
+                                  absl::FromUnixMillis(named_at_ms)};
+        on_loop(
+            [&] {
+                m_state.quota.shared().merge_limit(record,
+                                                   gateway_state::now());
+            });
+    }
+
     scripted_server m_sound;
 };
 
@@ -146,5 +169,89 @@
     EXPECT_LE(limited.most_within(window), most_allowed(2));
 }
 
+TEST_F(server_limit, the_limit_is_used)
+{
+    const limited_server limited("200");
+    add_server("a", limited.server());
+    while (limited.arrived() < 20)
+    {
+        earn();
+        ask("/unsafe/x");
+    }
+    SUCCEED();
+}
+
+TEST_F(server_limit, repeats_and_resumes_count)
+{
+    const limited_server limited("1");
+    const scripted_server failing(
+        [](test_connection& connection)
+        {
+            const auto request = connection.read_message();
+            connection.send(stream_head(id_of(request)) + event_chunk(1, "x"));
+            connection.close();
+        });
+    add_server("a", limited.server());
+    ask("/unsafe/x");
+    add_server("b", failing);
+    for (int index = 0; index < 50; ++index)
+    {
+        const auto client = connect();
+        client->send(request_for("/stream/x"));
+        client->read_all();
+        ask("/safe/x");
+    }
+    EXPECT_LE(limited.most_within(window), most_allowed(1));
+}
+
+TEST_F(server_limit, a_request_that_no_server_has_room_for_is_rejected_at_once)
+{
+    const limited_server limited("0.5");
+    add_server("a", limited.server());
+    ask("/unsafe/x");
+    const auto answer = ask("/unsafe/x");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    const auto at = answer.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos) << answer;
+    EXPECT_GT(std::stod(answer.substr(at + 13)), 1.0)
+        << "the server takes one each two seconds";
+}
+
+TEST_F(server_limit, what_a_peer_says_holds_before_an_own_answer)
+{
+    const limited_server limited("");
+    add_server("a", limited.server());
+    tell(3.0, 1000);
+    EXPECT_TRUE(ask("/unsafe/x").starts_with("HTTP/1.1 503 "));
+    EXPECT_EQ(limited.arrived(), 0U);
+    tell(std::nullopt, 2000);
+    on_loop([&] { m_state.choice.forget(upstream_id("a")); });
+    EXPECT_TRUE(ask("/unsafe/x").ends_with("limited"));
+}
+
+TEST_F(server_limit, a_limit_that_cannot_be_read_changes_nothing)
+{
+    const limited_server limited("-1");
+    add_server("a", limited.server());
+    ask_often("/unsafe/x", 30);
+    EXPECT_EQ(limited.arrived(), 30U);
+}
+
+TEST_F(server_limit, a_server_that_no_longer_names_a_limit_has_none)
+{
+    limited_server limited("50");
+    add_server("a", limited.server());
+    ask("/unsafe/x");
+    limited.set_limit("");
+    while (limited.arrived() < 2)
+    {
+        earn();
+        ask("/unsafe/x");
+    }
+    const auto before = limited.arrived();
+    ask_often("/unsafe/x", 30);
+    EXPECT_EQ(limited.arrived(), before + 30);
+}
+
 } // namespace
 } // namespace daleshelf
