--- /dev/null
+++ b/tests/upstream_limits/limit_table_test.cpp
@@ -0,0 +1,164 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <upstream_limits/limit_message.hpp>
+#include <upstream_limits/limit_pacing.hpp>
+#include <upstream_limits/limit_table.hpp>
+#include <upstream_limits/return_schedule.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+const upstream_id server("a");
+const upstream_life first{server, upstream_birth(1)};
+const upstream_life second{server, upstream_birth(2)};
+
+absl::Time at(double seconds)
+{
+    return absl::UnixEpoch() + absl::Hours(1) + absl::Seconds(seconds);
+}
+
+TEST(limit_table, an_answer_names_a_limit_and_a_later_one_ends_it)
+{
+    limit_table table;
+    EXPECT_FALSE(
+        table.record_answer({first, std::nullopt, at(0)}, at(0), at(0)))
+        << "there was none";
+    EXPECT_TRUE(table.record_answer({first, 2.5, at(0)}, at(1), at(1)));
+    EXPECT_EQ(table.limit_of(server), 2.5);
+    EXPECT_FALSE(table.record_answer({first, 2.5, at(1)}, at(2), at(2)));
+    EXPECT_TRUE(
+        table.record_answer({first, std::nullopt, at(2)}, at(3), at(3)));
+    EXPECT_FALSE(table.limit_of(server));
+}
+
+TEST(limit_table, an_answer_that_may_be_older_does_not_end_a_limit)
+{
+    limit_table table;
+    table.record_answer({first, 1.0, at(0)}, at(1), at(1));
+    EXPECT_FALSE(
+        table.record_answer({first, std::nullopt, at(0.9)}, at(2), at(2)));
+    EXPECT_EQ(table.limit_of(server), 1.0);
+}
+
+TEST(limit_table, a_new_incarnation_begins_without_a_limit)
+{
+    limit_table table;
+    table.record_answer({first, 1.0, at(0)}, at(1), at(1));
+    EXPECT_TRUE(
+        table.record_answer({second, std::nullopt, at(0.5)}, at(2), at(2)));
+    EXPECT_FALSE(table.limit_of(server));
+    EXPECT_FALSE(table.record_answer({first, 1.0, at(3)}, at(4), at(4)))
+        << "an answer of the earlier one";
+    EXPECT_FALSE(table.merge({first, 7.0, at(9)}, at(9)));
+}
+
+TEST(limit_table, an_update_is_passed_on_once)
+{
+    limit_table table;
+    const limit_record told{first, 3.0, at(1)};
+    EXPECT_TRUE(table.merge(told, at(2)));
+    EXPECT_EQ(table.take_updates(8).size(), 1U);
+    EXPECT_FALSE(table.merge(told, at(3)));
+    EXPECT_FALSE(table.has_updates());
+}
+
+TEST(limit_table, what_is_gone_is_evicted_and_what_is_listed_stays)
+{
+    limit_table table;
+    table.record_answer({first, 1.0, at(0)}, at(1), at(1));
+    const auto is_gone = [](const upstream_life&) { return true; };
+    EXPECT_TRUE(table.evict(is_gone, at(10)).empty()) << "it may be listed yet";
+    EXPECT_TRUE(
+        table.evict([](const upstream_life&) { return false; }, at(1000))
+            .empty());
+    EXPECT_EQ(table.evict(is_gone, at(1000)), std::vector{server});
+    EXPECT_EQ(table.limited(), 0U);
+}
+
+TEST(limit_table, repetitions_take_turns)
+{
+    limit_table table;
+    for (const auto* name : {"a", "b", "c"})
+    {
+        table.merge({{upstream_id(name), upstream_birth(1)}, 1.0, at(1)},
+                    at(1));
+    }
+    EXPECT_EQ(table.next_in_turn(2).front().server.id, upstream_id("a"));
+    EXPECT_EQ(table.next_in_turn(2).front().server.id, upstream_id("c"));
+}
+
+limit_record any_record()
+{
+    limit_record record;
+    record.server = {server, upstream_birth(*rc::gen::inRange(0, 3))};
+    if (*rc::gen::arbitrary<bool>())
+    {
+        record.per_second = *rc::gen::inRange(0, 3);
+    }
+    record.named_at = at(*rc::gen::inRange(0, 4));
+    return record;
+}
+
+// Of known births: one that is not known is equal to each of the others.
+RC_GTEST_PROP(limit_table, records_merge_in_any_order_to_the_same, ())
+{
+    auto records = *rc::gen::container<std::vector<limit_record>>(
+        rc::gen::exec(any_record));
+    for (auto& record : records)
+    {
+        record.server.born = std::max(record.server.born, upstream_birth(1));
+    }
+    limit_table one;
+    for (const auto& record : records)
+    {
+        one.merge(record, at(9));
+    }
+    std::reverse(records.begin(), records.end());
+    limit_table other;
+    for (const auto& record : records)
+    {
+        other.merge(record, at(9));
+    }
+    RC_ASSERT(one.limit_of(server) == other.limit_of(server));
+}
+
+TEST(limit_message, keeps_what_it_says_and_leaves_out_what_cannot_be)
+{
+    const limit_record named{first, 0.5, at(1)};
+    const limit_record ended{second, std::nullopt, at(2)};
+    const limit_record absurd{first, -1.0, at(1)};
+    const auto read = decode_limits(encode_limits({named, ended, absurd}));
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->size(), 2U);
+    EXPECT_EQ(read->front().per_second, 0.5);
+    EXPECT_EQ(read->front().named_at, named.named_at);
+    EXPECT_EQ(read->back().server.born, second.born);
+    EXPECT_FALSE(read->back().per_second);
+    EXPECT_FALSE(decode_limits("no datagram"));
+}
+
+TEST(limit_pacing, hosts_of_a_large_fleet_ask_more_rarely)
+{
+    EXPECT_LT(pass_over_time(1, 2, 0.5), pass_over_time(1, 4, 0.5));
+    EXPECT_LE(pass_over_time(0.2, 1000, 1), absl::Seconds(3));
+    EXPECT_GE(pass_over_time(500, 1, 0), absl::Milliseconds(2));
+}
+
+TEST(return_schedule, returns_are_spread_and_bounded)
+{
+    return_schedule schedule;
+    EXPECT_EQ(schedule.reserve(2, at(0)), absl::Seconds(0.5));
+    EXPECT_EQ(schedule.reserve(2, at(0)), absl::Seconds(1));
+    EXPECT_EQ(schedule.reserve(2, at(1)), absl::Seconds(0.5));
+    for (int caller = 0; caller < 100; ++caller)
+    {
+        EXPECT_LE(schedule.reserve(0.01, at(1)), absl::Seconds(5));
+    }
+}
+
+} // namespace
+} // namespace daleshelf
