scaling: Order upstreams in place of what limited ones do not take

A limited upstream counted as a whole one when the need was worked out, so a service half of whose upstreams were in need was not extended.

--- a/libraries/scaling/capacity.cpp
+++ b/libraries/scaling/capacity.cpp
@@ -134,4 +134,16 @@
     return need;
 }
 
+int servers_lacking(const service_work& load, int needed,
+                    const std::vector<double>& limits)
+{
+    const auto usual = load.prompts / std::max(1, needed);
+    double lacking = 0;
+    for (const auto limit : limits)
+    {
+        lacking += usual > 0 ? std::max(0.0, 1 - limit / usual) : 0.0;
+    }
+    return static_cast<int>(std::lround(lacking));
+}
+
 } // namespace daleshelf
--- a/libraries/scaling/capacity.hpp
+++ b/libraries/scaling/capacity.hpp
@@ -39,4 +39,12 @@
                const std::vector<prompt_sample>& samples,
                const capacity_options& options);
 
+/// Works out how many servers the limited ones of a service lack against
+/// servers without a limit, which share the load evenly.
+/// @param load prompts a second
+/// @param needed servers without a limit that would carry it
+/// @param limits of the servers that name one, in requests a second
+[[nodiscard]] int servers_lacking(const service_work& load, int needed,
+                                  const std::vector<double>& limits);
+
 } // namespace daleshelf
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -335,12 +335,30 @@
     options.late_part = m_state.settings.late_part;
     options.most = service.scaling.most *
                    static_cast<int>(service.scaling.hall_prices.size());
-    return servers_needed(
-        known->second.meter.peak(),
-        model == models.end() ? engine_estimate{} : model->second.joint(),
+    const auto peak = known->second.meter.peak();
+    auto need = servers_needed(
+        peak, model == models.end() ? engine_estimate{} : model->second.joint(),
         load == m_state.loads.end() ? std::vector<prompt_sample>{}
                                     : load->second.samples.all(),
         options);
+    need.usual =
+        std::min(std::max(need.usual, options.most),
+                 need.usual + servers_lacking(peak, need.usual,
+                                              limits_of(service.name)));
+    return need;
+}
+
+std::vector<double> scale_service::limits_of(const service_name& service) const
+{
+    std::vector<double> limits;
+    for (const auto* server : m_state.servers.usable(service))
+    {
+        if (const auto limit = m_state.limits.limit_of(server->life()))
+        {
+            limits.push_back(*limit);
+        }
+    }
+    return limits;
 }
 
 // The shortest pause that any route of the service asks for.
--- a/services/gateway/scale_service.hpp
+++ b/services/gateway/scale_service.hpp
@@ -89,6 +89,8 @@
     [[nodiscard]] server_need need_of(const ingress_service& service) const;
     [[nodiscard]] server_need
     measured_need(const ingress_service& service) const;
+    [[nodiscard]] std::vector<double>
+    limits_of(const service_name& service) const;
     [[nodiscard]] double gap_objective_ms(const service_name& service) const;
     [[nodiscard]] bool may_order(const service_name& service) const;
     [[nodiscard]] bool is_demand_known(const service_name& service) const;
--- a/tests/scaling/scaling_test.cpp
+++ b/tests/scaling/scaling_test.cpp
@@ -432,5 +432,16 @@
     EXPECT_EQ(short_of.leave(5, 12), 12);
 }
 
+TEST(capacity, servers_that_are_limited_are_made_up_for)
+{
+    service_work load;
+    load.prompts = 20;
+    EXPECT_EQ(servers_lacking(load, 4, {}), 0);
+    EXPECT_EQ(servers_lacking(load, 4, {0.5}), 1);
+    EXPECT_EQ(servers_lacking(load, 4, {1, 2, 2}), 2);
+    EXPECT_EQ(servers_lacking(load, 4, {50}), 0) << "more than its part";
+    EXPECT_EQ(servers_lacking({}, 4, {0.5}), 0) << "nothing is asked for";
+}
+
 } // namespace
 } // namespace daleshelf
