gateway: Name the passed-over upstreams in the line of a rejection

A request that was rejected as servers_limited left nothing in its line that led to the limit behind it.

--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -185,13 +185,18 @@
     }
 }
 
-bool server_choice::passes_over_any(const service_name& service,
-                                    absl::Time now) const
+std::vector<upstream_id> server_choice::passed_over(const service_name& service,
+                                                    absl::Time now) const
 {
-    const auto servers = m_directory.usable(service);
-    return std::any_of(servers.begin(), servers.end(),
-                       [&](const auto* server)
-                       { return is_passed_over(server->id, now); });
+    std::vector<upstream_id> servers;
+    for (const auto* server : m_directory.usable(service))
+    {
+        if (is_passed_over(server->id, now))
+        {
+            servers.push_back(server->id);
+        }
+    }
+    return servers;
 }
 
 bool server_choice::is_passed_over(const upstream_id& server,
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -115,9 +115,9 @@
     /// limit.
     void pass_over(const upstream_life& server, absl::Time until);
 
-    /// @return whether some server of the service is passed over now
-    [[nodiscard]] bool passes_over_any(const service_name& service,
-                                       absl::Time now) const;
+    /// @return the servers of the service that are passed over now
+    [[nodiscard]] std::vector<upstream_id>
+    passed_over(const service_name& service, absl::Time now) const;
 
     /// @return when the first of a service's servers may be asked again, if
     /// all that may get new work want nothing now
--- a/services/gateway/request_choice.cpp
+++ b/services/gateway/request_choice.cpp
@@ -83,8 +83,13 @@
                                    retry_when_full, longest_retry));
         co_return;
     }
-    if (m_state.choice.passes_over_any(m_service->name, now))
+    const auto passed_over = m_state.choice.passed_over(m_service->name, now);
+    if (!passed_over.empty())
     {
+        for (const auto& server : passed_over)
+        {
+            m_passed_over.add(server.value());
+        }
         const auto wait = m_state.limits.reserve_return(m_service->name);
         co_await refuse(http_status::unavailable, "servers_limited",
                         std::clamp(absl::ToChronoMilliseconds(wait),
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -386,16 +386,21 @@
                          std::optional<milliseconds> retry_after)
 {
     count_end(reason);
-    log(event,
-        {{"id", m_facts.id.value()},
-         {"status", std::to_string(status)},
-         {"reason", std::string(reason)},
-         {"route", m_route == nullptr ? "" : m_route->name},
-         {"tenant", m_tenant == nullptr ? "" : m_tenant->name.value()},
-         {"attempts", std::to_string(m_attempts)},
-         {"quota", m_quota_verdict},
-         {"configuration",
-          std::to_string(m_routes ? m_routes->configuration().version : 0)}});
+    std::vector<log_field> fields{
+        {"id", m_facts.id.value()},
+        {"status", std::to_string(status)},
+        {"reason", std::string(reason)},
+        {"route", m_route == nullptr ? "" : m_route->name},
+        {"tenant", m_tenant == nullptr ? "" : m_tenant->name.value()},
+        {"attempts", std::to_string(m_attempts)},
+        {"quota", m_quota_verdict},
+        {"configuration",
+         std::to_string(m_routes ? m_routes->configuration().version : 0)}};
+    if (!m_passed_over.is_empty())
+    {
+        fields.emplace_back("passed_over", m_passed_over.names());
+    }
+    log(event, fields);
     std::string extra;
     platform::write_refusal_fields(extra, m_facts.id.value(), retry_after);
     co_await m_answer.send_own(status, extra);
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -13,6 +13,7 @@
 #include <poison/poison_record.hpp>
 #include <string>
 #include <telemetry/log_event.hpp>
+#include <telemetry/name_batch.hpp>
 
 namespace daleshelf
 {
@@ -67,6 +68,7 @@
     // When a client may come back that was refused.
     static constexpr milliseconds retry_when_full{250};
     static constexpr milliseconds longest_retry{5000};
+    static constexpr std::size_t most_named = 4;
 
     awaitable<bool> admit();
     awaitable<void> try_servers();
@@ -145,6 +147,8 @@
     answer_seen m_seen;             ///< of the last attempt
     int m_failed_connects = 0;
     absl::flat_hash_set<upstream_id> m_tried;
+    /// Servers without room within their limits, for the log.
+    name_batch m_passed_over{most_named};
     absl::flat_hash_set<hall_id> m_broken_halls;
     std::optional<std::int64_t> m_last_event;
     std::optional<std::int64_t> m_weights;
--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -70,6 +70,19 @@
     EXPECT_TRUE(story.cause.ends_with("(server a born 1764720000123: broken)"));
 }
 
+TEST(explain, leads_from_a_rejected_request_to_the_limit_that_rejected_it)
+{
+    const auto story = explain_request(
+        "r",
+        read(
+            R"({"time":"1","name":"upstream_limit_changed","server":"a","limit":"1","origin":"peer"}
+{"time":"2","name":"upstream_limit_reached","count":"1","servers":"a"}
+{"time":"3","name":"request_refused","id":"r","reason":"servers_limited","passed_over":"a b"})"));
+    ASSERT_EQ(story.events.size(), 2);
+    EXPECT_EQ(story.events[0].name, "upstream_limit_changed");
+    EXPECT_TRUE(story.cause.ends_with("within the limit that it has named"));
+}
+
 TEST(explain, tells_requests_apart)
 {
     EXPECT_EQ(explain_request("q", read(example)).cause,
--- a/utilities/daleshelf/explain.cpp
+++ b/utilities/daleshelf/explain.cpp
@@ -57,6 +57,8 @@
         {"servers_rest",
          "refused: every server that may get new work had turned requests away "
          "and asked for rest"},
+        {"servers_limited",
+         "refused: no server had room within the limit that it has named"},
         {"no_server_reached", "refused: no server could be reached"},
         {"may_have_run",
          "failed: a server broke off after it may have run, and it may not "
@@ -196,8 +198,10 @@
         story.events.push_back(event);
         source = event.source;
         end = std::max(end, event.time);
-        const auto server = text_of(event.fields, "server");
-        if (!server.empty())
+        std::istringstream concerned(text_of(event.fields, "server") + " " +
+                                     text_of(event.fields, "passed_over"));
+        std::string server;
+        while (concerned >> server)
         {
             servers.emplace(event.source, server);
         }
