--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from http_wire import Message
+from limits import Limits
 from promises import Attempt, Disturbances, Promises
 from rebirths import Rebirths
 from rollouts import Rollouts
@@ -44,6 +45,39 @@
         self.run_at("server-2")
         self.assertEqual(self.names(), ["TWICE"])
 
+    def arrive_at_limit(self, count):
+        limits = Limits(self.promises, self.disturbances)
+        limits.names("server-1", 1.0, 10.0)
+        limits.arrived("server-1", "gateway-1", 10.1)
+        for number in range(count):
+            limits.arrived("server-1", "gateway-1", 14.0 + number / 100)
+        return limits
+
+    def test_a_server_within_its_limit(self):
+        self.arrive_at_limit(11)
+        self.assertEqual(self.names(), [])
+
+    def test_a_server_gets_more_than_its_limit(self):
+        self.arrive_at_limit(12)
+        self.assertEqual(self.names(), ["LIMIT"])
+
+    def test_a_server_gets_far_more_than_its_limit(self):
+        self.arrive_at_limit(40)
+        self.assertIn("LIMIT", [name for name, _ in self.promises.broken])
+
+    def test_a_limit_that_has_ended_allows_all(self):
+        limits = self.arrive_at_limit(5)
+        limits.names("server-1", None, 14.1)
+        for number in range(40):
+            limits.arrived("server-1", "gateway-1", 14.2 + number / 100)
+        self.assertEqual(self.names(), [])
+
+    def test_a_gateway_that_has_not_been_told_may_send(self):
+        limits = self.arrive_at_limit(5)
+        for number in range(40):
+            limits.arrived("server-1", "gateway-2", 14.1 + number / 100)
+        self.assertEqual(self.names(), [])
+
     def test_a_server_that_rests_gets_no_more_than_two(self):
         self.send("safe")
         self.promises.turned_away("a", "server-1", 3.0, 10.0)
--- a/tests/soak/run_ci.sh
+++ b/tests/soak/run_ci.sh
@@ -14,6 +14,8 @@
     --rebirths
 /usr/bin/python3 "$here/soak.py" --program "$program" --seed 4 --seconds 16 \
     --suspensions "$clock"
+/usr/bin/python3 "$here/soak.py" --program "$program" --seed 5 --seconds 16 \
+    --limits
 while IFS= read -r line; do
     arguments="${line%%:*}"
     if [ -z "$arguments" ] || [ "${line:0:1}" = "#" ]; then
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -3,12 +3,13 @@
 A process of its own. It lists itself in the store, does the work that requests
 ask for and tells every run on standard output before it begins, a JSON line
 each. SIGTERM is a planned end: it states that it drains, serves on, and leaves.
-SIGUSR1 lets it write its entry anew.
+SIGUSR1 lets it write its entry anew, SIGUSR2 name its next limit.
 """
 
 import argparse
 import asyncio
 import hashlib
+import itertools
 import json
 import random
 import signal
@@ -22,6 +23,7 @@
 EVENT_PAUSE = 0.03
 DRAIN_TIME = 2.6
 REST = 1.2  # seconds, that a server asks for as it turns a request away
+NAMED_LIMITS = (2.0, 0.0, 10.0, 0.5, None)  # requests a second, in turn
 
 
 def plain_body(attempt, tenant):
@@ -52,6 +54,8 @@
         self.is_draining = False
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.limit = None
+        self.limits = itertools.cycle(NAMED_LIMITS)
 
     async def publish(self, value):
         key = self.options.id.encode()
@@ -85,14 +89,22 @@
             await asyncio.sleep(0.05)
         sys.exit(0)
 
-    def leaving_fields(self):
-        return {"Server-Leaving": "1"} if self.is_draining else {}
+    def change_limit(self):
+        self.limit = next(self.limits)
+        tell({"limit": self.limit, "server": self.options.id})
+
+    def own_fields(self):
+        """Returns what each answer says of this server."""
+        fields = {"Server-Leaving": "1"} if self.is_draining else {}
+        if self.limit is not None:
+            fields["Server-Limit"] = str(self.limit)
+        return fields
 
     async def serve(self, request, reader, writer):
         """Serves one request; returns whether the connection goes on."""
         fields = request.fields
         attempt = fields.get("x-attempt-id", "")
-        own = {"X-Attempt-Id": attempt, **self.leaving_fields()}
+        own = {"X-Attempt-Id": attempt, **self.own_fields()}
         if request.target == "/health":
             writer.write(http_wire.write_message(
                 "HTTP/1.1 200 OK", {"X-Instance-Id": self.options.id}))
@@ -109,6 +121,7 @@
                                       "Retry-After": str(REST)}))
             return True
         if self.active >= SLOTS:
+            tell({"full": attempt, "server": self.options.id})
             writer.write(http_wire.write_message(
                 "HTTP/1.1 503 Full", {**own, "X-Not-Executed": "1"}))
             return True
@@ -127,7 +140,7 @@
               "leaving": self.is_draining})
         head = {"X-Attempt-Id": attempt,
                 "X-Server-Seal": f"{self.options.id}.{attempt}",
-                "X-Weight-Versions": "1", **self.leaving_fields()}
+                "X-Weight-Versions": "1", **self.own_fields()}
         if self.is_draining:
             head["Connection"] = "close"
         if "x-token-count" in fields:
@@ -210,6 +223,8 @@
         signal.SIGTERM, lambda: asyncio.ensure_future(server.drain()))
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGUSR1, lambda: asyncio.ensure_future(server.publish_again()))
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGUSR2, server.change_limit)
     await server.publish_state("ready")
     tell({"ready": options.id})
     async with listener:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 import http_wire
 from clients import Client
 from fleet import STOP_MS, ZONES, Fleet
+from limits import Limits, LimitSwitch
 from promises import Disturbances, Promises
 from rebirths import Rebirths
 from rollouts import Rollouts
@@ -51,6 +52,7 @@
         self.options = options
         self.disturbances = Disturbances()
         self.promises = Promises(self.disturbances)
+        self.limits = Limits(self.promises, self.disturbances)
         self.fleet = Fleet(options, folder, self.on_line)
         self.is_over = False
         self.version = 0
@@ -79,20 +81,34 @@
                               event["path"], event["after"], now)
             if event["leaving"]:
                 self.promises.told_leaving(event["run"], event["server"], now)
+            self.note_arrival(event["run"], event["server"], now)
         elif "turned_away" in event:
             self.count("turned away")
             self.promises.turned_away(event["turned_away"], event["server"],
                                       event["rest"], now)
+            self.note_arrival(event["turned_away"], event["server"], now)
+        elif "full" in event:
+            self.note_arrival(event["full"], event["server"], now)
+        elif "limit" in event:
+            self.limits.names(event["server"], event["limit"], now)
         elif "ready" in event:
             self.promises.begins(event["ready"])
+            self.limits.begins(event["ready"])
         elif "draining" in event:
             self.promises.draining[event["draining"]] = now
         elif "duty" in event:
             self.count("duty calls")
             self.promises.duty(event, now)
+        elif event.get("name") == "process_started":
+            self.limits.restarts(process.name)
         elif event.get("name") == "unexpected_error":
             self.promises.breach("ERROR", f"{process.name}: {event}")
 
+    def note_arrival(self, attempt_id, server, now):
+        attempt = self.promises.attempts.get(attempt_id)
+        if attempt is not None:
+            self.limits.arrived(server, attempt.gateway, now)
+
     def count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
 
@@ -112,6 +128,9 @@
         rebirths = Rebirths(self, self.options.seed)
         if self.options.rebirths:
             self.spawn(rebirths.run(begin_after=1.0))
+        if self.options.limits:
+            switch = LimitSwitch(self, self.options.seed)
+            self.spawn(switch.run(self.options.seconds))
         begin = self.now()
         for trouble in faults.plan(self.options.seed, self.options.seconds):
             await asyncio.sleep(max(0.0, begin + trouble.at - self.now()))
@@ -483,6 +502,9 @@
     parser.add_argument("--resting", type=float, default=0.0,
                         help="part of the requests that servers turn away, "
                         "with rest asked for")
+    parser.add_argument("--limits", action="store_true",
+                        help="let servers name and change limits of requests "
+                        "a second")
     parser.add_argument("--judge-time", action="store_true")
     parser.add_argument("--logs", help="folder that keeps the logs")
     options = parser.parse_args()
