upstream_limits: Play fixed shares and a single owner for comparison

The model's hosts can decide by a bucket of their own share or by asking one host of the fleet, beside the product's keepers.

--- a/benchmarks/limit_plays.cpp
+++ b/benchmarks/limit_plays.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <upstream_limits/limit_fleet.hpp>
 
 namespace
@@ -14,6 +15,7 @@
 using daleshelf::limit_outcome;
 using daleshelf::limit_plan;
 using daleshelf::limit_trouble;
+using daleshelf::limit_way;
 
 options::options_description describe_options()
 {
@@ -29,6 +31,8 @@
         "against the limit");
     add("trouble", options::value<std::string>()->default_value("none"),
         "at 8 s: none, kill, kill_all, freeze, hall_cut or loss");
+    add("way", options::value<std::string>()->default_value("keepers"),
+        "keepers (the product's), shares, owner or unlimited");
     add("first-seed", options::value<std::uint32_t>()->default_value(1),
         "of the first play");
     add("plays", options::value<std::uint32_t>()->default_value(20),
@@ -66,6 +70,21 @@
     throw options::error("no such trouble: " + name);
 }
 
+limit_way way_named(const std::string& name)
+{
+    static const std::map<std::string, limit_way> ways{
+        {"keepers", limit_way::keepers},
+        {"shares", limit_way::shares},
+        {"owner", limit_way::owner},
+        {"unlimited", limit_way::unlimited}};
+    const auto found = ways.find(name);
+    if (found == ways.end())
+    {
+        throw options::error("no such way: " + name);
+    }
+    return found->second;
+}
+
 double part_of(std::vector<double> values, double part)
 {
     std::sort(values.begin(), values.end());
@@ -124,6 +143,7 @@
         const auto plays = chosen["plays"].as<std::uint32_t>();
         const auto troubles =
             troubles_named(chosen["trouble"].as<std::string>());
+        const auto way = way_named(chosen["way"].as<std::string>());
         for (auto seed = first; seed < first + plays; ++seed)
         {
             auto plan = daleshelf::drawn_limit_plan(seed);
@@ -136,6 +156,7 @@
                 plan.demand = limit * chosen["demand"].as<double>();
             }
             plan.troubles = troubles;
+            plan.way = way;
             outcomes.push_back(daleshelf::play_limits(plan, seed));
         }
         print(outcomes);
--- a/tests/upstream_limits/limit_fleet.cpp
+++ b/tests/upstream_limits/limit_fleet.cpp
@@ -51,6 +51,28 @@
     quota_claim claim;
 };
 
+/// A token bucket that begins empty.
+class limit_bucket
+{
+public:
+    [[nodiscard]] bool take(double per_second, double most, absl::Time now)
+    {
+        const auto earned =
+            m_filled_at == absl::InfinitePast()
+                ? 0.0
+                : absl::ToDoubleSeconds(now - m_filled_at) * per_second;
+        m_tokens = std::min(most, m_tokens + earned);
+        m_filled_at = now;
+        const bool is_granted = m_tokens >= 1;
+        m_tokens -= is_granted ? 1 : 0;
+        return is_granted;
+    }
+
+private:
+    double m_tokens = 0;
+    absl::Time m_filled_at = absl::InfinitePast();
+};
+
 /// One host of the model.
 struct limit_host
 {
@@ -63,6 +85,7 @@
     std::unique_ptr<shared_quota> quota;
     absl::Time frozen_until = absl::InfinitePast();
     absl::Time passed_over_until = absl::InfinitePast();
+    limit_bucket bucket; ///< of the ways that the product does not take
     /// Since when it has passed on answers that name a limit.
     absl::Time told_at = absl::InfiniteFuture();
     std::size_t last_state = 0;
@@ -115,6 +138,8 @@
     void send_quota(std::size_t from, const addressed_quota_message& message);
     void receive_quota(std::size_t to, const quota_message& message);
     void next_request();
+    void request_at(std::size_t index);
+    void ask_owner(std::size_t index, double limit);
     void advance(std::size_t index,
                  const std::shared_ptr<waiting_claim>& waiting);
     void send_request(std::size_t index);
@@ -243,6 +268,7 @@
     host.passed_over_until = absl::InfinitePast();
     host.is_gossip_due = false;
     host.waiting.clear();
+    host.bucket = limit_bucket();
     on_host(index, absl::Milliseconds(random(5, 300)),
             [this, index, is_first](limit_host& published)
             {
@@ -391,23 +417,72 @@
 void limit_fleet::next_request()
 {
     const auto index = any_host();
+    const auto& host = m_hosts[index];
+    if (host.quota && m_now >= host.frozen_until &&
+        m_now >= host.passed_over_until)
+    {
+        request_at(index);
+    }
+    const auto pause =
+        std::exponential_distribution<double>(m_plan.demand)(m_random);
+    schedule(absl::Seconds(pause), [this] { next_request(); });
+}
+
+void limit_fleet::request_at(std::size_t index)
+{
     auto& host = m_hosts[index];
-    const bool is_running = host.quota && m_now >= host.frozen_until;
-    if (is_running && m_now >= host.passed_over_until)
+    const auto limit = host.quota->limits().limit_of(upstream.id);
+    if (!limit || m_plan.way == limit_way::unlimited)
     {
-        if (!host.quota->limits().limit_of(upstream.id) || m_plan.is_unlimited)
+        send_request(index);
+        return;
+    }
+    const auto hosts = static_cast<double>(host.quota->fleet_size());
+    switch (m_plan.way)
+    {
+    case limit_way::shares:
+        if (host.bucket.take(*limit / hosts, 1, m_now))
         {
             send_request(index);
         }
-        else
+        return;
+    case limit_way::owner:
+        ask_owner(index, *limit);
+        return;
+    case limit_way::keepers:
+    case limit_way::unlimited:
+        advance(index, std::make_shared<waiting_claim>(
+                           host.quota->open_claim(upstream.id, 1, m_now)));
+        return;
+    }
+}
+
+// Hosts are in the order of their hashes. One that runs and is in reach owns
+// the limit as far as the asker knows; that it takes time to notice that an
+// owner is gone is left out.
+void limit_fleet::ask_owner(std::size_t index, double limit)
+{
+    constexpr double most = 2;
+    for (std::size_t owner = 0; owner < m_hosts.size(); ++owner)
+    {
+        const auto& candidate = m_hosts[owner];
+        if (!candidate.quota || m_now < candidate.frozen_until ||
+            !is_passable(candidate.hall_number, m_hosts[index].hall_number))
         {
-            advance(index, std::make_shared<waiting_claim>(
-                               host.quota->open_claim(upstream.id, 1, m_now)));
+            continue;
         }
+        ++m_asks;
+        send(index, owner,
+             [this, index, owner, limit](limit_host& asked)
+             {
+                 if (asked.bucket.take(limit, most, m_now))
+                 {
+                     send(owner, index,
+                          [this, index](limit_host&) { send_request(index); });
+                 }
+             });
+        return;
     }
-    const auto pause =
-        std::exponential_distribution<double>(m_plan.demand)(m_random);
-    schedule(absl::Seconds(pause), [this] { next_request(); });
 }
 
 void limit_fleet::advance(std::size_t index,
--- a/tests/upstream_limits/limit_fleet.hpp
+++ b/tests/upstream_limits/limit_fleet.hpp
@@ -35,17 +35,25 @@
     double share = 0; ///< of the hosts
 };
 
+/// Who decides whether a request may go to the upstream.
+enum class limit_way
+{
+    keepers,   ///< the product's: keepers of the halls, by the fleet's time
+    shares,    ///< each host by itself, with its share of the limit
+    owner,     ///< one host of the fleet, the first by hash in reach
+    unlimited, ///< nobody: the fault that the check must see
+};
+
 /// What is played.
 struct limit_plan
 {
+    limit_way way = limit_way::keepers;
     int hosts = 8;
     int halls = 3;
     double demand = 10;  ///< requests a second that would go to the upstream
     double seconds = 20; ///< of demand
     std::vector<limit_step> steps{{2, 1.0}};
     std::vector<limit_trouble> troubles;
-    /// Each host sends what it wants: the fault that the check must see.
-    bool is_unlimited = false;
 };
 
 /// What a play has shown.
--- a/tests/upstream_limits/limit_fleet_test.cpp
+++ b/tests/upstream_limits/limit_fleet_test.cpp
@@ -17,7 +17,7 @@
 TEST(limit_fleet, hosts_that_ignore_a_limit_are_seen)
 {
     limit_plan plan;
-    plan.is_unlimited = true;
+    plan.way = limit_way::unlimited;
     EXPECT_GT(play_limits(plan, 1).most_over, 0);
 }
 
