--- a/tests/fuzz/make_corpus.cpp
+++ b/tests/fuzz/make_corpus.cpp
@@ -13,6 +13,7 @@
 #include <quotas/quota_message.hpp>
 #include <rollouts/rollout_message.hpp>
 #include <string>
+#include <upstream_limits/limit_message.hpp>
 #include <vector>
 
 namespace
@@ -109,6 +110,14 @@
     rollout_report report;
     report.service = service_name("s");
     inputs.add(5, encode(report));
+    const limit_record named{{upstream_id("i-1"), upstream_birth(9)},
+                             2.5,
+                             absl::FromUnixMillis(1000)};
+    ask.upstream = named.server.id;
+    ask.limit = named;
+    inputs.add(3, encode(ask));
+    constexpr int limits_reader = 7;
+    inputs.add(limits_reader, encode_limits({named}));
 }
 
 // The second byte says where the input is cut.
--- a/tests/fuzz/peers_fuzz.cpp
+++ b/tests/fuzz/peers_fuzz.cpp
@@ -12,6 +12,8 @@
 #include <poison/poison_watch.hpp>
 #include <quotas/quota_message.hpp>
 #include <rollouts/rollout_message.hpp>
+#include <upstream_limits/limit_message.hpp>
+#include <upstream_limits/limit_table.hpp>
 
 namespace daleshelf::fuzz
 {
@@ -57,13 +59,38 @@
     }
 }
 
+// Whatever comes, the table takes it and can repeat it.
+void read_limits_again(std::string_view bytes)
+{
+    const auto records = decode_limits(bytes);
+    if (!records)
+    {
+        return;
+    }
+    const auto written = encode_limits(*records);
+    const auto again = decode_limits(written);
+    require(again.has_value(), "what was written can be read");
+    require(encode_limits(*again) == written,
+            "what was read twice is the same");
+    const auto now = absl::UnixEpoch() + absl::Hours(1000);
+    limit_table table;
+    for (const auto& record : *records)
+    {
+        table.merge(record, now);
+        table.record_answer({record.server, 1.0, now}, now, now);
+    }
+    require(table.limited() <= records->size(), "each upstream counts once");
+    (void)table.next_in_turn(4);
+}
+
 constexpr std::array readers{&read_again<decode_machine_state>,
                              &read_again<decode_shared_records>,
                              &read_again<decode_window_counts>,
                              &read_again<decode_quota_message>,
                              &read_again<decode_rollout_word>,
                              &read_again<decode_rollout_report>,
-                             &read_poison_again};
+                             &read_poison_again,
+                             &read_limits_again};
 
 } // namespace
 } // namespace daleshelf::fuzz
