--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -320,36 +320,12 @@
         });
 }
 
-absl::Duration poison_watch::wait_of(const poison_record& record) const
-{
-    auto wait = m_options.first_trial;
-    for (std::int64_t trial = 0;
-         trial < record.trial.number && wait < m_options.longest_trial; ++trial)
-    {
-        wait *= 2;
-    }
-    return std::min(wait, m_options.longest_trial);
-}
-
 absl::Duration poison_watch::time_to_trial(const request_print& print,
                                            absl::Time now) const
 {
-    const auto found = m_records.find(print);
-    if (found == m_records.end())
-    {
-        return absl::ZeroDuration();
-    }
-    const auto& record = found->second;
-    const auto since = std::max(record.last_end(), record.trial.claimed_at);
-    return std::max(absl::ZeroDuration(), since + wait_of(record) - now);
-}
-
-bool poison_watch::is_trial_open(const poison_record& record,
-                                 absl::Time now) const
-{
-    return record.trial.number > 0 &&
-           record.last_end() < record.trial.claimed_at &&
-           now - record.trial.claimed_at < m_options.trial_time;
+    const auto* record = find(print);
+    return record == nullptr ? absl::ZeroDuration()
+                             : m_probation.time_to_trial(*record, now);
 }
 
 bool poison_watch::may_try(const request_print& print, const host_id& self,
@@ -361,22 +337,13 @@
         return true;
     }
     auto& record = found->second;
-    if (is_trial_open(record, now))
+    if (m_probation.is_trial_open(record, now))
     {
-        const auto since = now - record.trial.claimed_at;
-        const bool is_own = record.trial.host == self &&
-                            since >= m_options.claim_time &&
-                            m_used_trial != record.trial.number;
-        if (is_own)
-        {
-            m_used_trial = record.trial.number;
-        }
-        return is_own;
+        return m_probation.use_claim(record, self, now);
     }
-    if (time_to_trial(print, now) <= absl::ZeroDuration())
+    if (m_probation.time_to_trial(record, now) <= absl::ZeroDuration())
     {
-        record.trial = {record.trial.number + 1, self, now};
-        m_used_trial.reset();
+        m_probation.claim(record, self, now);
         tell(record, now);
     }
     return false;
--- a/libraries/poison/poison_watch.hpp
+++ b/libraries/poison/poison_watch.hpp
@@ -5,12 +5,12 @@
 #include "answered_shapes.hpp"
 #include "poison_evidence.hpp"
 #include "poison_options.hpp"
+#include "poison_probation.hpp"
 #include "poison_record.hpp"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <deque>
-#include <optional>
 #include <vector>
 
 namespace daleshelf
@@ -32,6 +32,7 @@
     explicit poison_watch(const poison_options& options)
         : m_options(options)
         , m_evidence(options)
+        , m_probation(options)
         , m_answered(options.most_answered)
     {
     }
@@ -136,9 +137,6 @@
     [[nodiscard]] bool is_told_from_others(const poison_record& record,
                                            const blame& found) const;
     [[nodiscard]] bool has_rival(const poison_record& record) const;
-    [[nodiscard]] absl::Duration wait_of(const poison_record& record) const;
-    [[nodiscard]] bool is_trial_open(const poison_record& record,
-                                     absl::Time now) const;
 
     poison_options m_options;
     poison_evidence m_evidence;
@@ -146,7 +144,7 @@
     absl::flat_hash_map<request_shape, std::size_t> m_shapes; ///< records of it
     std::deque<request_print> m_news;
     absl::Time m_forgotten_at = absl::InfinitePast();
-    std::optional<std::int64_t> m_used_trial;
+    poison_probation m_probation;
     answered_shapes m_answered;
 };
 
