--- /dev/null
+++ b/services/gateway/gateway_records.cpp
@@ -0,0 +1,200 @@
+// What a gateway makes of the records of the store that it follows.
+#include "gateway.hpp"
+
+#include <base/json.hpp>
+#include <base/text.hpp>
+#include <platform/configuration_format.hpp>
+#include <platform/rollout_format.hpp>
+#include <telemetry/log.hpp>
+
+namespace daleshelf
+{
+
+void gateway::take_operator_record(const platform::keyed_record& record)
+{
+    if (const auto service = platform::rollout_service(record.key))
+    {
+        take_rollout(*service, record);
+    }
+    else if (record.key == platform::configuration_key && record.value)
+    {
+        take_configuration(record);
+    }
+}
+
+// What a whole list lacks has been taken back.
+void gateway::take_operator_list(
+    const std::map<std::string, platform::keyed_record>& records)
+{
+    for (const auto& service : m_state.servers.versions().ordered_services())
+    {
+        if (!records.contains(platform::rollout_key(service)))
+        {
+            m_state.servers.versions().drop_order(service);
+        }
+    }
+}
+
+void gateway::take_rollout(const service_name& service,
+                           const platform::keyed_record& record)
+{
+    auto& versions = m_state.servers.versions();
+    if (!record.value)
+    {
+        versions.drop_order(service);
+        return;
+    }
+    try
+    {
+        const auto order = platform::read_rollout(*record.value, record.offset);
+        if (versions.set_order(order))
+        {
+            log(events::rollout_ordered,
+                {{"service", order.service.value()},
+                 {"target", order.target.value()},
+                 {"duration_ms",
+                  std::to_string(absl::ToInt64Milliseconds(order.duration))},
+                 {"offset", std::to_string(record.offset.value())}});
+        }
+    }
+    catch (const json_error& error)
+    {
+        m_state.skipped.note(platform::operator_topic, record.key,
+                             record.offset, error.what());
+    }
+}
+
+void gateway::take_configuration(const platform::keyed_record& record)
+{
+    const auto known =
+        m_state.routes ? m_state.routes->configuration().version : -1;
+    try
+    {
+        auto configuration = platform::read_configuration(*record.value);
+        if (configuration.version <= known)
+        {
+            return;
+        }
+        const auto version = configuration.version;
+        m_state.quota.shared().set_limits(configuration.tenants);
+        m_state.routes =
+            std::make_shared<const route_table>(std::move(configuration));
+        log(events::configuration_applied,
+            {{"version", std::to_string(version)},
+             {"before", std::to_string(known)},
+             {"offset", std::to_string(record.offset.value())},
+             {"origin", std::string(name_of(m_configuration.newest_origin()))},
+             {"role", std::string(name_of(m_state.role))},
+             {"asked_ms_ago",
+              std::to_string(m_configuration.asked_age().count())}});
+    }
+    catch (const json_error& error)
+    {
+        m_state.skipped.note(platform::operator_topic, record.key,
+                             record.offset, error.what());
+    }
+}
+
+void gateway::take_server_record(const platform::keyed_record& record)
+{
+    const upstream_id id(record.key);
+    if (!record.value)
+    {
+        const auto* listed = m_state.servers.find(id);
+        if (listed != nullptr && !listed->is_draining)
+        {
+            // Gone without a word: it may serve on, or have ended.
+            m_state.ends.ask_soon(*listed, end_sign::listed);
+        }
+        if (m_state.servers.remove(id))
+        {
+            m_state.pool.drop(id);
+            note_change(record, "gone");
+        }
+        return;
+    }
+    try
+    {
+        take_server(platform::read_server(record.key, *record.value), record);
+    }
+    catch (const json_error& error)
+    {
+        // Another writer's: whatever the server had said is not to be trusted
+        // until it says so again.
+        if (m_state.servers.withhold(id))
+        {
+            note_change(record, "withheld");
+        }
+        m_state.skipped.note(platform::server_topic, record.key, record.offset,
+                             error.what());
+    }
+}
+
+void gateway::take_server(const server_entry& entry,
+                          const platform::keyed_record& record)
+{
+    m_state.servers.versions().note_server(entry.service, entry.version,
+                                           !m_state.has_servers,
+                                           gateway_state::now());
+    const auto* before = m_state.servers.find(entry.id);
+    const bool was_to_stay = before != nullptr && !before->is_draining;
+    const auto born_before = was_to_stay ? before->born : entry.born;
+    const auto change = m_state.servers.set(entry);
+    if (change == entry_change::none)
+    {
+        return;
+    }
+    if (change == entry_change::new_life)
+    {
+        m_state.choice.forget(entry.id);
+        m_state.pool.drop(entry.id);
+        if (was_to_stay)
+        {
+            m_state.ends.note_over({entry.id, born_before}, end_sign::listed);
+        }
+    }
+    const std::string_view state = entry.is_draining ? "draining" : "ready";
+    const std::string_view again =
+        change == entry_change::new_life ? "restarted," : "";
+    note_change(record, concat(again, state, "@", entry.hall.value()));
+}
+
+void gateway::note_change(const platform::keyed_record& record,
+                          std::string_view state)
+{
+    m_server_changes.add(concat(record.key, "=", state));
+    m_newest_change = record.offset;
+}
+
+// One line for all changes of half a second.
+void gateway::log_server_changes()
+{
+    if (m_server_changes.is_empty())
+    {
+        return;
+    }
+    log(events::servers_changed,
+        {{"count", std::to_string(m_server_changes.count())},
+         {"servers", m_server_changes.names()},
+         {"offset", std::to_string(m_newest_change.value())},
+         {"origin", std::string(name_of(m_servers.newest_origin()))},
+         {"role", std::string(name_of(m_state.role))}});
+    m_server_changes.clear();
+}
+
+void gateway::take_server_list(
+    const std::map<std::string, platform::keyed_record>& records)
+{
+    absl::flat_hash_set<upstream_id> listed;
+    for (const auto& [key, record] : records)
+    {
+        listed.emplace(key);
+    }
+    for (const auto& id : m_state.servers.keep_only(listed))
+    {
+        m_state.pool.drop(id);
+    }
+    m_state.has_servers = true;
+}
+
+} // namespace daleshelf
