gateway: Log a limit only when its value has changed

Hosts that each had an answer of their own before the first gossip named the same limit anew, and every host logged `limit=2.0 before=2.0` for each. The record is still passed on, since its time orders it against an end of the limit; the line, and the reset of what was passed over, wait for a change.

--- a/services/gateway/upstream_limiter.cpp
+++ b/services/gateway/upstream_limiter.cpp
@@ -130,6 +130,10 @@
 void apply_limit_change(gateway_state& state, const limit_update& update)
 {
     const auto& record = update.record;
+    if (record.per_second == update.before)
+    {
+        return;
+    }
     const bool is_own = update.origin == limit_origin::answer;
     const auto age = state.time_of_day() - record.named_at;
     log(events::upstream_limit_changed,
