--- a/libraries/quotas/quota_pool.cpp
+++ b/libraries/quotas/quota_pool.cpp
@@ -27,8 +27,8 @@
 // This part of what a pool may hold is overdrawn instead, so that large
 // requests of a workspace at its limit find as much as small ones.
 constexpr double overdraft_part = 0.3;
-// Requests a second that an upstream gets at the least: one in five seconds
-// stays within what is borne of a limit of 0.
+// Least rate for an upstream, in requests a second: one in five seconds stays
+// within the slack of a limit of 0.
 constexpr double least_upstream_rate = 0.2;
 
 } // namespace
--- a/libraries/quotas/quota_pool.hpp
+++ b/libraries/quotas/quota_pool.hpp
@@ -47,8 +47,8 @@
 
     /// Sets the requests a second that an upstream takes from the whole fleet.
     /// Of an upstream that was not limited nothing is granted at first.
-    /// @param per_second below the least rate it counts as that: a limit that
-    /// nothing is sent under could not be seen to end
+    /// @param per_second raised to a least rate: without any request nobody
+    /// would see the limit end
     void limit_upstream(const upstream_id& upstream, double per_second);
 
     /// Ends the limit of an upstream.
@@ -68,9 +68,9 @@
     /// in it, one that is late for nothing, then or later.
     void deposit(const deposit_report& report, absl::Time now);
 
-    /// Grants a workspace as much of what is wanted as there is, and an
-    /// upstream all of it, or all that the pool can hold, or nothing: parts of
-    /// a request in many hands would be of no use to any.
+    /// Grants a workspace as much of what is wanted as there is. Grants an
+    /// upstream all of it, or all that the pool can hold, or nothing: fractions
+    /// of a request that several hosts hold cannot be used.
     /// @param wanted in the subject's unit
     /// @return what is granted of it
     [[nodiscard]] double take(const quota_subject& subject, double wanted,
--- a/libraries/quotas/shared_quota.cpp
+++ b/libraries/quotas/shared_quota.cpp
@@ -15,7 +15,7 @@
 constexpr absl::Duration echo_time = absl::Seconds(1);
 // The keeper counts it within this time of that message.
 constexpr absl::Duration recent_time = absl::Milliseconds(1200);
-// How long a keeper that had too little is not asked again for that workspace.
+// How long a keeper that had too little is not asked again for that subject.
 constexpr absl::Duration short_time = absl::Milliseconds(200);
 // How long the fleet's size counts as a peer has told it, against the time in
 // which its state goes to all: one state may be lost.
@@ -266,7 +266,7 @@
     return std::nullopt;
 }
 
-// An upstream whose limit has ended gets whatever is asked for.
+// Grants all that is asked of an upstream whose limit has ended.
 double shared_quota::granted_for(const quota_message& ask, absl::Time now)
 {
     const auto subject = ask.subject();
--- a/libraries/upstream_limits/limit_message.hpp
+++ b/libraries/upstream_limits/limit_message.hpp
@@ -15,8 +15,8 @@
 [[nodiscard]] std::string
 encode_limits(const std::vector<limit_record>& records);
 
-/// @return the records, or nothing if the bytes are no such datagram; records
-/// that cannot be are left out
+/// @return the records, or nothing if the bytes are no such datagram; invalid
+/// records are left out
 [[nodiscard]] std::optional<std::vector<limit_record>>
 decode_limits(std::string_view bytes);
 
--- a/libraries/upstream_limits/limit_pacing.hpp
+++ b/libraries/upstream_limits/limit_pacing.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// How often hosts ask for a request within an upstream's limit.
+/// How often hosts ask keepers for a request within an upstream's limit.
 #pragma once
 
 #include <absl/time/time.h>
@@ -10,9 +10,9 @@
 namespace daleshelf
 {
 
-/// Together the hosts of a fleet ask several times for each request that the
-/// upstream takes: its limit is used up, and one that is small beside the
-/// fleet does not fill its keepers' sockets.
+/// Paces the hosts of a fleet so that together they ask a few times for each
+/// request that the upstream takes: enough to use its limit up, without
+/// flooding the keepers when the limit is small beside the fleet.
 /// @param per_second the upstream's limit
 /// @param hosts of the fleet
 /// @param random from 0 to 1, so that hosts do not ask at the same time
--- a/libraries/upstream_limits/limit_table.cpp
+++ b/libraries/upstream_limits/limit_table.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-// A lost update reaches its last host by repetition within this time.
+// Within this time repetition makes up for lost updates.
 constexpr absl::Duration tombstone_time = absl::Seconds(60);
 // Bounds what a faulty peer can fill; the fleet has fewer upstreams.
 constexpr std::size_t most_entries = 8192;
--- a/libraries/upstream_limits/return_schedule.hpp
+++ b/libraries/upstream_limits/return_schedule.hpp
@@ -10,9 +10,8 @@
 {
 
 /// Spreads the returns of rejected requests at the rate at which this host may
-/// expect to send them: callers that were all told the same time would come
-/// back at once, and all but one in vain. Beyond the longest time there is no
-/// order any more.
+/// expect to send them: callers with one common time would come back together,
+/// and most would be rejected again. Times are capped.
 class return_schedule
 {
 public:
