upstream_limits: Mend what the linter found, and bound a repetition by a test

AbslHashValue's exemption had moved to another line; a using declaration was unused. A repetition of 12 records, each two seconds, is tested to stay under 300 bytes a second with its headers.

--- a/benchmarks/limit_plays.cpp
+++ b/benchmarks/limit_plays.cpp
@@ -13,7 +13,6 @@
 
 namespace options = boost::program_options;
 using daleshelf::limit_outcome;
-using daleshelf::limit_plan;
 using daleshelf::limit_trouble;
 using daleshelf::limit_way;
 
@@ -102,6 +101,7 @@
     const auto column = [&](double limit_outcome::*member)
     {
         std::vector<double> values;
+        values.reserve(outcomes.size());
         for (const auto& outcome : outcomes)
         {
             values.push_back(outcome.*member);
--- a/libraries/quotas/quota_subject.hpp
+++ b/libraries/quotas/quota_subject.hpp
@@ -39,11 +39,9 @@
                            const quota_subject&) = default;
 
     template <typename Hash>
-    friend Hash AbslHashValue(Hash state,
-                              const quota_subject& subject) // NOLINT
+    friend Hash AbslHashValue(Hash state, const quota_subject& of) // NOLINT
     {
-        return Hash::combine(std::move(state), subject.workspace,
-                             subject.upstream);
+        return Hash::combine(std::move(state), of.workspace, of.upstream);
     }
 };
 
--- a/tests/upstream_limits/limit_table_test.cpp
+++ b/tests/upstream_limits/limit_table_test.cpp
@@ -141,6 +141,18 @@
     EXPECT_FALSE(decode_limits("no datagram"));
 }
 
+// As services/gateway/limit_service.cpp repeats them: 12 each two seconds.
+TEST(limit_message, a_repetition_takes_little_of_a_link)
+{
+    const std::vector<limit_record> records(
+        12, {{upstream_id("i-1108258c5d"), upstream_birth(1796297865395)},
+             2.5,
+             absl::FromUnixMillis(1796297865999)});
+    constexpr std::size_t headers = 28;
+    constexpr std::size_t most_a_second = 300;
+    EXPECT_LT((encode_limits(records).size() + headers) / 2, most_a_second);
+}
+
 TEST(limit_pacing, hosts_of_a_large_fleet_ask_more_rarely)
 {
     EXPECT_LT(pass_over_time(1, 2, 0.5), pass_over_time(1, 4, 0.5));
