--- a/benchmarks/limit_benchmark.cpp
+++ b/benchmarks/limit_benchmark.cpp
@@ -75,10 +75,11 @@
 void merge_a_datagram(benchmark::State& state)
 {
     limit_table table;
-    std::vector<limit_record> records;
-    for (int number = 0; number < 64; ++number)
+    constexpr int updates = 64;
+    std::vector<limit_record> records(updates);
+    for (int number = 0; number < updates; ++number)
     {
-        records.push_back({upstream(number), 2.5, at(1)});
+        records[number] = {upstream(number), 2.5, at(1)};
     }
     const auto bytes = encode_limits(records);
     for ([[maybe_unused]] auto each : state)
