--- a/tests/platform/source_rules_test.cpp
+++ b/tests/platform/source_rules_test.cpp
@@ -56,7 +56,8 @@
         "pathPrefix",        "targetLatencyMs",    "trafficSplit",
         "windowId",          "desiredCount",       "DALESHELF_BOOT",
         "zonePrices",        "coldRemainingMs",    "streamResume",
-        "privateKey",        "afterRevision"};
+        "privateKey",        "afterRevision",      "Server-Leaving",
+        "Server-Limit"};
     for_each_source({"libraries", "services", "utilities", "standins"},
                     [&](const files::path& path, const std::string& text)
                     {
