--- a/services/gateway/gateway_records.cpp
+++ b/services/gateway/gateway_records.cpp
@@ -119,8 +119,8 @@
     }
     catch (const json_error& error)
     {
-        // Another writer's: whatever the server had said is not to be trusted
-        // until it says so again.
+        // Another writer's record: the server is unusable until it writes its
+        // own again.
         if (m_state.servers.withhold(id))
         {
             note_change(record, "withheld");
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -81,7 +81,7 @@
     /// Sends a datagram to one peer.
     void tell_one(const std::string& address, const std::string& bytes);
 
-    /// Adds who is told that a peer is heard first, or first since it started.
+    /// Adds a listener for the first message of a peer since its start.
     void add_start_listener(std::function<void(const std::string&)> started)
     {
         m_on_peer_start.push_back(std::move(started));
--- a/services/gateway/upstream_limiter.hpp
+++ b/services/gateway/upstream_limiter.hpp
@@ -44,7 +44,7 @@
     /// for a while
     awaitable<std::optional<send_permit>> acquire(server_entry server);
 
-    /// Returns what was taken for a request of which nothing was sent.
+    /// Gives back the permit of a request of which nothing was sent.
     void refund(send_permit permit);
 
     /// Reserves the time at which a rejected request may be tried again: those
--- a/tests/fuzz/peers_fuzz.cpp
+++ b/tests/fuzz/peers_fuzz.cpp
@@ -59,7 +59,7 @@
     }
 }
 
-// Whatever comes, the table takes it and can repeat it.
+// The table merges and repeats any record that can be read.
 void read_limits_again(std::string_view bytes)
 {
     const auto records = decode_limits(bytes);
