tests: Play the model of poison requests with and without holding

Cause: let the hosts of the model hold a request that must_wait for 0.3 s, where they had rejected it at once, so that no test showed the old model any more. Change: the plan says which of the two a host does.

--- a/benchmarks/poison_plays.cpp
+++ b/benchmarks/poison_plays.cpp
@@ -24,6 +24,7 @@
     std::uint32_t first_seed = 1;
     std::uint32_t plays = 100;
     unsigned jobs = 1;
+    waiting_policy waiting = waiting_policy::hold;
 };
 
 struct play_totals
@@ -70,7 +71,9 @@
         for (auto index = next++; index < range.plays; index = next++)
         {
             const auto seed = range.first_seed + index;
-            const auto result = fleet(plan_of(range.deadly, seed), seed).play();
+            auto plan = plan_of(range.deadly, seed);
+            plan.waiting = range.waiting;
+            const auto result = fleet(plan, seed).play();
             const std::lock_guard lock(mutex);
             add(totals, result);
         }
@@ -95,7 +98,8 @@
         "deadly requests among 8 hosts; 0: drawn fleets")(
         "first-seed", options::value(&range.first_seed),
         "first seed")("plays", options::value(&range.plays), "number of seeds")(
-        "jobs", options::value(&range.jobs), "plays at a time");
+        "jobs", options::value(&range.jobs), "plays at a time")(
+        "reject", "reject what has to wait, instead of holding it");
     try
     {
         options::variables_map given;
@@ -106,6 +110,8 @@
             std::cout << known;
             return 0;
         }
+        range.waiting = given.contains("reject") ? waiting_policy::reject
+                                                 : waiting_policy::hold;
     }
     catch (const options::error& error)
     {
--- a/tests/poison/poison_fleet.cpp
+++ b/tests/poison/poison_fleet.cpp
@@ -305,7 +305,9 @@
             host.watch.must_wait(print, m_servers.size(), at(m_now)) ||
             (host.suspects.has(print) &&
              host.watch.goes_alone(print, m_servers.size(), at(m_now)));
-        if (judged != suspicion::proved && must_wait && !was_held)
+        const bool may_hold =
+            m_plan.waiting == waiting_policy::hold && !was_held;
+        if (judged != suspicion::proved && must_wait && may_hold)
         {
             m_held.push_back({content, host_index, tries, m_now + hold_s});
             return;
--- a/tests/poison/poison_fleet.hpp
+++ b/tests/poison/poison_fleet.hpp
@@ -12,9 +12,17 @@
 namespace daleshelf
 {
 
+/// What a host does with a request that has to wait for outstanding evidence.
+enum class waiting_policy
+{
+    reject, ///< rejects it at once
+    hold,   ///< judges it again after a pause, as the gateway does
+};
+
 /// One play's size and troubles.
 struct fleet_plan
 {
+    waiting_policy waiting = waiting_policy::hold;
     int hosts = 8;
     int servers = 9;
     double requests_per_s = 60;
--- a/tests/poison/poison_fleet_test.cpp
+++ b/tests/poison/poison_fleet_test.cpp
@@ -25,13 +25,15 @@
     EXPECT_EQ(result.sent_after_proof, 0);
 }
 
-void expect_few_end(int hosts, int servers)
+void expect_few_end(int hosts, int servers,
+                    waiting_policy waiting = waiting_policy::hold)
 {
     int innocent = 0;
     int refused = 0;
     for (std::uint32_t seed = 1; seed <= 8; ++seed)
     {
         fleet_plan plan;
+        plan.waiting = waiting;
         plan.hosts = hosts;
         plan.servers = servers;
         plan.requests_per_s = 7.0 * plan.servers;
@@ -66,6 +68,28 @@
     expect_few_end(580, 300);
 }
 
+// The same fleets with hosts that reject what has to wait: a rejection costs
+// the caller a back-off, so that no wait can hide one.
+TEST(poison_fleet_rejecting, few_servers_end_at_8_hosts)
+{
+    expect_few_end(8, 9, waiting_policy::reject);
+}
+
+TEST(poison_fleet_rejecting, few_servers_end_at_86_hosts)
+{
+    expect_few_end(86, 90, waiting_policy::reject);
+}
+
+TEST(poison_fleet_rejecting, few_servers_end_at_300_hosts)
+{
+    expect_few_end(300, 160, waiting_policy::reject);
+}
+
+TEST(poison_fleet_rejecting, few_servers_end_at_580_hosts)
+{
+    expect_few_end(580, 300, waiting_policy::reject);
+}
+
 TEST(poison_fleet_storms, whoever_was_at_the_ends_of_many_is_not_blamed)
 {
     int innocent = 0;
@@ -108,13 +132,15 @@
     }
 }
 
-TEST(poison_fleet_drawn, few_servers_end_in_drawn_fleets)
+void expect_few_end_in_drawn_fleets(waiting_policy waiting)
 {
     int innocent = 0;
     int refused = 0;
     for (std::uint32_t seed = 1; seed <= 100; ++seed)
     {
-        const auto result = fleet(drawn_plan(seed), seed).play();
+        auto plan = drawn_plan(seed);
+        plan.waiting = waiting;
+        const auto result = fleet(plan, seed).play();
         EXPECT_EQ(result.late_tries, 0) << seed;
         innocent += result.innocent;
         refused += result.refused_innocent;
@@ -122,6 +148,16 @@
     EXPECT_LE(refused, innocent / 10000) << "of " << innocent;
 }
 
+TEST(poison_fleet_drawn, few_servers_end_in_drawn_fleets)
+{
+    expect_few_end_in_drawn_fleets(waiting_policy::hold);
+}
+
+TEST(poison_fleet_drawn_rejecting, few_servers_end_in_drawn_fleets)
+{
+    expect_few_end_in_drawn_fleets(waiting_policy::reject);
+}
+
 RC_GTEST_PROP(poison_watch_merge, words_in_any_order_give_the_same, ())
 {
     std::vector<poison_record> words;
