poison: Confirm no request whose crashes confirmed ones explain

Callers of an innocent request were rejected for two minutes. A confirmed request took a crash off another one only if it was stronger by a set amount, and only before that one was confirmed.

crash_cover keeps an irredundant cover: the weakest confirmed requests are dropped while others explain all of their crashes. Who has no crash of its own explains nothing, nor who ran less than a third of its longest time at a crash. An innocent request and a poison one whose every attempt another one cut short have the same likelihood, so the prior decides, which is for the innocent. A released request that crashes an upstream alone is confirmed again at once.

Two new tests of poison_watch fail without the change.

--- a/libraries/poison/forward.hpp
+++ b/libraries/poison/forward.hpp
@@ -6,6 +6,7 @@
 {
 
 class answered_shapes;
+class crash_cover;
 class poison_probation;
 class poison_watch;
 class suspects_in_flight;
--- a/libraries/poison/poison_evidence.cpp
+++ b/libraries/poison/poison_evidence.cpp
@@ -40,6 +40,7 @@
             m_explained.insert(life);
         }
     }
+    m_cover.set_confirmed(m_proved);
 }
 
 blame poison_evidence::weigh(const poison_record& record,
--- a/libraries/poison/poison_evidence.hpp
+++ b/libraries/poison/poison_evidence.hpp
@@ -2,6 +2,7 @@
 /// What the ends of servers say about one request.
 #pragma once
 
+#include "crash_cover.hpp"
 #include "poison_options.hpp"
 #include "poison_record.hpp"
 
@@ -25,7 +26,8 @@
 class poison_evidence
 {
 public:
-    explicit poison_evidence(const poison_options& options) : m_options(options)
+    explicit poison_evidence(const poison_options& options)
+        : m_options(options), m_cover(options.age_spread)
     {
     }
 
@@ -47,6 +49,13 @@
     /// explained by a confirmed one
     [[nodiscard]] bool are_all_ends(const poison_record& record) const;
 
+    /// @return whether confirmed requests explain each crash under this one,
+    /// confirmed itself or not
+    [[nodiscard]] bool is_explained_by_others(const poison_record& record) const
+    {
+        return m_cover.explains(record);
+    }
+
 private:
     [[nodiscard]] bool is_explained(const server_life& life) const;
     [[nodiscard]] bool is_explained_better(const server_life& life,
@@ -62,6 +71,7 @@
     poison_options m_options;
     std::map<server_life, absl::Time> m_ends; ///< of any cause
     std::vector<poison_record> m_proved;
+    crash_cover m_cover;
     std::set<server_life> m_explained; ///< ends at which one of them was
 };
 
--- a/libraries/poison/poison_options.hpp
+++ b/libraries/poison/poison_options.hpp
@@ -33,6 +33,8 @@
     /// A proved request takes the blame for an end off another one that is
     /// weaker by this: of equal ones either may have caused it.
     double stronger_by = 4;
+    /// One request crashes its upstreams at ages that lie within this factor.
+    double age_spread = 3;
     /// When it is tried again; twice as long each time. A server and its cache
     /// are back within some 15 s: that is an eighth of one server.
     absl::Duration first_trial = absl::Minutes(2);
--- a/libraries/poison/poison_watch.cpp
+++ b/libraries/poison/poison_watch.cpp
@@ -150,7 +150,8 @@
     auto& record = found->second;
     if (record.is_proved)
     {
-        return suspicion::proved;
+        return m_evidence.is_explained_by_others(record) ? suspicion::suspect
+                                                         : suspicion::proved;
     }
     if (!is_certain(settled_part(record, now), servers))
     {
@@ -258,6 +259,10 @@
 bool poison_watch::is_certain(const poison_record& seen,
                               std::size_t servers) const
 {
+    if (m_evidence.is_explained_by_others(seen))
+    {
+        return false;
+    }
     const auto found = m_evidence.weigh(seen, servers);
     const bool is_enough = seen.whole.empty() &&
                            seen.ends.size() >= m_options.most_ends &&
--- a/tests/poison/poison_watch_test.cpp
+++ b/tests/poison/poison_watch_test.cpp
@@ -54,6 +54,32 @@
         }
     }
 
+    // Two requests crash three upstreams each; a third one was at three.
+    void crash_upstreams_under_two_requests()
+    {
+        for (const int server : {1, 2, 4})
+        {
+            end("first", server, server);
+        }
+        for (const int server : {3, 5, 6})
+        {
+            end("second", server, 3 + 0.2 * server - 0.6);
+        }
+        for (const int server : {1, 2, 3})
+        {
+            end("bystander", server, server, 0.4);
+        }
+    }
+
+    static poison_record record_of(const std::string& name)
+    {
+        poison_record record;
+        record.print = request_print(name);
+        record.shape = 7;
+        record.service = service_name("service");
+        return record;
+    }
+
     suspicion judge(const std::string& name, double seconds)
     {
         return m_watch.judge(request_print(name), servers, at(seconds));
@@ -192,6 +218,35 @@
     EXPECT_EQ(judge("second", 4.25), suspicion::proved);
 }
 
+// A popular request was rejected for two minutes although confirmed requests
+// had been at each of its crashes.
+TEST_F(poison_watch_test, crashes_that_confirmed_requests_explain_confirm_none)
+{
+    crash_upstreams_under_two_requests();
+    ASSERT_EQ(judge("first", 4.25), suspicion::proved);
+    ASSERT_EQ(judge("second", 4.25), suspicion::proved);
+    EXPECT_EQ(judge("bystander", 4.25), suspicion::suspect);
+}
+
+// The same, where the bystander was confirmed before the others.
+TEST_F(poison_watch_test, a_confirmed_request_that_others_explain_is_released)
+{
+    auto record = record_of("bystander");
+    for (const int server : {1, 2, 3})
+    {
+        record.ends[life(server)] = {at(server), absl::Seconds(0.4)};
+    }
+    record.is_proved = true;
+    m_watch.merge(record, at(3));
+    ASSERT_EQ(judge("bystander", 3.5), suspicion::proved);
+    crash_upstreams_under_two_requests();
+    ASSERT_EQ(judge("first", 4.25), suspicion::proved);
+    ASSERT_EQ(judge("second", 4.25), suspicion::proved);
+    EXPECT_EQ(judge("bystander", 4.25), suspicion::suspect);
+    end("bystander", 7, 6);
+    EXPECT_EQ(judge("bystander", 6.25), suspicion::proved);
+}
+
 // A popular request was refused for the ends of a deadly one: the hosts that
 // saw the servers end were not those that had received its answers.
 TEST_F(poison_watch_test, a_host_reports_its_earlier_answer_to_a_suspect)
