tests: Show that the gateway holds a request with unsettled evidence

The fleet model has hosts that reject what has to wait and hosts that hold it; that the gateway does the latter stood in no test. The new one merges two crashes, the last 50 ms old, and two more reports 100 ms later that make it one of a storm: the request is answered. No product code changes.

--- a/tests/gateway/poison_path_test.cpp
+++ b/tests/gateway/poison_path_test.cpp
@@ -109,6 +109,37 @@
             });
     }
 
+    /// Merges a peer's report of one upstream that crashed under a request.
+    void merge_crash(const suspect_request& suspect, const std::string& id,
+                     absl::Duration age)
+    {
+        const auto now = gateway_state::now();
+        poison_record reported;
+        reported.print = suspect.print;
+        reported.shape = suspect.shape;
+        reported.service = suspect.service;
+        reported.ends[{upstream_id(id), {}}] = {now - age, absl::Seconds(1)};
+        m_state.poison.merge(reported, now);
+    }
+
+    /// Merges, while a request is held, that two more upstreams crashed with
+    /// the last one under it.
+    void merge_other_crashes_later()
+    {
+        constexpr milliseconds report_delay{100};
+        m_later.expires_after(report_delay);
+        m_later.async_wait(
+            [this](const error_code&)
+            {
+                const suspect_request other{request_print("other"), 1,
+                                            service_name("service")};
+                for (const auto* id : {"x", "y"})
+                {
+                    merge_crash(other, id, absl::Milliseconds(150));
+                }
+            });
+    }
+
     void wait_until_proved(const request_print& print)
     {
         auto judged = suspicion::none;
@@ -123,6 +154,7 @@
     }
 
     scripted_server m_sound;
+    boot_timer m_later{m_context};
 };
 
 TEST_F(poison_path, a_request_that_has_ended_two_servers_is_refused)
@@ -147,6 +179,27 @@
     EXPECT_TRUE(ask("/unsafe/other").ends_with("good"));
 }
 
+// The model of the fleet holds such a request as well: rejecting it at once
+// would cost a wrongly suspected caller a back-off.
+TEST_F(poison_path, a_request_is_held_until_its_last_crash_is_settled)
+{
+    const request_content content{{}, "h", "GET", "/unsafe/popular", ""};
+    const suspect_request suspect{print_of(content), shape_of(content),
+                                  service_name("service")};
+    add_server("c", m_sound);
+    on_loop(
+        [&]
+        {
+            merge_crash(suspect, "v", absl::Seconds(2));
+            merge_crash(suspect, "w", absl::Milliseconds(50));
+            EXPECT_TRUE(m_state.poison.must_wait(suspect.print, 1,
+                                                 gateway_state::now()));
+            merge_other_crashes_later();
+        });
+    EXPECT_TRUE(ask("/unsafe/popular").ends_with("good"));
+    EXPECT_EQ(m_sound.requests(), 1);
+}
+
 TEST_F(poison_path, a_closed_connection_is_no_end_of_a_server)
 {
     const scripted_server closing([](test_connection& connection)
