poison: Count the crashes of confirmed requests once when sorting them

Cause: the comparison of two confirmed requests worked out the crashes of both anew. Change: each count is worked out once, beside the request's entry.

--- a/libraries/poison/crash_cover.cpp
+++ b/libraries/poison/crash_cover.cpp
@@ -1,32 +1,33 @@
 #include "crash_cover.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace daleshelf
 {
 
 void crash_cover::set_confirmed(const std::vector<poison_record>& confirmed)
 {
+    using ranked_record = std::pair<std::size_t, const poison_record*>;
     m_culprits.clear();
-    std::vector<const poison_record*> weakest_first;
+    std::vector<ranked_record> weakest_first;
     for (const auto& record : confirmed)
     {
         m_culprits.push_back(make_culprit(record));
-        weakest_first.push_back(&record);
+        weakest_first.emplace_back(m_culprits.back().crashes.size(), &record);
     }
-    const auto crashes_of = [&](const poison_record* record)
-    { return make_culprit(*record).crashes.size(); };
     std::stable_sort(weakest_first.begin(), weakest_first.end(),
-                     [&](const auto* left, const auto* right)
-                     { return crashes_of(left) < crashes_of(right); });
-    for (const auto* record : weakest_first)
+                     [](const auto& left, const auto& right)
+                     { return left.first < right.first; });
+    for (const auto& ranked : weakest_first)
     {
-        if (!explains(*record))
+        const auto& record = *ranked.second;
+        if (!explains(record))
         {
             continue;
         }
         std::erase_if(m_culprits, [&](const auto& culprit)
-                      { return culprit.print == record->print; });
+                      { return culprit.print == record.print; });
     }
 }
 
