ingress: Index usable upstreams and compare a bounded number of them

Cause: each choice scanned and sorted all listed upstreams, three times a request, and each host did so twice a second to count those present: what a host spends grew with the upstreams times their logarithm, on hosts of 0.12 cores. It also spread its calls over all of them, so that connections grew with the upstreams.

Change: the directory maintains an index by service and version. Of more than 256 upstreams, a request compares those with the highest rendezvous weight, and all others only if none of these is usable.

With 3,000 calls a host called 2,595 and 2,780 upstreams; now at most 256. The test failed before. The rendezvous hash takes the hash of an id in place of the id, so that a prompt's upstream differs between old and new hosts during an update.

--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -44,11 +44,29 @@
 constexpr absl::Duration base_unhealthy_time = absl::Milliseconds(400);
 constexpr absl::Duration max_unhealthy_time = absl::Seconds(4);
 
-std::uint64_t rendezvous_weight(const upstream_id& server,
-                                const std::string& key)
+// Up to this number of a service's upstreams, all are compared. Of more, a
+// request compares those that rank highest for it, so that the cost of a choice
+// and the connections of a host do not grow with the fleet. The least loaded of
+// so many is practically as good as the least loaded of all.
+constexpr std::size_t max_compared_servers = 256;
+
+/// An upstream with its rendezvous weight for a key.
+struct weighted_server
+{
+    std::uint64_t weight = 0;
+    hashed_server server;
+};
+
+std::uint64_t hash_of(const std::string& text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+std::uint64_t rendezvous_weight(const hashed_server& server,
+                                std::uint64_t key_hash)
 {
-    return XXH3_64bits_withSeed(server.value().data(), server.value().size(),
-                                XXH3_64bits(key.data(), key.size()));
+    return XXH3_64bits_withSeed(&server.id_hash, sizeof(server.id_hash),
+                                key_hash);
 }
 
 std::int64_t total_tokens(const std::vector<prompt_part>& prompt)
@@ -76,6 +94,7 @@
     : m_directory(directory)
     , m_own_hall(std::move(own_hall))
     , m_policy(policy)
+    , m_subset_key(seed)
     , m_random(std::seed_seq{static_cast<std::uint32_t>(seed),
                              static_cast<std::uint32_t>(seed >> 32U)})
 {
@@ -85,26 +104,18 @@
                                           absl::Time now)
 {
     const auto preferred = rendezvous_server(request);
-    const server_entry* best = nullptr;
-    auto best_cost = std::numeric_limits<double>::infinity();
-    for (const auto* server : candidates(request))
+    const auto servers = candidates(request);
+    const auto best =
+        cheapest(highest_ranked(servers, request), request, preferred, now);
+    const bool compared_all = servers.size() <= max_compared_servers;
+    if (compared_all || best.cost < ms_while_unhealthy)
     {
-        if (request.excluded.contains(server->id) ||
-            now < back_off_end(server->id) || is_passed_over(server->id, now))
-        {
-            continue;
-        }
-        const auto cost = cost_of(*server, request, preferred, now);
-        if (cost < best_cost)
-        {
-            best = server;
-            best_cost = cost;
-        }
+        return best.server;
     }
-    return best;
+    return cheapest(servers, request, preferred, now).server;
 }
 
-std::vector<const server_entry*>
+std::vector<hashed_server>
 server_choice::candidates(const choice_request& request) const
 {
     if (!request.canary)
@@ -115,6 +126,60 @@
                                       request.canary->share);
 }
 
+// Returns the servers to compare for the request: the same ones on all hosts
+// for prompts that share parts, and always the same ones on this host for
+// requests without a prompt.
+std::vector<hashed_server>
+server_choice::highest_ranked(std::vector<hashed_server> servers,
+                              const choice_request& request) const
+{
+    if (servers.size() <= max_compared_servers)
+    {
+        return servers;
+    }
+    const auto key = routes_by_prompt(request)
+                         ? hash_of(shared_prefix_key(request.facts->prompt))
+                         : m_subset_key;
+    std::vector<weighted_server> ranked;
+    ranked.reserve(servers.size());
+    for (const auto& server : servers)
+    {
+        ranked.push_back({rendezvous_weight(server, key), server});
+    }
+    const auto limit = std::next(
+        ranked.begin(), static_cast<std::ptrdiff_t>(max_compared_servers));
+    std::nth_element(ranked.begin(), limit, ranked.end(),
+                     [](const auto& left, const auto& right)
+                     { return left.weight > right.weight; });
+    servers.clear();
+    std::transform(ranked.begin(), limit, std::back_inserter(servers),
+                   [](const auto& ranked_server)
+                   { return ranked_server.server; });
+    return servers;
+}
+
+server_choice::priced_server
+server_choice::cheapest(const std::vector<hashed_server>& servers,
+                        const choice_request& request,
+                        const upstream_id& preferred, absl::Time now)
+{
+    priced_server best;
+    for (const auto& [hash, server] : servers)
+    {
+        if (request.excluded.contains(server->id) ||
+            now < back_off_end(server->id) || is_passed_over(server->id, now))
+        {
+            continue;
+        }
+        const auto cost = cost_of(*server, request, preferred, now);
+        if (cost < best.cost)
+        {
+            best = {server, cost};
+        }
+    }
+    return best;
+}
+
 double server_choice::expected_first_ms(const server_entry& server,
                                         const choice_request& request) const
 {
@@ -196,7 +261,7 @@
                                                     absl::Time now) const
 {
     std::vector<upstream_id> servers;
-    for (const auto* server : m_directory.usable(service))
+    for (const auto& [hash, server] : m_directory.usable(service))
     {
         if (is_passed_over(server->id, now))
         {
@@ -225,7 +290,7 @@
                                      absl::Time now) const
 {
     std::optional<absl::Time> first;
-    for (const auto* server : m_directory.usable(service))
+    for (const auto& [hash, server] : m_directory.usable(service))
     {
         const auto end = back_off_end(server->id);
         if (end <= now)
@@ -453,24 +518,29 @@
 upstream_id
 server_choice::rendezvous_server(const choice_request& request) const
 {
-    if (!request.is_engine || request.facts->prompt.empty() ||
-        !m_policy.routes_by_prompt)
+    if (!routes_by_prompt(request))
     {
         return {};
     }
-    const auto& key = shared_prefix_key(request.facts->prompt);
-    upstream_id preferred;
+    const auto key = hash_of(shared_prefix_key(request.facts->prompt));
+    const server_entry* preferred = nullptr;
     std::uint64_t best = 0;
-    for (const auto* server : candidates(request))
+    for (const auto& server : candidates(request))
     {
-        const auto weight = rendezvous_weight(server->id, key);
-        if (preferred.value().empty() || weight > best)
+        const auto weight = rendezvous_weight(server, key);
+        if (preferred == nullptr || weight > best)
         {
-            preferred = server->id;
+            preferred = server.entry;
             best = weight;
         }
     }
-    return preferred;
+    return preferred == nullptr ? upstream_id() : preferred->id;
+}
+
+bool server_choice::routes_by_prompt(const choice_request& request) const
+{
+    return request.is_engine && !request.facts->prompt.empty() &&
+           m_policy.routes_by_prompt;
 }
 
 } // namespace daleshelf
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -14,6 +14,7 @@
 #include <absl/time/time.h>
 
 #include <engines/engine_estimate.hpp>
+#include <limits>
 #include <optional>
 #include <rollouts/rollout_participant.hpp>
 
@@ -81,7 +82,8 @@
 public:
     /// @param directory listed upstreams; must outlive this object
     /// @param own_hall hall of this host
-    /// @param seed of the random numbers that break ties
+    /// @param seed of the random numbers that break ties, and of this host's
+    /// selection of upstreams for requests without a prompt
     server_choice(const server_directory& directory, hall_id own_hall,
                   std::uint64_t seed, const decision_policy& policy = {});
 
@@ -170,8 +172,23 @@
     [[nodiscard]] absl::Time back_off_end(const upstream_id& server) const;
     [[nodiscard]] bool is_passed_over(const upstream_id& server,
                                       absl::Time now) const;
-    [[nodiscard]] std::vector<const server_entry*>
+    /// An upstream and its cost for a request.
+    struct priced_server
+    {
+        const server_entry* server = nullptr;
+        double cost = std::numeric_limits<double>::infinity();
+    };
+
+    [[nodiscard]] std::vector<hashed_server>
     candidates(const choice_request& request) const;
+    [[nodiscard]] std::vector<hashed_server>
+    highest_ranked(std::vector<hashed_server> servers,
+                   const choice_request& request) const;
+    [[nodiscard]] priced_server
+    cheapest(const std::vector<hashed_server>& servers,
+             const choice_request& request, const upstream_id& preferred,
+             absl::Time now);
+    [[nodiscard]] bool routes_by_prompt(const choice_request& request) const;
     double cost_of(const server_entry& server, const choice_request& request,
                    const upstream_id& preferred, absl::Time now);
     [[nodiscard]] double engine_cost(const server_entry& server,
@@ -191,6 +208,7 @@
     const server_directory& m_directory;
     hall_id m_own_hall;
     decision_policy m_policy;
+    std::uint64_t m_subset_key; ///< ranks upstreams for requests without prompt
     absl::BitGen m_random;
     absl::flat_hash_map<upstream_id, server_load> m_own_loads;
     absl::flat_hash_map<host_id, absl::flat_hash_map<upstream_id, server_load>>
--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -1,5 +1,7 @@
 #include "server_directory.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,6 +13,17 @@
 
 constexpr std::size_t max_removed = 4096;
 
+// @return position of the entry in a list that is sorted by id, or the position
+// to insert it at
+template <typename List>
+auto find_position(List& servers, const server_entry& entry)
+{
+    return std::lower_bound(
+        servers.begin(), servers.end(), entry.id,
+        [](const hashed_server& server, const upstream_id& id)
+        { return server.entry->id < id; });
+}
+
 } // namespace
 
 entry_change server_directory::set(const server_entry& entry)
@@ -26,11 +39,16 @@
     }
     const bool was_listed = m_servers.contains(entry.id);
     const bool was_usable = is_usable(entry.id);
-    m_withheld.erase(entry.id);
     auto& listed = m_servers[entry.id];
+    if (was_usable)
+    {
+        remove_from_index(listed);
+    }
+    m_withheld.erase(entry.id);
     listed = entry;
     if (is_restart)
     {
+        add_to_index(listed);
         return entry_change::restarted;
     }
     // Within one incarnation the highest sequence number counts, also when an
@@ -41,17 +59,24 @@
     listed.is_draining = entry.is_draining || (known && known->was_draining);
     listed.started_at =
         std::max(entry.started_at, known_incarnation.started_at);
+    add_to_index(listed);
     const bool is_same = was_listed && was_usable == is_usable(entry.id);
     return is_same ? entry_change::none : entry_change::changed;
 }
 
 bool server_directory::withhold(const upstream_id& id)
 {
+    const auto listed = m_servers.find(id);
+    if (listed == m_servers.end())
+    {
+        return false;
+    }
     const bool was_usable = is_usable(id);
-    if (m_servers.contains(id))
+    if (was_usable)
     {
-        m_withheld.insert(id);
+        remove_from_index(listed->second);
     }
+    m_withheld.insert(id);
     return was_usable;
 }
 
@@ -70,6 +95,10 @@
     const auto listed = m_servers.find(server.id);
     if (listed != m_servers.end())
     {
+        if (was_usable)
+        {
+            remove_from_index(listed->second);
+        }
         listed->second.is_draining = true;
         return was_usable;
     }
@@ -85,6 +114,10 @@
     {
         return false;
     }
+    if (is_usable(id))
+    {
+        remove_from_index(found->second);
+    }
     record_removal(found->second);
     m_servers.erase(found);
     m_withheld.erase(id);
@@ -177,56 +210,90 @@
     return entry != nullptr && !entry->is_draining && !m_withheld.contains(id);
 }
 
-template <typename Predicate>
-std::vector<const server_entry*>
-server_directory::sorted_servers(Predicate matches) const
+// Adds the entry to the index if it is usable.
+void server_directory::add_to_index(const server_entry& entry)
 {
-    std::vector<const server_entry*> result;
-    for (const auto& [id, entry] : m_servers)
+    if (!is_usable(entry.id))
+    {
+        return;
+    }
+    auto& servers = m_index[entry.service][entry.version];
+    const auto& id = entry.id.value();
+    servers.insert(find_position(servers, entry),
+                   {XXH3_64bits(id.data(), id.size()), &entry});
+}
+
+// Removes an entry that is in the index.
+void server_directory::remove_from_index(const server_entry& entry)
+{
+    const auto versions = m_index.find(entry.service);
+    const auto servers = versions->second.find(entry.version);
+    servers->second.erase(find_position(servers->second, entry));
+    if (!servers->second.empty())
+    {
+        return;
+    }
+    versions->second.erase(servers);
+    if (versions->second.empty())
+    {
+        m_index.erase(versions);
+    }
+}
+
+std::vector<hashed_server>
+server_directory::usable(const service_name& service) const
+{
+    std::vector<hashed_server> result;
+    const auto versions = m_index.find(service);
+    if (versions == m_index.end())
+    {
+        return result;
+    }
+    for (const auto& [version, servers] : versions->second)
     {
-        if (is_usable(id) && matches(entry))
+        if (m_versions.allows(service, version))
         {
-            result.push_back(&entry);
+            result.insert(result.end(), servers.begin(), servers.end());
         }
     }
-    std::sort(result.begin(), result.end(),
-              [](const auto* left, const auto* right)
-              { return left->id < right->id; });
     return result;
 }
 
-std::vector<const server_entry*>
-server_directory::usable(const service_name& service) const
+std::size_t server_directory::usable_count(const service_name& service) const
 {
-    return sorted_servers(
-        [&](const server_entry& entry)
-        {
-            return entry.service == service &&
-                   m_versions.allows(service, entry.version);
-        });
+    const auto versions = m_index.find(service);
+    if (versions == m_index.end())
+    {
+        return 0;
+    }
+    std::size_t count = 0;
+    for (const auto& [version, servers] : versions->second)
+    {
+        count += m_versions.allows(service, version) ? servers.size() : 0;
+    }
+    return count;
 }
 
-std::vector<const server_entry*>
+std::vector<hashed_server>
 server_directory::canary_servers(const service_name& service,
                                  const version_name& version,
                                  double share) const
 {
-    auto servers = sorted_servers(
-        [&](const server_entry& entry)
-        { return entry.service == service && entry.version == version; });
-    const auto part = std::ceil(static_cast<double>(servers.size()) * share);
-    servers.resize(std::min(servers.size(), static_cast<std::size_t>(part)));
-    return servers;
-}
-
-std::vector<const server_entry*> server_directory::all() const
-{
-    std::vector<const server_entry*> result;
-    for (const auto& [id, entry] : m_servers)
+    const auto versions = m_index.find(service);
+    if (versions == m_index.end())
     {
-        result.push_back(&entry);
+        return {};
     }
-    return result;
+    const auto found = versions->second.find(version);
+    if (found == versions->second.end())
+    {
+        return {};
+    }
+    const auto& servers = found->second;
+    const auto part = std::ceil(static_cast<double>(servers.size()) * share);
+    const auto size = std::min(servers.size(), static_cast<std::size_t>(part));
+    return {servers.begin(),
+            std::next(servers.begin(), static_cast<std::ptrdiff_t>(size))};
 }
 
 } // namespace daleshelf
--- a/libraries/ingress/server_directory.hpp
+++ b/libraries/ingress/server_directory.hpp
@@ -6,11 +6,13 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <absl/container/node_hash_map.h>
 #include <absl/time/time.h>
 
 #include <base/identifiers.hpp>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <rollouts/version_gate.hpp>
 #include <string>
@@ -42,6 +44,13 @@
     }
 };
 
+/// A listed upstream with the hash of its id, by which upstreams are ranked.
+struct hashed_server
+{
+    std::uint64_t id_hash = 0;
+    const server_entry* entry = nullptr;
+};
+
 /// Effect of a record on the directory.
 enum class entry_change
 {
@@ -60,6 +69,10 @@
 class server_directory
 {
 public:
+    server_directory() = default;
+    server_directory(const server_directory&) = delete;
+    server_directory& operator=(const server_directory&) = delete;
+
     /// Applies one record of the list.
     /// @param entry the upstream as the record describes it
     /// @return what the record changed
@@ -91,20 +104,27 @@
     /// @return whether the upstream may get new requests
     [[nodiscard]] bool is_usable(const upstream_id& id) const;
 
-    /// @return the service's upstreams that may get new requests, sorted by id;
-    /// only of versions that the version gate allows
-    [[nodiscard]] std::vector<const server_entry*>
+    /// @return the service's upstreams that may get new requests, by version
+    /// and sorted by id within each; only of versions that the version gate
+    /// allows. Pointers to entries are valid until the entry is removed.
+    [[nodiscard]] std::vector<hashed_server>
     usable(const service_name& service) const;
 
+    /// @return number of the service's upstreams that `usable` returns
+    [[nodiscard]] std::size_t usable_count(const service_name& service) const;
+
     /// @param share fraction of the service's requests that the version gets
     /// @return the same fraction of the version's upstreams, so that each is as
     /// busy as those of other versions; every host gets the same ones
-    [[nodiscard]] std::vector<const server_entry*>
+    [[nodiscard]] std::vector<hashed_server>
     canary_servers(const service_name& service, const version_name& version,
                    double share) const;
 
-    /// @return every listed upstream, usable or not
-    [[nodiscard]] std::vector<const server_entry*> all() const;
+    /// @return number of listed upstreams, usable or not
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_servers.size();
+    }
 
     /// @return the gate that decides which versions may get requests
     [[nodiscard]] version_gate& versions()
@@ -130,14 +150,17 @@
     last_known(const upstream_id& id) const;
     [[nodiscard]] bool is_outdated(const server_entry& entry,
                                    const removed_server& known) const;
-    template <typename Predicate>
-    [[nodiscard]] std::vector<const server_entry*>
-    sorted_servers(Predicate matches) const;
+    void add_to_index(const server_entry& entry);
+    void remove_from_index(const server_entry& entry);
     void record_removal(const server_entry& entry);
 
+    /// Usable upstreams of one service by version, sorted by id.
+    using version_index = std::map<version_name, std::vector<hashed_server>>;
+
     absl::flat_hash_map<upstream_id, removed_server> m_removed;
     std::deque<upstream_id> m_removal_order; ///< oldest removal first
-    absl::flat_hash_map<upstream_id, server_entry> m_servers;
+    absl::node_hash_map<upstream_id, server_entry> m_servers;
+    absl::flat_hash_map<service_name, version_index> m_index;
     /// Upstreams whose record another writer has overwritten.
     absl::flat_hash_set<upstream_id> m_withheld;
     version_gate m_versions;
--- a/services/gateway/crash_detector.cpp
+++ b/services/gateway/crash_detector.cpp
@@ -188,7 +188,7 @@
     m_state.poison.record_crash(request, instance, now - attempt.began, now);
     m_state.poison_updates.notify();
     const auto* record = m_state.poison.find(request.fingerprint);
-    const auto servers = m_state.servers.usable(request.service).size();
+    const auto servers = m_state.servers.usable_count(request.service);
     const auto ran_ms = absl::ToInt64Milliseconds(now - attempt.began);
     const auto unfinished_ms = absl::ToInt64Milliseconds(now - attempt.ended);
     log(events::upstream_ended,
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -295,7 +295,7 @@
               "Time since the store answered for the list of servers.",
               m_servers.response_age_seconds());
     meter.set("servers_listed", "Servers in the list.",
-              static_cast<double>(m_state.servers.all().size()));
+              static_cast<double>(m_state.servers.size()));
     meter.set("records_skipped", "Records of the store that cannot be read.",
               static_cast<double>(m_state.skipped.total()));
     meter.set("requests_suspected", "Requests that may end servers, known now.",
--- a/services/gateway/poison_service.cpp
+++ b/services/gateway/poison_service.cpp
@@ -134,7 +134,7 @@
     std::vector<poison_record> updates;
     for (const auto& record : m_state.poison.take_unsent(records_per_message))
     {
-        const auto servers = m_state.servers.usable(record.service).size();
+        const auto servers = m_state.servers.usable_count(record.service);
         m_state.poison.judge(record.fingerprint, servers, now);
         const auto* newest = m_state.poison.find(record.fingerprint);
         if (newest == nullptr)
@@ -190,7 +190,7 @@
     if (record.is_confirmed)
     {
         m_confirmed.insert(record.fingerprint);
-        const auto servers = m_state.servers.usable(record.service).size();
+        const auto servers = m_state.servers.usable_count(record.service);
         log(events::poison_proved,
             {{"print", record.fingerprint.value()},
              {"service", record.service.value()},
--- a/services/gateway/request_poison.cpp
+++ b/services/gateway/request_poison.cpp
@@ -53,7 +53,7 @@
 // is in flight.
 bool request_flow::must_wait(const request_fingerprint& fingerprint) const
 {
-    const auto servers = m_state.servers.usable(m_service->name).size();
+    const auto servers = m_state.servers.usable_count(m_service->name);
     const auto now = gateway_state::now();
     const bool is_only_attempt = !m_state.suspects.has(fingerprint);
     return m_state.poison.must_wait(fingerprint, servers, now) ||
@@ -65,7 +65,7 @@
 // requests that wait here are innocent, and a rejection costs them a second.
 awaitable<void> request_flow::wait_for_peer_reports()
 {
-    const auto servers = m_state.servers.usable(m_service->name).size();
+    const auto servers = m_state.servers.usable_count(m_service->name);
     const auto level = m_state.poison.judge(m_suspect->fingerprint, servers,
                                             gateway_state::now());
     const bool has_time = time_left() > report_wait * min_waits_left;
@@ -95,7 +95,7 @@
     }
     const auto now = gateway_state::now();
     const auto& fingerprint = m_suspect->fingerprint;
-    const auto servers = m_state.servers.usable(m_service->name).size();
+    const auto servers = m_state.servers.usable_count(m_service->name);
     const auto level = m_state.poison.judge(fingerprint, servers, now);
     const bool is_confirmed = level == suspicion::confirmed;
     const bool is_allowed =
--- a/services/gateway/scale_service.cpp
+++ b/services/gateway/scale_service.cpp
@@ -248,7 +248,7 @@
 int scale_service::present_servers(const upstream_group& group) const
 {
     int present = 0;
-    for (const auto* server : m_state.servers.usable(group.service))
+    for (const auto& [hash, server] : m_state.servers.usable(group.service))
     {
         if (server->hall == group.hall && server->is_spot == group.is_spot)
         {
@@ -285,7 +285,7 @@
     {
         known.demand_since = std::min(known.demand_since, now);
     }
-    const auto present = m_state.servers.usable(service.name).size();
+    const auto present = m_state.servers.usable_count(service.name);
     known.fleet.update(static_cast<int>(present), now);
 }
 
@@ -359,7 +359,7 @@
 std::vector<double> scale_service::limits_of(const service_name& service) const
 {
     std::vector<double> limits;
-    for (const auto* server : m_state.servers.usable(service))
+    for (const auto& [hash, server] : m_state.servers.usable(service))
     {
         if (const auto limit = m_state.limits.limit_of(server->incarnation()))
         {
--- a/services/gateway/upstream_limiter.cpp
+++ b/services/gateway/upstream_limiter.cpp
@@ -84,9 +84,9 @@
 absl::Duration upstream_limiter::reserve_retry(const service_name& service)
 {
     double per_second = 0;
-    for (const auto* server : m_state.servers.usable(service))
+    for (const auto& server : m_state.servers.usable(service))
     {
-        per_second += limit_of(server->incarnation()).value_or(0);
+        per_second += limit_of(server.entry->incarnation()).value_or(0);
     }
     const auto hosts = static_cast<double>(m_state.quota.shared().fleet_size());
     return m_retries[service].reserve(per_second / hosts, gateway_state::now());
--- a/tests/ingress/server_choice_test.cpp
+++ b/tests/ingress/server_choice_test.cpp
@@ -442,6 +442,106 @@
     EXPECT_EQ(m_choice.earliest_back_off_end(engines, at(0)), std::nullopt);
 }
 
+/// Large fleets: one of 9,695 upstreams, and one of twice as many.
+class large_service : public testing::TestWithParam<int>
+{
+protected:
+    large_service()
+    {
+        for (int index = 0; index < GetParam(); ++index)
+        {
+            const auto id = "upstream-" + std::to_string(index);
+            m_directory.set(make_server(id, engines));
+            auto call_server = make_server("call-" + id, calls);
+            m_directory.set(call_server);
+        }
+    }
+
+    const server_entry* choose_call(server_choice& choice)
+    {
+        choice_request request;
+        request.service = calls;
+        request.facts = &m_no_prompt;
+        request.excluded = m_excluded;
+        return choice.choose(request, at(0));
+    }
+
+    request_facts m_no_prompt;
+    server_directory m_directory;
+    server_choice m_choice{m_directory, here, 7};
+    absl::flat_hash_set<upstream_id> m_excluded;
+};
+
+// The connections that a host keeps must not grow with the upstreams.
+TEST_P(large_service, a_host_calls_a_bounded_number_of_upstreams)
+{
+    std::set<upstream_id> called;
+    for (int index = 0; index < 3000; ++index)
+    {
+        called.insert(choose_call(m_choice)->id);
+    }
+    EXPECT_LE(called.size(), 256);
+    EXPECT_GE(called.size(), 128);
+}
+
+TEST_P(large_service, hosts_call_different_upstreams)
+{
+    std::set<upstream_id> called;
+    for (int host = 0; host < 64; ++host)
+    {
+        server_choice choice(m_directory, here,
+                             static_cast<std::uint64_t>(host));
+        for (int index = 0; index < 16; ++index)
+        {
+            called.insert(choose_call(choice)->id);
+        }
+    }
+    EXPECT_GE(called.size(), 700) << "of 1,024 calls";
+}
+
+TEST_P(large_service, compares_all_when_the_closest_are_excluded)
+{
+    std::set<upstream_id> called;
+    for (int index = 0; index < 600; ++index)
+    {
+        const auto* server = choose_call(m_choice);
+        ASSERT_NE(server, nullptr);
+        EXPECT_TRUE(called.insert(server->id).second);
+        m_excluded.insert(server->id);
+    }
+}
+
+TEST_P(large_service, compares_all_when_the_closest_are_unhealthy)
+{
+    for (int index = 0; index < 300; ++index)
+    {
+        const auto* server = choose_call(m_choice);
+        m_choice.record_outcome(server->incarnation(),
+                                attempt_outcome::unreachable, at(0));
+    }
+    const auto* server = choose_call(m_choice);
+    m_choice.record_outcome(server->incarnation(), attempt_outcome::unreachable,
+                            at(0));
+    EXPECT_NE(choose_call(m_choice)->id, server->id);
+}
+
+TEST_P(large_service, hosts_agree_on_a_prompt_that_nobody_has_sent)
+{
+    server_choice other(m_directory, here, 99);
+    for (int index = 0; index < 5; ++index)
+    {
+        const auto facts = make_facts(std::to_string(index), "own");
+        choice_request request;
+        request.service = engines;
+        request.is_engine = true;
+        request.facts = &facts;
+        EXPECT_EQ(m_choice.choose(request, at(0))->id,
+                  other.choose(request, at(0))->id);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, large_service, testing::Values(9695, 19390));
+
 // Dividing the slack by 12 on a fleet of 86 hosts lets it exceed the retry
 // budget (docs/findings): the retries come in one burst, long after the
 // requests that filled the share of each host.
--- a/tests/ingress/server_directory_test.cpp
+++ b/tests/ingress/server_directory_test.cpp
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 #include <ingress/server_directory.hpp>
+#include <set>
 
 namespace daleshelf
 {
@@ -183,7 +186,60 @@
                                     absl::Seconds(14), log_offset(3)});
     const auto usable = directory.usable(service_name("s"));
     ASSERT_EQ(usable.size(), 1);
-    EXPECT_EQ(usable.front()->id, upstream_id("a"));
+    EXPECT_EQ(usable.front().entry->id, upstream_id("a"));
+}
+
+// The index of usable upstreams is maintained with each record; it must list
+// exactly the upstreams of the service that are usable, in order.
+RC_GTEST_PROP(server_directory_index, lists_exactly_the_usable_upstreams, ())
+{
+    server_directory directory;
+    const std::vector<std::string> ids{"a", "b", "c", "d", "e"};
+    const std::vector<service_name> services{service_name("s"),
+                                             service_name("t")};
+    const auto steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step)
+    {
+        auto entry = make_entry(step + 1, *rc::gen::inRange(0, 4) == 0);
+        entry.id = upstream_id(*rc::gen::elementOf(ids));
+        entry.service = *rc::gen::elementOf(services);
+        entry.version = version_name(*rc::gen::element<std::string>("1", "2"));
+        entry.started_at = upstream_birth(*rc::gen::inRange(0, 3));
+        switch (*rc::gen::inRange(0, 6))
+        {
+        case 0:
+            directory.remove(entry.id);
+            break;
+        case 1:
+            directory.withhold(entry.id);
+            break;
+        case 2:
+            directory.mark_draining(entry.incarnation());
+            break;
+        default:
+            directory.set(entry);
+        }
+        for (const auto& service : services)
+        {
+            std::set<std::pair<version_name, upstream_id>> expected;
+            for (const auto& id : ids)
+            {
+                const auto* listed = directory.find(upstream_id(id));
+                if (listed != nullptr && listed->service == service &&
+                    directory.is_usable(listed->id))
+                {
+                    expected.emplace(listed->version, listed->id);
+                }
+            }
+            std::vector<std::pair<version_name, upstream_id>> indexed;
+            for (const auto& [hash, server] : directory.usable(service))
+            {
+                indexed.emplace_back(server->version, server->id);
+            }
+            RC_ASSERT(indexed == std::vector(expected.begin(), expected.end()));
+            RC_ASSERT(directory.usable_count(service) == expected.size());
+        }
+    }
 }
 
 } // namespace
