quotas: Count a new host once the keepers of all halls know it

Cause: a new host accrued credit once its state had reached all others, which takes 31 s in a fleet of 985 hosts and 62 s in one of 1,970. A fleet that starts rejected all limited requests until then.

Change: a host that is not counted yet announces itself to the keepers of all halls. Each counts it and passes the new fleet size on with its acknowledgements of the deposits of its hall. The host accrues 1.5 s after the last keeper has answered; a hall that cannot be reached delays it as before.

--- a/libraries/quotas/shared_quota.cpp
+++ b/libraries/quotas/shared_quota.cpp
@@ -1,6 +1,7 @@
 #include "shared_quota.hpp"
 
 #include <algorithm>
+#include <span>
 
 namespace daleshelf
 {
@@ -20,6 +21,10 @@
 // A keeper that could not grant the full amount is not asked again for that
 // subject within this time.
 constexpr absl::Duration depleted_retry_delay = absl::Milliseconds(200);
+// A keeper passes a larger fleet size on to the hosts of its hall with its next
+// acknowledgement to each. Within this time each host deposits three times, so
+// two lost datagrams are tolerated.
+constexpr absl::Duration keeper_propagation = absl::Milliseconds(1500);
 // Propagation times for which a fleet size that a peer has reported counts: one
 // lost state is tolerated.
 constexpr int reported_size_propagations = 3;
@@ -110,6 +115,7 @@
     std::vector<addressed_quota_message> messages;
     const auto keeper = m_fleet.keepers(now).front();
     release_unused(keeper, now, messages);
+    announce_to_keepers(now, messages);
     if (keeper == m_self)
     {
         m_buckets.deposit({m_self, m_incarnation, m_credit.share(),
@@ -129,16 +135,58 @@
 // of it.
 double shared_quota::share_at(absl::Time now) const
 {
-    const bool is_counted =
-        m_fleet_known_at <= now &&
-        (m_was_listed || now - m_fleet_known_at >= m_join_delay);
-    if (!is_counted || m_is_stopping)
+    if (!is_counted(now) || m_is_stopping)
     {
         return 0;
     }
     return 1.0 / static_cast<double>(fleet_size_bound(now));
 }
 
+bool shared_quota::is_counted(absl::Time now) const
+{
+    return m_fleet_known_at <= now &&
+           (m_was_listed || now - m_fleet_known_at >= m_join_delay ||
+            is_known_by_keepers(now));
+}
+
+// Whether the keepers of all halls have counted this host for long enough that
+// all others have heard the new size from them. A host that is a keeper itself
+// does not know who was the keeper before.
+bool shared_quota::is_known_by_keepers(absl::Time now) const
+{
+    const auto keepers = m_fleet.keepers(now);
+    return std::all_of(keepers.begin(), keepers.end(),
+                       [&](const auto& keeper)
+                       {
+                           const auto ack = m_first_acks.find(keeper);
+                           return ack != m_first_acks.end() &&
+                                  now - ack->second >= keeper_propagation;
+                       });
+}
+
+// A state takes a round through the fleet to reach all, and a round takes
+// longer the more hosts there are. Messages to the keepers do not.
+void shared_quota::announce_to_keepers(
+    absl::Time now, std::vector<addressed_quota_message>& messages)
+{
+    if (m_fleet_known_at > now || is_counted(now) ||
+        now - m_announced_at < deposit_interval)
+    {
+        return;
+    }
+    m_announced_at = now;
+    const auto keepers = m_fleet.keepers(now);
+    // The first is the keeper of this hall, which receives deposits.
+    for (const auto& keeper : std::span(keepers).subspan(1))
+    {
+        if (!m_first_acks.contains(keeper))
+        {
+            messages.push_back(
+                {keeper, new_message(quota_message_kind::deposit)});
+        }
+    }
+}
+
 // The largest size that any host reports: too large a fleet size is safe, too
 // small a one is not.
 std::size_t shared_quota::fleet_size_bound(absl::Time now) const
@@ -259,6 +307,12 @@
     }
     case quota_message_kind::deposit_ack:
         record_fleet_discovery(false, now);
+        m_first_acks.try_emplace(message.from, now);
+        if (message.hall != m_hall)
+        {
+            // It acknowledges an announcement: deposits go to the own hall.
+            return std::nullopt;
+        }
         m_last_ack = {message.from, message.sequence, now};
         if (m_unacknowledged_keeper == message.from)
         {
--- a/libraries/quotas/shared_quota.hpp
+++ b/libraries/quotas/shared_quota.hpp
@@ -89,8 +89,9 @@
         return m_fleet;
     }
 
-    /// Sets the time after which all others know a new host; the new host
-    /// accrues credit only then.
+    /// Sets the time after which all others know a new host by its state. The
+    /// new host accrues credit only then, or once the keepers of all halls have
+    /// counted it and passed the new size on.
     void set_join_delay(absl::Duration time)
     {
         m_join_delay = time;
@@ -169,6 +170,10 @@
         absl::Time received_at = absl::InfinitePast();
     };
 
+    [[nodiscard]] bool is_counted(absl::Time now) const;
+    [[nodiscard]] bool is_known_by_keepers(absl::Time now) const;
+    void announce_to_keepers(absl::Time now,
+                             std::vector<addressed_quota_message>& messages);
     [[nodiscard]] double share_at(absl::Time now) const;
     [[nodiscard]] quota_message new_message(quota_message_kind kind);
     [[nodiscard]] addressed_quota_message deposit_to(const host_id& keeper,
@@ -202,6 +207,9 @@
     absl::Duration m_join_delay;
     absl::Time m_fleet_known_at = absl::InfiniteFuture();
     bool m_was_listed = false;
+    /// When each keeper first acknowledged a message of this host.
+    std::map<host_id, absl::Time> m_first_acks;
+    absl::Time m_announced_at = absl::InfinitePast();
     /// The fleet size that each peer has reported, and when.
     std::map<host_id, std::pair<std::int64_t, absl::Time>>
         m_reported_fleet_sizes;
--- a/tests/quotas/shared_quota_test.cpp
+++ b/tests/quotas/shared_quota_test.cpp
@@ -86,6 +86,68 @@
     EXPECT_GT(take_all(quota, at(6)), 0);
 }
 
+/// A new host of a fleet of five halls whose other hosts all answer it.
+/// @param silent_hall hall whose keeper does not answer
+/// @return when the new host first has a share, in seconds
+double time_until_share(int hosts, const std::string& silent_hall = "")
+{
+    auto quota = make_quota("new", hall_id("hall-0"));
+    // A host sends its state to 32 others a second.
+    quota.set_join_delay(absl::Seconds(hosts / 32.0 + 1));
+    for (int host = 0; host < hosts; ++host)
+    {
+        quota.fleet().add_host(host_id("host-" + std::to_string(host)),
+                               hall_id("hall-" + std::to_string(host % 5)),
+                               at(0));
+    }
+    quota.record_fleet_discovery(false, at(0));
+    std::int64_t sequence = 0;
+    for (double second = 0; second < 120; second += 0.25)
+    {
+        for (const auto& [to, message] : quota.tick(at(second)))
+        {
+            const auto number = std::stoi(to.value().substr(5));
+            const hall_id hall("hall-" + std::to_string(number % 5));
+            if (message.kind != quota_message_kind::deposit ||
+                hall.value() == silent_hall)
+            {
+                continue;
+            }
+            quota_message ack;
+            ack.kind = quota_message_kind::deposit_ack;
+            ack.from = to;
+            ack.hall = hall;
+            ack.sender_incarnation = incarnation(1);
+            ack.sequence = ++sequence;
+            ack.in_reply_to = message.sequence;
+            ack.fleet_size = hosts + 1;
+            (void)quota.receive(ack, at(second));
+        }
+        if (quota.share() > 0)
+        {
+            EXPECT_DOUBLE_EQ(quota.share(), 1.0 / (hosts + 1));
+            return second;
+        }
+    }
+    return 120;
+}
+
+// Guards against a fleet that rejects all limited requests for longer the
+// larger it is: the state of a host takes 31 s to reach 984 others.
+TEST(shared_quota, a_new_host_accrues_soon_in_a_fleet_of_any_size)
+{
+    for (const int hosts : {9, 77, 295, 985, 1970})
+    {
+        EXPECT_LE(time_until_share(hosts), 2.5) << hosts;
+    }
+}
+
+// The hosts of that hall may not have heard of the new one.
+TEST(shared_quota, a_new_host_waits_if_a_keeper_has_not_counted_it)
+{
+    EXPECT_GE(time_until_share(985, "hall-3"), 985 / 32.0 + 1);
+}
+
 // After a crash only credit accrued from now on counts, without delay.
 TEST(shared_quota, a_restarted_host_starts_empty_and_accrues_at_once)
 {
