peers: Relay records through a hall, and fetch the first list from peers

Cause: two readers sent each change of the upstreams and of the configuration to every host of their hall, so what they send grew with hosts times upstreams, and a configuration of over 16 KB was left to the store, which all hosts then called. Each starting host listed all upstreams from the store: 985 hosts and 10,000 upstreams are 4 GB, 50 s of a store that sends 80 MB a second.

Change: each part is relayed by a tree of fanout 8, a different one for each reader; announcements that there is nothing newer still go to all directly. Parts are limited by the size of a datagram only. A starting host fetches the list of upstreams from a host of its hall; those that rank first as readers list the store, the others do so later the lower they rank. A restarted host whose record in the list of hosts is current reads that list once and appends nothing.

--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -212,6 +212,37 @@
     return candidates;
 }
 
+std::size_t peer_table::reader_position() const
+{
+    const auto own_rank = reader_rank(m_self.name);
+    const auto hosts = hosts_of_hall();
+    return static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(),
+        [&](const auto& host) { return reader_rank(host) < own_rank; }));
+}
+
+std::vector<host_id> peer_table::hosts_by_reader_rank() const
+{
+    auto hosts = hosts_of_hall();
+    std::sort(hosts.begin(), hosts.end(),
+              [](const auto& left, const auto& right)
+              { return reader_rank(left) < reader_rank(right); });
+    return hosts;
+}
+
+std::vector<host_id> peer_table::hosts_of_hall() const
+{
+    std::vector<host_id> hosts;
+    for (const auto& [name, peer] : m_peers)
+    {
+        if (peer.state.hall == m_self.hall)
+        {
+            hosts.push_back(name);
+        }
+    }
+    return hosts;
+}
+
 std::vector<host_id> peer_table::other_readers(absl::Time now) const
 {
     std::map<hall_id, std::vector<host_id>> candidates;
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -116,6 +116,17 @@
                                                   bool reaches_store,
                                                   absl::Time now) const;
 
+    /// @return number of known hosts of this host's hall that rank before it as
+    /// readers, reachable or not
+    [[nodiscard]] std::size_t reader_position() const;
+
+    /// @return the other known hosts of this host's hall, those that rank first
+    /// as readers first
+    [[nodiscard]] std::vector<host_id> hosts_by_reader_rank() const;
+
+    /// @return the other known hosts of this host's hall
+    [[nodiscard]] std::vector<host_id> hosts_of_hall() const;
+
     /// @return the readers of all halls, without this host
     [[nodiscard]] std::vector<host_id> other_readers(absl::Time now) const;
 
--- a/libraries/peers/topic_records.cpp
+++ b/libraries/peers/topic_records.cpp
@@ -11,14 +11,14 @@
 split_records(const std::string& topic, log_offset from,
               const std::vector<shared_record>& records, std::size_t part_bytes)
 {
-    std::vector<shared_records> parts{{topic, from, from, {}}};
+    std::vector<shared_records> parts{{topic, from, from, {}, {}}};
     std::size_t bytes = 0;
     for (const auto& record : records)
     {
         const auto size = record.key.size() + record.value.size();
         if (bytes > 0 && bytes + size > part_bytes)
         {
-            parts.push_back({topic, record.offset, record.offset, {}});
+            parts.push_back({topic, record.offset, record.offset, {}, {}});
             bytes = 0;
         }
         bytes += size;
@@ -43,6 +43,7 @@
     message.set_topic(records.topic);
     message.set_from(records.from.value());
     message.set_next(records.next.value());
+    message.set_root(records.root.value());
     if (!records.records.empty())
     {
         message.set_packed(compress(list.SerializeAsString()));
@@ -74,6 +75,7 @@
     records.topic = message.topic();
     records.from = log_offset(message.from());
     records.next = log_offset(message.next());
+    records.root = host_id(message.root());
     for (const auto& item : list.records())
     {
         records.records.push_back(
--- a/libraries/peers/topic_records.hpp
+++ b/libraries/peers/topic_records.hpp
@@ -26,6 +26,7 @@
     log_offset from; ///< offset at which the read started; 0: a full copy
     log_offset next; ///< the sender knows all records before this offset
     std::vector<shared_record> records;
+    host_id root; ///< reader whose relay tree spreads them; empty: not relayed
 };
 
 /// Splits records into parts, so that no datagram occupies a link for long.
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -48,7 +48,8 @@
                  [this](log_offset from, const auto& records) {
                      m_peers.share_records(std::string(platform::server_topic),
                                            from, records);
-                 }})
+                 },
+                 [this] { return m_peers.fetch_initial_list(); }})
     , m_peers(m_state, {m_configuration, m_servers})
     , m_duties(m_state, m_peers)
     , m_scaling(m_state, m_peers, m_duties)
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -102,6 +102,7 @@
     crash_detector crashes;
     upstream_limiter limits;
     bool has_servers = false;
+    bool has_listed_hosts = false; ///< the list of hosts was read once
     bool knows_hosts = false; ///< the list of hosts was read, including those
                               ///< that started at the same time
     bool is_stopping = false;
--- a/services/gateway/host_list.cpp
+++ b/services/gateway/host_list.cpp
@@ -31,31 +31,33 @@
 }
 
 // Adds this host's address to the store's list and reads those of the other
-// hosts. If the first list already contains this host, the entry is from an
-// earlier incarnation, and the other hosts count this host already. The list
-// that is used is read after this host was added, and, in a fleet that starts,
-// after the other hosts were.
+// hosts. If the first list already contains this host at its address, an
+// earlier incarnation has added it, the other hosts count this host already,
+// and that list is used. Otherwise the list that is used is read after this
+// host was added, and, in a fleet that starts, after the other hosts were.
 awaitable<void> host_list::publish_self()
 {
     http_caller caller(m_state.context, m_state.settings.store_address);
-    bool is_read = false;
-    bool was_listed = false;
+    std::optional<own_record> first;
     bool is_published = false;
     for (int attempt = 0;; ++attempt)
     {
-        if (!is_read)
+        if (!first)
         {
-            const auto listed = co_await list_hosts(caller);
-            is_read = listed.has_value();
-            was_listed = listed.value_or(false);
+            first = co_await list_hosts(caller);
+        }
+        if (first && first->is_current)
+        {
+            finish(true);
+            co_return;
         }
-        if (is_read && !is_published)
+        if (first && !is_published)
         {
             is_published = co_await add_self(caller);
         }
         if (is_published)
         {
-            if (!was_listed)
+            if (!first->is_listed)
             {
                 // Waits until hosts that start at the same time are listed.
                 boot_timer start(m_state.context, fleet_start_time);
@@ -64,9 +66,7 @@
             const auto listed = co_await list_hosts(caller);
             if (listed)
             {
-                m_state.quota.shared().record_fleet_discovery(
-                    was_listed, gateway_state::now());
-                m_state.knows_hosts = true;
+                finish(first->is_listed);
                 co_return;
             }
         }
@@ -77,22 +77,33 @@
     }
 }
 
+void host_list::finish(bool was_listed)
+{
+    m_state.quota.shared().record_fleet_discovery(was_listed,
+                                                  gateway_state::now());
+    m_state.knows_hosts = true;
+}
+
+std::string host_list::own_value() const
+{
+    return concat(m_state.settings.peers_address, " ", m_state.hall.value());
+}
+
 // @return whether the store has accepted the record
 awaitable<bool> host_list::add_self(http_caller& caller)
 {
-    const auto value =
-        concat(m_state.settings.peers_address, " ", m_state.hall.value());
     auto append = platform::append_call(
         platform::machine_topic,
-        {platform::encode_keyed(m_state.self.value(), value)}, std::nullopt);
+        {platform::encode_keyed(m_state.self.value(), own_value())},
+        std::nullopt);
     const auto response =
         co_await caller.call(std::move(append), store_timeout);
     co_return response && response->status == http_status::ok;
 }
 
-// @return whether this host is in the list; nothing if the list could not be
-// read
-awaitable<std::optional<bool>> host_list::list_hosts(http_caller& caller)
+// @return this host's record in the list; nothing if the list could not be read
+awaitable<std::optional<host_list::own_record>>
+host_list::list_hosts(http_caller& caller)
 {
     const auto listed = co_await list_topic(
         caller, std::string(platform::machine_topic), store_timeout);
@@ -100,13 +111,17 @@
     {
         co_return std::nullopt;
     }
-    bool is_listed = false;
+    own_record own;
     for (const auto& record : listed->records)
     {
-        is_listed = is_listed || record.key == m_state.self.value();
+        if (record.key == m_state.self.value())
+        {
+            own = {true, record.value == own_value()};
+        }
         add_listed(record);
     }
-    co_return is_listed;
+    m_state.has_listed_hosts = true;
+    co_return own;
 }
 
 // A record's value is the host's address, a space and its hall.
--- a/services/gateway/host_list.hpp
+++ b/services/gateway/host_list.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <peers/host_state.hpp>
+#include <string>
 
 namespace daleshelf
 {
@@ -28,8 +29,17 @@
     awaitable<void> publish_self();
 
 private:
+    /// This host's record in a list that was read.
+    struct own_record
+    {
+        bool is_listed = false;
+        bool is_current = false; ///< with the present address and hall
+    };
+
+    void finish(bool was_listed);
+    [[nodiscard]] std::string own_value() const;
     awaitable<bool> add_self(http_caller& caller);
-    awaitable<std::optional<bool>> list_hosts(http_caller& caller);
+    awaitable<std::optional<own_record>> list_hosts(http_caller& caller);
     void add_listed(const platform::keyed_record& record);
 
     gateway_state& m_state;
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -329,7 +329,7 @@
     case datagram_format::records:
         if (const auto read = decode_shared_records(bytes))
         {
-            m_sharing.receive_records(*read);
+            m_sharing.receive_records(*read, bytes);
         }
         return;
     case datagram_format::poison:
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -44,6 +44,14 @@
         m_sharing.share_records(topic, from, records);
     }
 
+    /// Fetches the list of upstreams from a host of this hall when the process
+    /// starts.
+    /// @return whether the list was fetched
+    awaitable<bool> fetch_initial_list()
+    {
+        return m_sharing.fetch_initial_list();
+    }
+
     [[nodiscard]] const peer_table& table() const
     {
         return m_table;
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -53,6 +53,11 @@
 
 awaitable<void> topic_follower::run()
 {
+    if (m_callbacks.fetch_initial_list)
+    {
+        // If it fails, the list is read from the store.
+        (void)co_await m_callbacks.fetch_initial_list();
+    }
     while (true)
     {
         bool has_succeeded = false;
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -35,6 +35,9 @@
     /// of the first; empty if the host does not share this topic.
     std::function<void(log_offset, const std::vector<platform::keyed_record>&)>
         on_read = nullptr;
+    /// Fetches the first list from a peer, and returns whether it was merged;
+    /// empty if the first list is always read from the store.
+    std::function<awaitable<bool>()> fetch_initial_list = nullptr;
 };
 
 /// @return the name of the origin in the log
@@ -95,6 +98,12 @@
         return m_records;
     }
 
+    /// @return whether the complete list is known
+    [[nodiscard]] bool has_listed() const
+    {
+        return m_has_listed;
+    }
+
     /// @return whether the store has confirmed recently that the records are up
     /// to date
     [[nodiscard]] bool is_fresh() const;
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -15,19 +15,19 @@
 // Records are sent in parts of about this size; compressed, a part is 3 KB, or
 // two packets.
 constexpr std::size_t max_part_size = 32768;
-// A larger encoded part is not sent, and followers read it from the store: sent
-// to the 57 hosts of a hall, it would fill a link of 20 Mbit/s for longer than
-// the store takes to serve them all.
-constexpr std::size_t max_encoded_size = 16384;
+// A larger encoded part does not fit a datagram, and followers read it from the
+// store.
+constexpr std::size_t max_encoded_size = 57344;
 // A host that has not read the list of hosts after this time continues without
 // it; a host that is new in the list has read it after 1.6 s.
 constexpr absl::Duration max_start_time = absl::Milliseconds(2500);
-// Records are sent at 20 Mbit/s, the bandwidth of a small host's link. Without
-// this limit, 0.7 MB sent to 57 hosts at once does not arrive, and 285 hosts
-// call the store instead.
+// Records are sent at 20 Mbit/s, the bandwidth of a small host's link: faster
+// ones are lost, and the hosts call the store instead.
 constexpr std::size_t burst_bytes = 65536;
 constexpr milliseconds burst_pause{25};
 constexpr milliseconds fetch_timeout{1000};
+constexpr milliseconds initial_fetch_timeout{1500};
+constexpr milliseconds initial_list_pause{150};
 constexpr std::string_view records_target = "/records/";
 
 shared_record to_shared(const platform::keyed_record& record)
@@ -132,15 +132,21 @@
 {
     ++m_pending_sends;
     std::size_t sent_bytes = 0;
-    for (const auto& part : parts)
+    for (auto& part : parts)
     {
+        const bool is_relayed = !part.records.empty();
+        if (is_relayed)
+        {
+            part.root = m_state.self;
+        }
         const auto bytes = encode(part);
         if (bytes.size() > max_encoded_size)
         {
             // The next part or announcement shows followers the gap.
             continue;
         }
-        for (const auto& address : addresses_in_hall())
+        for (const auto& address :
+             is_relayed ? relay_addresses(part.root) : addresses_in_hall())
         {
             m_send(address, bytes);
             sent_bytes += bytes.size();
@@ -158,18 +164,59 @@
 std::vector<std::string> topic_sharing::addresses_in_hall() const
 {
     std::vector<std::string> addresses;
-    for (const auto& [name, peer] : m_table.peers())
+    for (const auto& host : m_table.hosts_of_hall())
     {
-        if (peer.state.hall == m_state.hall)
-        {
-            addresses.push_back(peer.address);
-        }
+        addresses.push_back(m_table.peers().at(host).address);
+    }
+    return addresses;
+}
+
+std::vector<std::string>
+topic_sharing::relay_addresses(const host_id& root) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& host :
+         relay_children(root, m_state.self, m_table.hosts_of_hall()))
+    {
+        addresses.push_back(m_table.peers().at(host).address);
     }
     return addresses;
 }
 
-void topic_sharing::receive_records(const shared_records& read)
+// @return address of the host to fetch the first list from; empty if no other
+// host of the hall is known
+std::string topic_sharing::initial_list_address() const
 {
+    const auto hosts = m_table.hosts_by_reader_rank();
+    if (hosts.empty())
+    {
+        return {};
+    }
+    const auto position = initial_list_source(
+        hosts.size(), absl::Uniform(m_state.random, 0.0, 1.0));
+    return m_table.peers().at(hosts[position]).address;
+}
+
+// Forwards a part to the next hosts of its root's tree. What a reader sends
+// does not grow with the hosts of its hall.
+void topic_sharing::relay(const shared_records& read, std::string_view bytes)
+{
+    const bool is_relayed = !read.root.empty() && !read.records.empty();
+    if (!is_relayed ||
+        !m_relay_filter.accept({read.topic, read.root}, read.from))
+    {
+        return;
+    }
+    for (const auto& address : relay_addresses(read.root))
+    {
+        m_send(address, std::string(bytes));
+    }
+}
+
+void topic_sharing::receive_records(const shared_records& read,
+                                    std::string_view bytes)
+{
+    relay(read, bytes);
     auto* follower = find_topic(read.topic);
     if (follower == nullptr)
     {
@@ -179,28 +226,69 @@
                                    monotonic::now());
 }
 
-awaitable<void> topic_sharing::fetch_from(std::string address,
-                                          std::string topic)
+awaitable<bool> topic_sharing::fetch_from(std::string address,
+                                          std::string topic,
+                                          milliseconds timeout)
 {
     http_caller caller(m_state.context, address);
     platform::store_call call{"GET", concat(records_target, topic), "", ""};
-    const auto response = co_await caller.call(std::move(call), fetch_timeout);
-    m_is_fetching = false;
+    const auto response = co_await caller.call(std::move(call), timeout);
     if (!response || response->status != http_status::ok)
     {
-        co_return;
+        co_return false;
     }
     const auto shared = decode_shared_records(response->body);
     auto* follower = find_topic(topic);
     if (!shared || follower == nullptr)
     {
-        co_return;
+        co_return false;
     }
     const auto new_records =
         follower->merge(from_shared(shared->records), shared->next);
     log(events::records_from_peer, {{"topic", topic},
                                     {"peer", address},
                                     {"news", std::to_string(new_records)}});
+    co_return true;
+}
+
+awaitable<void> topic_sharing::fetch_missing(std::string address,
+                                             std::string topic)
+{
+    (void)co_await fetch_from(std::move(address), std::move(topic),
+                              fetch_timeout);
+    m_is_fetching = false;
+}
+
+awaitable<bool> topic_sharing::fetch_initial_list()
+{
+    const auto started_at = gateway_state::now();
+    boot_timer timer(m_state.context);
+    while (true)
+    {
+        const starting_host host{m_state.has_listed_hosts,
+                                 m_table.sends_to_all_peers(),
+                                 m_table.reader_position()};
+        switch (next_initial_list_step(host, gateway_state::now() - started_at))
+        {
+        case initial_list_step::list_from_store:
+            co_return false;
+        case initial_list_step::fetch_from_peer:
+        {
+            const bool is_fetched = co_await fetch_from(
+                initial_list_address(), std::string(platform::server_topic),
+                initial_fetch_timeout);
+            if (is_fetched)
+            {
+                co_return true;
+            }
+            break;
+        }
+        case initial_list_step::wait:
+            break;
+        }
+        timer.expires_after(initial_list_pause);
+        co_await timer.async_wait(use_result);
+    }
 }
 
 // Fetches records that a peer has known for a while and that have not been
@@ -223,7 +311,7 @@
     asio::co_spawn(
         m_state.context,
         [this, address = source->address, wanted]
-        { return fetch_from(address, wanted); },
+        { return fetch_missing(address, wanted); },
         asio::detached);
 }
 
@@ -235,7 +323,7 @@
     }
     const auto name = target.substr(records_target.size());
     const auto* follower = find_topic(name);
-    if (follower == nullptr)
+    if (follower == nullptr || !follower->has_listed())
     {
         return {http_status::not_found, "", "text/plain"};
     }
@@ -246,7 +334,12 @@
     {
         shared.records.push_back(to_shared(record));
     }
-    return {http_status::ok, encode(shared), "application/octet-stream"};
+    auto bytes = encode(shared);
+    if (!m_transfer_limit.accept(bytes.size(), gateway_state::now()))
+    {
+        return {http_status::unavailable, "", "text/plain"};
+    }
+    return {http_status::ok, std::move(bytes), "application/octet-stream"};
 }
 
 topic_follower* topic_sharing::find_topic(const std::string& name)
--- a/services/gateway/topic_sharing.hpp
+++ b/services/gateway/topic_sharing.hpp
@@ -8,8 +8,11 @@
 
 #include <functional>
 #include <peers/fetch_delay.hpp>
+#include <peers/initial_list.hpp>
 #include <peers/peer_table.hpp>
+#include <peers/relay_tree.hpp>
 #include <peers/topic_records.hpp>
+#include <string_view>
 
 namespace daleshelf
 {
@@ -46,15 +49,23 @@
     void share_records(const std::string& topic, log_offset from,
                        const std::vector<platform::keyed_record>& records);
 
-    /// Applies records that a reader of this hall has sent.
-    void receive_records(const shared_records& read);
+    /// Applies records that a reader of this hall has sent, and forwards them.
+    /// @param bytes the datagram with the records
+    void receive_records(const shared_records& read, std::string_view bytes);
+
+    /// Fetches the list of upstreams from a host of this hall when the process
+    /// starts.
+    /// @return whether the list was fetched; otherwise it is to be listed from
+    /// the store
+    awaitable<bool> fetch_initial_list();
 
     /// Fetches records that a peer has known for a while and that have not been
     /// received from the store.
     void fetch_newer_records();
 
     /// @param target target of a peer's request, with the name of a topic
-    /// @return the response: all records known of the topic, or status 404
+    /// @return the response: all records known of the topic, status 404, or
+    /// status 503 while other responses occupy the link
     [[nodiscard]] simple_response respond(const std::string& target);
 
 private:
@@ -64,8 +75,14 @@
 
     void announce_end();
     awaitable<void> send_parts(std::vector<shared_records> parts);
+    void relay(const shared_records& read, std::string_view bytes);
     [[nodiscard]] std::vector<std::string> addresses_in_hall() const;
-    awaitable<void> fetch_from(std::string address, std::string topic);
+    [[nodiscard]] std::vector<std::string>
+    relay_addresses(const host_id& root) const;
+    [[nodiscard]] std::string initial_list_address() const;
+    awaitable<bool> fetch_from(std::string address, std::string topic,
+                               milliseconds timeout);
+    awaitable<void> fetch_missing(std::string address, std::string topic);
     [[nodiscard]] topic_follower* find_topic(const std::string& name);
 
     gateway_state& m_state;
@@ -73,6 +90,8 @@
     const peer_table& m_table;
     sender m_send;
     fetch_delay m_fetch_delay{peer_fetch_delay};
+    relay_filter m_relay_filter;
+    list_transfer_limit m_transfer_limit;
     absl::Time m_first_chosen_at = absl::InfiniteFuture();
     int m_pending_sends = 0; ///< calls of `send_parts` in progress
     bool m_is_fetching = false;
--- a/tests/peers/topic_records_test.cpp
+++ b/tests/peers/topic_records_test.cpp
@@ -15,13 +15,15 @@
         "topic",
         log_offset(2),
         log_offset(9),
-        {{log_offset(3), "key", std::string("\0v", 2)}}};
+        {{log_offset(3), "key", std::string("\0v", 2)}},
+        host_id("reader")};
     const auto read = decode_shared_records(encode(records));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->topic, "topic");
     EXPECT_EQ(read->from, log_offset(2));
     EXPECT_EQ(read->next, log_offset(9));
     EXPECT_EQ(read->records.front().value, std::string("\0v", 2));
+    EXPECT_EQ(read->root, host_id("reader"));
 }
 
 /// @return one record per upstream, each with a unique id and address
@@ -58,7 +60,7 @@
         uncompressed_bytes += record.key.size() + record.value.size();
     }
     const auto encoded =
-        encode({"keyed.servers", log_offset(0), log_offset(100), records});
+        encode({"keyed.servers", log_offset(0), log_offset(100), records, {}});
     EXPECT_LT(encoded.size() * 6, uncompressed_bytes)
         << encoded.size() << " of " << uncompressed_bytes;
     const auto read = decode_shared_records(encoded);
@@ -69,8 +71,11 @@
 
 TEST(topic_records, that_are_damaged_yield_no_records)
 {
-    const auto encoded = encode(
-        {"keyed.servers", log_offset(0), log_offset(20), upstream_records(20)});
+    const auto encoded = encode({"keyed.servers",
+                                 log_offset(0),
+                                 log_offset(20),
+                                 upstream_records(20),
+                                 {}});
     for (std::size_t size = 0; size < encoded.size(); ++size)
     {
         const auto read = decode_shared_records(encoded.substr(0, size));
