peers: Bound the hosts that call the store while readers are silent

The store sends 80 MB a second to all; no response arrives within 1.5 s, the readers' own calls time out too and they report nothing, so that every host goes on calling. From 16 s before the traffic to 8 s after its start no host read a record past 3,142, and the configuration stayed at version 2. What a host may ask of the store grew with hosts times upstreams.

Change: a host suspects a reader whose reports it misses for 1.4 s, and the next host by rank reads in its place; states of hosts, which told that before, take a round through the fleet. Without any report the first 32 hosts of a hall call the store after 1.4 s, the others 0.6 s later for each doubling of their rank. A page has 256 KB at most, and the next one follows at once. A host that has read no list of hosts yet calls for no records for 8 s. After the first list of hosts only those that were added since are read; the configuration too comes from a peer first.

--- a/libraries/peers/peer_table.cpp
+++ b/libraries/peers/peer_table.cpp
@@ -194,6 +194,7 @@
 
 std::vector<host_id> peer_table::readers_of(const hall_id& own_hall,
                                             bool reaches_store,
+                                            const reader_monitor& monitor,
                                             absl::Time now) const
 {
     std::vector<host_id> candidates;
@@ -203,7 +204,8 @@
     }
     for (const auto& [name, peer] : m_peers)
     {
-        if (peer.state.hall == own_hall && is_reader_candidate(name, now))
+        if (peer.state.hall == own_hall && !monitor.is_suspected(name, now) &&
+            is_reader_candidate(name, now))
         {
             candidates.push_back(name);
         }
--- a/libraries/peers/peer_table.hpp
+++ b/libraries/peers/peer_table.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "host_state.hpp"
+#include "reader_monitor.hpp"
 #include "window_counts.hpp"
 
 #include <absl/time/time.h>
@@ -110,10 +111,12 @@
     /// @param own_hall the hall whose readers to return
     /// @param reaches_store whether this host, which is in that hall, reaches
     /// the store itself
+    /// @param monitor suspected readers, which are left out
     /// @return the few hosts that read from the store on behalf of the hall;
     /// hosts with the same view of the peers get the same result
     [[nodiscard]] std::vector<host_id> readers_of(const hall_id& own_hall,
                                                   bool reaches_store,
+                                                  const reader_monitor& monitor,
                                                   absl::Time now) const;
 
     /// @return number of known hosts of this host's hall that rank before it as
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -111,6 +111,8 @@
     /// Changes in the store that follow each other within this time are read
     /// in one batch.
     milliseconds change_batch_delay{100};
+    /// Time without reports of readers after which this host calls the store.
+    milliseconds store_fallback_delay{1400};
     std::int64_t requests_in_flight = 0;
 };
 
--- a/services/gateway/host_list.cpp
+++ b/services/gateway/host_list.cpp
@@ -31,10 +31,10 @@
 }
 
 // Adds this host's address to the store's list and reads those of the other
-// hosts. If the first list already contains this host at its address, an
-// earlier incarnation has added it, the other hosts count this host already,
-// and that list is used. Otherwise the list that is used is read after this
-// host was added, and, in a fleet that starts, after the other hosts were.
+// hosts. If the list already contains this host at its address, an earlier
+// incarnation has added it, and the other hosts count this host already.
+// Otherwise the hosts that were added since are read once this host was added,
+// and, in a fleet that starts, the other hosts were.
 awaitable<void> host_list::publish_self()
 {
     http_caller caller(m_state.context, m_state.settings.store_address);
@@ -63,8 +63,8 @@
                 boot_timer start(m_state.context, fleet_start_time);
                 co_await start.async_wait(use_result);
             }
-            const auto listed = co_await list_hosts(caller);
-            if (listed)
+            const bool is_read = co_await read_added(caller);
+            if (is_read)
             {
                 finish(first->is_listed);
                 co_return;
@@ -120,10 +120,51 @@
         }
         add_listed(record);
     }
+    m_list_end = listed->end;
     m_state.has_listed_hosts = true;
     co_return own;
 }
 
+// Reads the hosts that were added after the list. In a fleet that starts these
+// are nearly all: the records of the log are a third of the size of their list.
+// @return whether all were read
+awaitable<bool> host_list::read_added(http_caller& caller)
+{
+    while (true)
+    {
+        auto call = platform::read_call(platform::machine_topic, m_list_end,
+                                        milliseconds(0));
+        const auto response =
+            co_await caller.call(std::move(call), store_timeout);
+        if (response && response->status == http_status::gone)
+        {
+            const auto listed = co_await list_hosts(caller);
+            co_return listed.has_value();
+        }
+        if (!response || response->status != http_status::ok)
+        {
+            co_return false;
+        }
+        try
+        {
+            const auto page = platform::read_page(response->body);
+            for (const auto& content : page.records)
+            {
+                add_listed(platform::decode_keyed(content, m_list_end));
+                m_list_end = m_list_end.next();
+            }
+            if (page.records.empty() || m_list_end >= page.end)
+            {
+                co_return true;
+            }
+        }
+        catch (const json_error&)
+        {
+            co_return false;
+        }
+    }
+}
+
 // A record's value is the host's address, a space and its hall.
 void host_list::add_listed(const platform::keyed_record& record)
 {
--- a/services/gateway/host_list.hpp
+++ b/services/gateway/host_list.hpp
@@ -40,10 +40,12 @@
     [[nodiscard]] std::string own_value() const;
     awaitable<bool> add_self(http_caller& caller);
     awaitable<std::optional<own_record>> list_hosts(http_caller& caller);
+    awaitable<bool> read_added(http_caller& caller);
     void add_listed(const platform::keyed_record& record);
 
     gateway_state& m_state;
     host_callback m_on_host;
+    log_offset m_list_end; ///< hosts added before this offset are known
 };
 
 } // namespace daleshelf
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -44,12 +44,12 @@
         m_sharing.share_records(topic, from, records);
     }
 
-    /// Fetches the list of upstreams from a host of this hall when the process
+    /// Fetches the records of a topic from a host of this hall when the process
     /// starts.
-    /// @return whether the list was fetched
-    awaitable<bool> fetch_initial_list()
+    /// @return whether they were fetched
+    awaitable<bool> fetch_initial_list(std::string topic)
     {
-        return m_sharing.fetch_initial_list();
+        return m_sharing.fetch_initial_list(std::move(topic));
     }
 
     [[nodiscard]] const peer_table& table() const
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -17,8 +17,6 @@
 constexpr milliseconds max_backoff{1000};
 constexpr std::chrono::seconds reachable_timeout{3};
 constexpr milliseconds role_poll_interval{100};
-// A follower calls the store itself if no reader has reported for this long.
-constexpr milliseconds reader_timeout{1400};
 // A lost datagram is normally covered by the next one: two readers send the
 // same records, each of them twice a second per topic. A follower waits this
 // long for missing records before it calls the store.
@@ -72,6 +70,10 @@
             has_succeeded = co_await list();
         }
         record_call_result(has_succeeded);
+        if (has_succeeded && m_has_more)
+        {
+            continue;
+        }
         if (has_succeeded)
         {
             co_await m_wake.wait_for(m_state.change_batch_delay);
@@ -179,14 +181,15 @@
 {
     while (is_served_by_readers())
     {
-        co_await m_wake.wait_until(m_last_report_at + reader_timeout);
+        co_await m_wake.wait_until(m_last_report_at +
+                                   m_state.store_fallback_delay);
     }
 }
 
 bool topic_follower::is_served_by_readers() const
 {
     return m_callbacks.on_read && m_state.role == list_role::follower &&
-           monotonic::now() < m_last_report_at + reader_timeout;
+           monotonic::now() < m_last_report_at + m_state.store_fallback_delay;
 }
 
 bool topic_follower::is_fresh() const
@@ -259,6 +262,7 @@
 awaitable<bool> topic_follower::tail()
 {
     const auto from = m_next;
+    m_has_more = false;
     m_is_tailing = true;
     m_requested_at = monotonic::now();
     auto call = platform::read_call(m_topic, from, tail_wait);
@@ -313,7 +317,11 @@
             // The response is stale: the known records are newer.
             co_return false;
         }
-        m_complete_as_of = std::max(m_complete_as_of, m_requested_at);
+        m_has_more = m_next < page.end && !page.records.empty();
+        if (!m_has_more)
+        {
+            m_complete_as_of = std::max(m_complete_as_of, m_requested_at);
+        }
         // The store is authoritative over offsets that readers announce.
         m_announced_end = m_next;
     }
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -162,6 +162,7 @@
     bool m_has_listed = false;
     bool m_was_reachable = false;
     bool m_is_tailing = false;
+    bool m_has_more = false; ///< the last page ended before the end of the log
     int m_failures = 0;
     monotonic::time_point m_responded_at{};
     monotonic::time_point m_requested_at{};
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -21,6 +21,10 @@
 // A host that has not read the list of hosts after this time continues without
 // it; a host that is new in the list has read it after 1.6 s.
 constexpr absl::Duration max_start_time = absl::Milliseconds(2500);
+// A host that could not read any list of hosts waits longer: while a whole
+// fleet starts, the store is slow, and calls of all hosts for records make it
+// slower.
+constexpr absl::Duration max_list_time = absl::Seconds(8);
 // Records are sent at 20 Mbit/s, the bandwidth of a small host's link: faster
 // ones are lost, and the hosts call the store instead.
 constexpr std::size_t burst_bytes = 65536;
@@ -76,22 +80,22 @@
     const auto now = gateway_state::now();
     m_first_chosen_at = std::min(m_first_chosen_at, now);
     const bool is_starting =
-        !m_state.knows_hosts && now - m_first_chosen_at < max_start_time;
+        !m_state.knows_hosts &&
+        now - m_first_chosen_at <
+            (m_state.has_listed_hosts ? max_start_time : max_list_time);
     if (is_starting || m_table.sends_to_all_peers())
     {
         m_state.role = is_starting ? list_role::starting : list_role::alone;
         return;
     }
-    m_state.role = list_role::follower;
     const bool reaches_store = m_topics.configuration.is_store_reachable();
-    for (const auto& reader :
-         m_table.readers_of(m_state.hall, reaches_store, now))
-    {
-        if (reader == m_state.self)
-        {
-            m_state.role = list_role::reader;
-        }
-    }
+    auto readers =
+        m_table.readers_of(m_state.hall, reaches_store, m_readers, now);
+    const bool is_reader = std::erase(readers, m_state.self) > 0;
+    m_readers.update(readers, now);
+    m_state.role = is_reader ? list_role::reader : list_role::follower;
+    m_state.store_fallback_delay = absl::ToChronoMilliseconds(
+        store_fallback_delay(m_table.reader_position()));
     announce_end();
 }
 
@@ -135,10 +139,7 @@
     for (auto& part : parts)
     {
         const bool is_relayed = !part.records.empty();
-        if (is_relayed)
-        {
-            part.root = m_state.self;
-        }
+        part.root = m_state.self;
         const auto bytes = encode(part);
         if (bytes.size() > max_encoded_size)
         {
@@ -216,6 +217,10 @@
 void topic_sharing::receive_records(const shared_records& read,
                                     std::string_view bytes)
 {
+    if (!read.root.empty())
+    {
+        m_readers.record_report(read.root, gateway_state::now());
+    }
     relay(read, bytes);
     auto* follower = find_topic(read.topic);
     if (follower == nullptr)
@@ -259,7 +264,7 @@
     m_is_fetching = false;
 }
 
-awaitable<bool> topic_sharing::fetch_initial_list()
+awaitable<bool> topic_sharing::fetch_initial_list(std::string topic)
 {
     const auto started_at = gateway_state::now();
     boot_timer timer(m_state.context);
@@ -275,8 +280,7 @@
         case initial_list_step::fetch_from_peer:
         {
             const bool is_fetched = co_await fetch_from(
-                initial_list_address(), std::string(platform::server_topic),
-                initial_fetch_timeout);
+                initial_list_address(), topic, initial_fetch_timeout);
             if (is_fetched)
             {
                 co_return true;
--- a/services/gateway/topic_sharing.hpp
+++ b/services/gateway/topic_sharing.hpp
@@ -53,11 +53,11 @@
     /// @param bytes the datagram with the records
     void receive_records(const shared_records& read, std::string_view bytes);
 
-    /// Fetches the list of upstreams from a host of this hall when the process
+    /// Fetches the records of a topic from a host of this hall when the process
     /// starts.
-    /// @return whether the list was fetched; otherwise it is to be listed from
+    /// @return whether they were fetched; otherwise they are to be listed from
     /// the store
-    awaitable<bool> fetch_initial_list();
+    awaitable<bool> fetch_initial_list(std::string topic);
 
     /// Fetches records that a peer has known for a while and that have not been
     /// received from the store.
@@ -91,6 +91,7 @@
     sender m_send;
     fetch_delay m_fetch_delay{peer_fetch_delay};
     relay_filter m_relay_filter;
+    reader_monitor m_readers;
     list_transfer_limit m_transfer_limit;
     absl::Time m_first_chosen_at = absl::InfiniteFuture();
     int m_pending_sends = 0; ///< calls of `send_parts` in progress
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -97,7 +97,7 @@
 
 bool reads(const peer_table& table, const std::string& name)
 {
-    const auto readers = table.readers_of(hall_id("h"), true, at(0.1));
+    const auto readers = table.readers_of(hall_id("h"), true, {}, at(0.1));
     return std::find(readers.begin(), readers.end(), host_id(name)) !=
            readers.end();
 }
@@ -105,9 +105,9 @@
 TEST(peer_table, two_machines_of_a_hall_read_for_the_others)
 {
     const auto table = make_large_table(20);
-    const auto readers = table.readers_of(hall_id("h"), true, at(0.1));
+    const auto readers = table.readers_of(hall_id("h"), true, {}, at(0.1));
     EXPECT_EQ(readers.size(), 2U);
-    EXPECT_TRUE(table.readers_of(hall_id("other"), false, at(0.1)).empty());
+    EXPECT_TRUE(table.readers_of(hall_id("other"), false, {}, at(0.1)).empty());
 }
 
 TEST(peer_table, a_machine_that_does_not_reach_the_store_does_not_read)
@@ -124,14 +124,14 @@
         state.hall = hall_id("h");
         (void)table.receive(state, at(0.05));
         EXPECT_FALSE(reads(table, name));
-        EXPECT_EQ(table.readers_of(hall_id("h"), true, at(0.1)).size(), 2U);
+        EXPECT_EQ(table.readers_of(hall_id("h"), true, {}, at(0.1)).size(), 2U);
     }
 }
 
 TEST(peer_table, a_silent_machine_does_not_read)
 {
     const auto table = make_large_table(20);
-    EXPECT_EQ(table.readers_of(hall_id("h"), true, at(60)),
+    EXPECT_EQ(table.readers_of(hall_id("h"), true, {}, at(60)),
               std::vector<host_id>{host_id("1")});
 }
 
@@ -299,7 +299,7 @@
         {
             table.add_address(host, at(0));
         }
-        auto readers = table.readers_of(hall_id("h"), true, at(0.2));
+        auto readers = table.readers_of(hall_id("h"), true, {}, at(0.2));
         std::sort(readers.begin(), readers.end());
         chosen.insert(readers);
     }
@@ -311,8 +311,8 @@
 {
     auto table = make_table();
     table.add_address({host_id("2"), "10.0.0.2:7", hall_id("h")}, at(0));
-    EXPECT_EQ(table.readers_of(hall_id("h"), false, at(0.1)).size(), 1U);
-    EXPECT_TRUE(table.readers_of(hall_id("h"), false, at(1)).empty());
+    EXPECT_EQ(table.readers_of(hall_id("h"), false, {}, at(0.1)).size(), 1U);
+    EXPECT_TRUE(table.readers_of(hall_id("h"), false, {}, at(1)).empty());
 }
 
 TEST(datagram_format, distinguishes_the_formats_on_one_socket)
