peers: Fetch missing records from peers, one by one

A host that learned from a peer's state that it was behind fetched the whole list, about once a second.

Change: hosts keep their newest 4,096 records and send those that a peer lacks. A host with a gap fetches from hosts of its hall first, by the steps of a starting host; the store is called by the first hosts by rank, and by the others later.

--- a/libraries/peers/initial_list.cpp
+++ b/libraries/peers/catch_up.cpp
@@ -1,4 +1,4 @@
-#include "initial_list.hpp"
+#include "catch_up.hpp"
 
 #include <algorithm>
 #include <bit>
@@ -27,13 +27,13 @@
 
 } // namespace
 
-initial_list_step next_initial_list_step(const starting_host& host,
-                                         absl::Duration waited)
+catch_up_step next_catch_up_step(const catching_up_host& host,
+                                 absl::Duration waited)
 {
     if (!host.knows_fleet)
     {
-        return waited < max_fleet_wait ? initial_list_step::wait
-                                       : initial_list_step::list_from_store;
+        return waited < max_fleet_wait ? catch_up_step::wait
+                                       : catch_up_step::list_from_store;
     }
     const bool is_reader = host.reader_position < readers_per_hall;
     const auto doublings =
@@ -41,11 +41,11 @@
     const auto longest_wait =
         std::min(max_wait, first_wait + wait_per_doubling * doublings);
     return host.is_fleet_small || is_reader || waited >= longest_wait
-               ? initial_list_step::list_from_store
-               : initial_list_step::fetch_from_peer;
+               ? catch_up_step::list_from_store
+               : catch_up_step::fetch_from_peer;
 }
 
-std::size_t initial_list_source(std::size_t hosts, double sample)
+std::size_t catch_up_source(std::size_t hosts, double sample)
 {
     const auto position = std::pow(static_cast<double>(hosts) + 1, sample) - 1;
     return std::min(hosts - 1, static_cast<std::size_t>(position));
--- a/libraries/peers/initial_list.hpp
+++ b/libraries/peers/catch_up.hpp
@@ -10,7 +10,7 @@
 {
 
 /// What a starting host knows of its fleet.
-struct starting_host
+struct catching_up_host
 {
     bool knows_fleet = false;    ///< the list of hosts was read
     bool is_fleet_small = false; ///< all hosts read the store themselves
@@ -19,7 +19,7 @@
 };
 
 /// Next step of a starting host.
-enum class initial_list_step
+enum class catch_up_step
 {
     wait,            ///< ask again shortly
     fetch_from_peer, ///< from a random host of the hall
@@ -32,14 +32,14 @@
 /// Each rank waits a little longer before it lists the store itself, so that
 /// lost readers are replaced by a few hosts instead of all.
 /// @param waited time since the start of the process
-[[nodiscard]] initial_list_step
-next_initial_list_step(const starting_host& host, absl::Duration waited);
+[[nodiscard]] catch_up_step next_catch_up_step(const catching_up_host& host,
+                                               absl::Duration waited);
 
 /// @param hosts number of hosts of the hall, at least one
 /// @param sample random number, uniform in [0, 1)
 /// @return position by rank of the host to fetch the list from. The first hosts
 /// are preferred (log-uniformly), since they have the list first.
-[[nodiscard]] std::size_t initial_list_source(std::size_t hosts, double sample);
+[[nodiscard]] std::size_t catch_up_source(std::size_t hosts, double sample);
 
 /// Limits the lists that a host sends to the bandwidth of a small link, so that
 /// each transfer completes in time; further hosts ask another peer.
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -42,21 +42,18 @@
                m_peers.share_records(std::string(platform::operator_topic),
                                      from, records);
            },
-           [this] {
-               return m_peers.fetch_initial_list(
-                   std::string(platform::operator_topic));
-           }})
-    , m_servers(m_state, std::string(platform::server_topic),
-                {[this](const auto& record) { apply_server_record(record); },
-                 [this](const auto& records) { apply_server_list(records); },
-                 [this](log_offset from, const auto& records) {
-                     m_peers.share_records(std::string(platform::server_topic),
-                                           from, records);
-                 },
-                 [this] {
-                     return m_peers.fetch_initial_list(
-                         std::string(platform::server_topic));
-                 }})
+           [this]
+           { return m_peers.catch_up(std::string(platform::operator_topic)); }})
+    , m_servers(
+          m_state, std::string(platform::server_topic),
+          {[this](const auto& record) { apply_server_record(record); },
+           [this](const auto& records) { apply_server_list(records); },
+           [this](log_offset from, const auto& records) {
+               m_peers.share_records(std::string(platform::server_topic), from,
+                                     records);
+           },
+           [this]
+           { return m_peers.catch_up(std::string(platform::server_topic)); }})
     , m_peers(m_state, {m_configuration, m_servers})
     , m_duties(m_state, m_peers)
     , m_scaling(m_state, m_peers, m_duties)
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -44,12 +44,12 @@
         m_sharing.share_records(topic, from, records);
     }
 
-    /// Fetches the records of a topic from a host of this hall when the process
-    /// starts.
-    /// @return whether they were fetched
-    awaitable<bool> fetch_initial_list(std::string topic)
+    /// Fetches the records of a topic that this host lacks from hosts of this
+    /// hall.
+    /// @return whether nothing is missing any more
+    awaitable<bool> catch_up(std::string topic)
     {
-        return m_sharing.fetch_initial_list(std::move(topic));
+        return m_sharing.catch_up(std::move(topic));
     }
 
     [[nodiscard]] const peer_table& table() const
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -19,8 +19,10 @@
 constexpr milliseconds role_poll_interval{100};
 // A lost datagram is normally covered by the next one: two readers send the
 // same records, each of them twice a second per topic. A follower waits this
-// long for missing records before it calls the store.
+// long for missing records before it fetches them.
 constexpr milliseconds gap_timeout{300};
+// Records that a peer may lack after lost datagrams; 1 MB.
+constexpr std::size_t max_kept_records = 4096;
 
 } // namespace
 
@@ -51,24 +53,14 @@
 
 awaitable<void> topic_follower::run()
 {
-    if (m_callbacks.fetch_initial_list)
+    if (m_callbacks.catch_up)
     {
         // If it fails, the list is read from the store.
-        (void)co_await m_callbacks.fetch_initial_list();
+        (void)co_await m_callbacks.catch_up();
     }
     while (true)
     {
-        bool has_succeeded = false;
-        if (m_has_listed)
-        {
-            co_await wait_for_role();
-            co_await wait_while_readers_report();
-            has_succeeded = co_await tail();
-        }
-        else
-        {
-            has_succeeded = co_await list();
-        }
+        const bool has_succeeded = co_await read();
         record_call_result(has_succeeded);
         if (has_succeeded && m_has_more)
         {
@@ -86,6 +78,53 @@
     }
 }
 
+// @return whether new records were read, or none are missing
+awaitable<bool> topic_follower::read()
+{
+    if (!m_has_listed)
+    {
+        co_return co_await list();
+    }
+    co_await wait_for_role();
+    co_await wait_while_readers_report();
+    if (std::exchange(m_is_behind, false) && m_callbacks.catch_up)
+    {
+        const bool has_caught_up = co_await m_callbacks.catch_up();
+        if (has_caught_up)
+        {
+            m_last_report_at = monotonic::now();
+            co_return true;
+        }
+    }
+    co_return co_await tail();
+}
+
+std::size_t
+topic_follower::append(log_offset from,
+                       const std::vector<platform::keyed_record>& records)
+{
+    if (!m_has_listed || from > m_next)
+    {
+        return 0;
+    }
+    const auto before = m_next;
+    m_origin = record_origin::peer;
+    apply_page(from, records);
+    return static_cast<std::size_t>(m_next.value() - before.value());
+}
+
+std::optional<std::vector<platform::keyed_record>>
+topic_follower::records_since(log_offset from) const
+{
+    const auto kept = static_cast<std::int64_t>(m_newest.size());
+    const auto missing = m_next.value() - from.value();
+    if (missing < 0 || missing > kept)
+    {
+        return std::nullopt;
+    }
+    return std::vector(m_newest.end() - missing, m_newest.end());
+}
+
 std::size_t
 topic_follower::merge(const std::vector<platform::keyed_record>& records,
                       log_offset next)
@@ -157,6 +196,7 @@
     {
         m_gap_since.reset();
         m_last_report_at = {};
+        m_is_behind = true;
         m_wake.notify();
     }
     return is_persistent;
@@ -364,6 +404,7 @@
         if (offset >= m_next)
         {
             apply_record(record);
+            keep(record);
             m_next = offset.next();
         }
         offset = offset.next();
@@ -387,6 +428,7 @@
         known = is_removed ? m_records.erase(known) : std::next(known);
     }
     m_next = std::max(m_next, next);
+    m_newest.clear();
     m_has_listed = true;
     m_callbacks.on_list(m_records);
 }
@@ -416,6 +458,16 @@
     m_callbacks.on_record(record);
 }
 
+// Keeps a record for peers that lack it.
+void topic_follower::keep(const platform::keyed_record& record)
+{
+    m_newest.push_back(record);
+    if (m_newest.size() > max_kept_records)
+    {
+        m_newest.pop_front();
+    }
+}
+
 void topic_follower::record_call_result(bool has_succeeded)
 {
     if (has_succeeded)
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -7,6 +7,7 @@
 #include "http_call.hpp"
 #include "topic_list.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -35,9 +36,10 @@
     /// of the first; empty if the host does not share this topic.
     std::function<void(log_offset, const std::vector<platform::keyed_record>&)>
         on_read = nullptr;
-    /// Fetches the first list from a peer, and returns whether it was merged;
-    /// empty if the first list is always read from the store.
-    std::function<awaitable<bool>()> fetch_initial_list = nullptr;
+    /// Fetches the first list, or records that readers have announced, from
+    /// peers, and returns whether nothing is missing any more; empty if the
+    /// host calls the store for them.
+    std::function<awaitable<bool>()> catch_up = nullptr;
 };
 
 /// @return the name of the origin in the log
@@ -72,6 +74,18 @@
     std::size_t merge(const std::vector<platform::keyed_record>& records,
                       log_offset next);
 
+    /// Applies records that a peer knows and this host may lack.
+    /// @param from offset of the first record; not after the known records
+    /// @param records consecutive records
+    /// @return number of records that were not known before
+    std::size_t append(log_offset from,
+                       const std::vector<platform::keyed_record>& records);
+
+    /// @return the consecutive records from an offset on, or nothing if they
+    /// are no longer kept
+    [[nodiscard]] std::optional<std::vector<platform::keyed_record>>
+    records_since(log_offset from) const;
+
     /// Applies records that a reader of the hall has just read from the store,
     /// if they leave no gap after the known ones.
     /// @param from offset of the first record
@@ -104,6 +118,12 @@
         return m_has_listed;
     }
 
+    /// @return whether readers have announced records that are not known
+    [[nodiscard]] bool has_gap() const
+    {
+        return m_next < m_announced_end;
+    }
+
     /// @return whether the store has confirmed recently that the records are up
     /// to date
     [[nodiscard]] bool is_fresh() const;
@@ -134,6 +154,7 @@
     [[nodiscard]] double response_age_seconds() const;
 
 private:
+    awaitable<bool> read();
     awaitable<bool> list();
     awaitable<bool> tail();
     awaitable<void> wait_for_role();
@@ -144,6 +165,7 @@
     void apply_list(const std::map<std::string, platform::keyed_record>& listed,
                     log_offset next);
     void apply_record(const platform::keyed_record& record);
+    void keep(const platform::keyed_record& record);
     void record_call_result(bool has_succeeded);
     void log_wait_timeout() const;
     void report_skipped(log_offset offset);
@@ -155,6 +177,8 @@
     http_caller m_caller;
     async_event m_wake;
     std::map<std::string, platform::keyed_record> m_records;
+    /// The newest consecutive records, which end at `m_next`.
+    std::deque<platform::keyed_record> m_newest;
     log_offset m_next;
     log_offset
         m_announced_end; ///< end of the records that readers have announced
@@ -162,7 +186,8 @@
     bool m_has_listed = false;
     bool m_was_reachable = false;
     bool m_is_tailing = false;
-    bool m_has_more = false; ///< the last page ended before the end of the log
+    bool m_is_behind = false; ///< a gap has lasted
+    bool m_has_more = false;  ///< the last page ended before the end of the log
     int m_failures = 0;
     monotonic::time_point m_responded_at{};
     monotonic::time_point m_requested_at{};
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -4,6 +4,7 @@
 
 #include <base/http_status.hpp>
 #include <base/text.hpp>
+#include <charconv>
 #include <telemetry/log.hpp>
 
 namespace daleshelf
@@ -30,8 +31,8 @@
 constexpr std::size_t burst_bytes = 65536;
 constexpr milliseconds burst_pause{25};
 constexpr milliseconds fetch_timeout{1000};
-constexpr milliseconds initial_fetch_timeout{1500};
-constexpr milliseconds initial_list_pause{150};
+constexpr milliseconds catch_up_timeout{1500};
+constexpr milliseconds catch_up_pause{150};
 constexpr std::string_view records_target = "/records/";
 
 shared_record to_shared(const platform::keyed_record& record)
@@ -67,6 +68,63 @@
     return read;
 }
 
+/// Records that a peer requests.
+struct wanted_records
+{
+    std::string topic;
+    log_offset from; ///< 0: a full copy
+};
+
+// @return what the target `/records/TOPIC` or `/records/TOPIC/OFFSET` names
+std::optional<wanted_records> parse_target(std::string_view target)
+{
+    if (!target.starts_with(records_target))
+    {
+        return std::nullopt;
+    }
+    target.remove_prefix(records_target.size());
+    const auto separator = target.find('/');
+    wanted_records wanted{std::string(target.substr(0, separator)), {}};
+    if (separator == std::string_view::npos)
+    {
+        return wanted;
+    }
+    target.remove_prefix(separator + 1);
+    std::int64_t offset = 0;
+    const auto* end = target.data() + target.size();
+    const auto parsed = std::from_chars(target.data(), end, offset);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+    {
+        return std::nullopt;
+    }
+    wanted.from = log_offset(offset);
+    return wanted;
+}
+
+// @return the records from the wanted offset on, or a full copy if they are no
+// longer kept one by one
+shared_records records_for(const wanted_records& wanted,
+                           const topic_follower& follower)
+{
+    shared_records shared;
+    shared.topic = wanted.topic;
+    shared.next = follower.next();
+    const auto newest = wanted.from == log_offset(0)
+                            ? std::nullopt
+                            : follower.records_since(wanted.from);
+    if (newest)
+    {
+        shared.from = wanted.from;
+        shared.records = to_shared(*newest);
+        return shared;
+    }
+    for (const auto& [key, record] : follower.records())
+    {
+        shared.records.push_back(to_shared(record));
+    }
+    return shared;
+}
+
 } // namespace
 
 topic_sharing::topic_sharing(gateway_state& state, followed_topics topics,
@@ -186,15 +244,15 @@
 
 // @return address of the host to fetch the first list from; empty if no other
 // host of the hall is known
-std::string topic_sharing::initial_list_address() const
+std::string topic_sharing::catch_up_address() const
 {
     const auto hosts = m_table.hosts_by_reader_rank();
     if (hosts.empty())
     {
         return {};
     }
-    const auto position = initial_list_source(
-        hosts.size(), absl::Uniform(m_state.random, 0.0, 1.0));
+    const auto position =
+        catch_up_source(hosts.size(), absl::Uniform(m_state.random, 0.0, 1.0));
     return m_table.peers().at(hosts[position]).address;
 }
 
@@ -235,21 +293,33 @@
                                           std::string topic,
                                           milliseconds timeout)
 {
+    auto* follower = find_topic(topic);
+    if (follower == nullptr)
+    {
+        co_return false;
+    }
+    auto target = concat(records_target, topic);
+    if (follower->has_listed())
+    {
+        append_text(target, "/", follower->next().value());
+    }
     http_caller caller(m_state.context, address);
-    platform::store_call call{"GET", concat(records_target, topic), "", ""};
-    const auto response = co_await caller.call(std::move(call), timeout);
+    const auto response =
+        co_await caller.call({"GET", target, "", ""}, timeout);
     if (!response || response->status != http_status::ok)
     {
         co_return false;
     }
     const auto shared = decode_shared_records(response->body);
-    auto* follower = find_topic(topic);
-    if (!shared || follower == nullptr)
+    if (!shared)
     {
         co_return false;
     }
-    const auto new_records =
-        follower->merge(from_shared(shared->records), shared->next);
+    const auto records = from_shared(shared->records);
+    const bool is_full_copy = shared->from == log_offset(0);
+    const auto new_records = is_full_copy
+                                 ? follower->merge(records, shared->next)
+                                 : follower->append(shared->from, records);
     log(events::records_from_peer, {{"topic", topic},
                                     {"peer", address},
                                     {"news", std::to_string(new_records)}});
@@ -264,35 +334,35 @@
     m_is_fetching = false;
 }
 
-awaitable<bool> topic_sharing::fetch_initial_list(std::string topic)
+awaitable<bool> topic_sharing::catch_up(std::string topic)
 {
+    const auto* follower = find_topic(topic);
     const auto started_at = gateway_state::now();
     boot_timer timer(m_state.context);
-    while (true)
+    while (!follower->has_listed() || follower->has_gap())
     {
-        const starting_host host{m_state.has_listed_hosts,
-                                 m_table.sends_to_all_peers(),
-                                 m_table.reader_position()};
-        switch (next_initial_list_step(host, gateway_state::now() - started_at))
+        const catching_up_host host{m_state.has_listed_hosts,
+                                    m_table.sends_to_all_peers(),
+                                    m_table.reader_position()};
+        const auto step =
+            next_catch_up_step(host, gateway_state::now() - started_at);
+        if (step == catch_up_step::list_from_store)
         {
-        case initial_list_step::list_from_store:
             co_return false;
-        case initial_list_step::fetch_from_peer:
+        }
+        bool is_fetched = false;
+        if (step == catch_up_step::fetch_from_peer)
         {
-            const bool is_fetched = co_await fetch_from(
-                initial_list_address(), topic, initial_fetch_timeout);
-            if (is_fetched)
-            {
-                co_return true;
-            }
-            break;
+            is_fetched = co_await fetch_from(catch_up_address(), topic,
+                                             catch_up_timeout);
         }
-        case initial_list_step::wait:
-            break;
+        if (!is_fetched || follower->has_gap())
+        {
+            timer.expires_after(catch_up_pause);
+            co_await timer.async_wait(use_result);
         }
-        timer.expires_after(initial_list_pause);
-        co_await timer.async_wait(use_result);
     }
+    co_return true;
 }
 
 // Fetches records that a peer has known for a while and that have not been
@@ -321,24 +391,13 @@
 
 simple_response topic_sharing::respond(const std::string& target)
 {
-    if (!target.starts_with(records_target))
-    {
-        return {http_status::not_found, "", "text/plain"};
-    }
-    const auto name = target.substr(records_target.size());
-    const auto* follower = find_topic(name);
+    const auto wanted = parse_target(target);
+    const auto* follower = wanted ? find_topic(wanted->topic) : nullptr;
     if (follower == nullptr || !follower->has_listed())
     {
         return {http_status::not_found, "", "text/plain"};
     }
-    shared_records shared;
-    shared.topic = name;
-    shared.next = follower->next();
-    for (const auto& [key, record] : follower->records())
-    {
-        shared.records.push_back(to_shared(record));
-    }
-    auto bytes = encode(shared);
+    auto bytes = encode(records_for(*wanted, *follower));
     if (!m_transfer_limit.accept(bytes.size(), gateway_state::now()))
     {
         return {http_status::unavailable, "", "text/plain"};
--- a/services/gateway/topic_sharing.hpp
+++ b/services/gateway/topic_sharing.hpp
@@ -7,8 +7,8 @@
 #include "topic_follower.hpp"
 
 #include <functional>
+#include <peers/catch_up.hpp>
 #include <peers/fetch_delay.hpp>
-#include <peers/initial_list.hpp>
 #include <peers/peer_table.hpp>
 #include <peers/relay_tree.hpp>
 #include <peers/topic_records.hpp>
@@ -53,18 +53,19 @@
     /// @param bytes the datagram with the records
     void receive_records(const shared_records& read, std::string_view bytes);
 
-    /// Fetches the records of a topic from a host of this hall when the process
-    /// starts.
-    /// @return whether they were fetched; otherwise they are to be listed from
-    /// the store
-    awaitable<bool> fetch_initial_list(std::string topic);
+    /// Fetches the records of a topic that this host lacks from hosts of this
+    /// hall: all when the process starts, later those that readers announced.
+    /// @return whether nothing is missing any more; otherwise the store is to
+    /// be called
+    awaitable<bool> catch_up(std::string topic);
 
     /// Fetches records that a peer has known for a while and that have not been
     /// received from the store.
     void fetch_newer_records();
 
-    /// @param target target of a peer's request, with the name of a topic
-    /// @return the response: all records known of the topic, status 404, or
+    /// @param target target of a peer's request, with the name of a topic and
+    /// optionally the offset from which on its records are wanted
+    /// @return the response: the records, or all that are known, status 404, or
     /// status 503 while other responses occupy the link
     [[nodiscard]] simple_response respond(const std::string& target);
 
@@ -79,7 +80,7 @@
     [[nodiscard]] std::vector<std::string> addresses_in_hall() const;
     [[nodiscard]] std::vector<std::string>
     relay_addresses(const host_id& root) const;
-    [[nodiscard]] std::string initial_list_address() const;
+    [[nodiscard]] std::string catch_up_address() const;
     awaitable<bool> fetch_from(std::string address, std::string topic,
                                milliseconds timeout);
     awaitable<void> fetch_missing(std::string address, std::string topic);
--- a/tests/peers/initial_list_test.cpp
+++ b/tests/peers/catch_up_test.cpp
@@ -3,7 +3,7 @@
 // second sends in 50 s.
 #include <gtest/gtest.h>
 
-#include <peers/initial_list.hpp>
+#include <peers/catch_up.hpp>
 #include <random>
 #include <vector>
 
@@ -58,19 +58,19 @@
             {
                 continue;
             }
-            const starting_host view{waited > absl::Milliseconds(100), false,
-                                     index};
-            switch (next_initial_list_step(view, waited))
+            const catching_up_host view{waited > absl::Milliseconds(100), false,
+                                        index};
+            switch (next_catch_up_step(view, waited))
             {
-            case initial_list_step::list_from_store:
+            case catch_up_step::list_from_store:
                 ++result.store_lists;
                 host.known_at = now + store_list_time;
                 break;
-            case initial_list_step::fetch_from_peer:
+            case catch_up_step::fetch_from_peer:
             {
                 std::uniform_real_distribution<double> uniform;
                 auto& peer =
-                    hosts[initial_list_source(hosts.size(), uniform(random))];
+                    hosts[catch_up_source(hosts.size(), uniform(random))];
                 if (!peer.is_dead && peer.known_at <= now &&
                     peer.limit.accept(list_bytes, now))
                 {
@@ -78,7 +78,7 @@
                 }
                 break;
             }
-            case initial_list_step::wait:
+            case catch_up_step::wait:
                 break;
             }
         }
@@ -118,27 +118,27 @@
 
 INSTANTIATE_TEST_SUITE_P(halls, initial_list, testing::Values(55, 197, 394));
 
-TEST(initial_list_steps, a_small_fleet_lists_the_store)
+TEST(catch_up_steps, a_small_fleet_lists_the_store)
 {
-    const starting_host small{true, true, 5};
-    EXPECT_EQ(next_initial_list_step(small, absl::ZeroDuration()),
-              initial_list_step::list_from_store);
+    const catching_up_host small{true, true, 5};
+    EXPECT_EQ(next_catch_up_step(small, absl::ZeroDuration()),
+              catch_up_step::list_from_store);
 }
 
-TEST(initial_list_steps, a_host_without_a_list_of_hosts_waits_for_a_second)
+TEST(catch_up_steps, a_host_without_a_list_of_hosts_waits_for_a_second)
 {
-    const starting_host unknown;
-    EXPECT_EQ(next_initial_list_step(unknown, absl::Milliseconds(900)),
-              initial_list_step::wait);
-    EXPECT_EQ(next_initial_list_step(unknown, absl::Seconds(1)),
-              initial_list_step::list_from_store);
+    const catching_up_host unknown;
+    EXPECT_EQ(next_catch_up_step(unknown, absl::Milliseconds(900)),
+              catch_up_step::wait);
+    EXPECT_EQ(next_catch_up_step(unknown, absl::Seconds(1)),
+              catch_up_step::list_from_store);
 }
 
-TEST(initial_list_steps, each_host_lists_the_store_within_five_seconds)
+TEST(catch_up_steps, each_host_lists_the_store_within_five_seconds)
 {
-    const starting_host last{true, false, 100000};
-    EXPECT_EQ(next_initial_list_step(last, absl::Seconds(5)),
-              initial_list_step::list_from_store);
+    const catching_up_host last{true, false, 100000};
+    EXPECT_EQ(next_catch_up_step(last, absl::Seconds(5)),
+              catch_up_step::list_from_store);
 }
 
 } // namespace
