--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -304,8 +304,10 @@
         append_text(target, "/", follower->next().value());
     }
     http_caller caller(m_state.context, address);
-    const auto response =
-        co_await caller.call({"GET", target, "", ""}, timeout);
+    // NOTE: a temporary as an argument of a coroutine is destroyed twice by
+    // GCC 12.
+    platform::store_call call{"GET", target, "", ""};
+    const auto response = co_await caller.call(std::move(call), timeout);
     if (!response || response->status != http_status::ok)
     {
         co_return false;
