peers: Name the steps of a host that lacks records after what they do

The steps of a starting host serve any host that lacks records since gaps are filled by peers, so their names and comments say so. While the list of hosts is awaited the pause is 25 ms, as a restarted host waits for nothing else; the event records_from_peer says when it is logged. A test shows that a gap is filled by peers before the store is called.

--- a/libraries/peers/catch_up.cpp
+++ b/libraries/peers/catch_up.cpp
@@ -14,9 +14,9 @@
 // The list of hosts takes the store a few milliseconds, or longer while a whole
 // fleet starts.
 constexpr absl::Duration max_fleet_wait = absl::Seconds(1);
-// Within this time the readers have the list and sent it to a few hosts. The
-// hosts that list the store after them double in number at this interval, less
-// often than those that have the list.
+// Within this time the readers have all records and sent them to a few hosts.
+// The hosts that read the store after them double in number at this interval,
+// less often than those that have the records.
 constexpr absl::Duration first_wait = absl::Milliseconds(1500);
 constexpr absl::Duration wait_per_doubling = absl::Milliseconds(600);
 constexpr absl::Duration max_wait = absl::Seconds(5);
@@ -33,7 +33,7 @@
     if (!host.knows_fleet)
     {
         return waited < max_fleet_wait ? catch_up_step::wait
-                                       : catch_up_step::list_from_store;
+                                       : catch_up_step::read_from_store;
     }
     const bool is_reader = host.reader_position < readers_per_hall;
     const auto doublings =
@@ -41,7 +41,7 @@
     const auto longest_wait =
         std::min(max_wait, first_wait + wait_per_doubling * doublings);
     return host.is_fleet_small || is_reader || waited >= longest_wait
-               ? catch_up_step::list_from_store
+               ? catch_up_step::read_from_store
                : catch_up_step::fetch_from_peer;
 }
 
@@ -51,7 +51,7 @@
     return std::min(hosts - 1, static_cast<std::size_t>(position));
 }
 
-bool list_transfer_limit::accept(std::size_t bytes, absl::Time now)
+bool transfer_limit::accept(std::size_t bytes, absl::Time now)
 {
     const auto start = std::max(now, m_link_free_at);
     if (start - now > max_queue_time)
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -88,7 +88,8 @@
     "them, its offset, who told of it, and this host's role."};
 inline constexpr log_event records_from_peer{
     208, log_severity::info, "records_from_peer",
-    "The store does not answer; a peer has given its newer records."};
+    "A peer has given records that this host lacked: at its start, or after a "
+    "gap."};
 inline constexpr log_event settings_reloaded{
     209, log_severity::info, "settings_reloaded",
     "The settings file has been read again; the outcome says whether it is "
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -33,6 +33,9 @@
 constexpr milliseconds fetch_timeout{1000};
 constexpr milliseconds catch_up_timeout{1500};
 constexpr milliseconds catch_up_pause{150};
+// The list of hosts is read within a few milliseconds, and a restarted host
+// waits for it.
+constexpr milliseconds fleet_list_pause{25};
 constexpr std::string_view records_target = "/records/";
 
 shared_record to_shared(const platform::keyed_record& record)
@@ -348,7 +351,7 @@
                                     m_table.reader_position()};
         const auto step =
             next_catch_up_step(host, gateway_state::now() - started_at);
-        if (step == catch_up_step::list_from_store)
+        if (step == catch_up_step::read_from_store)
         {
             co_return false;
         }
@@ -360,7 +363,8 @@
         }
         if (!is_fetched || follower->has_gap())
         {
-            timer.expires_after(catch_up_pause);
+            timer.expires_after(step == catch_up_step::wait ? fleet_list_pause
+                                                            : catch_up_pause);
             co_await timer.async_wait(use_result);
         }
     }
--- a/services/gateway/topic_sharing.hpp
+++ b/services/gateway/topic_sharing.hpp
@@ -93,7 +93,7 @@
     fetch_delay m_fetch_delay{peer_fetch_delay};
     relay_filter m_relay_filter;
     reader_monitor m_readers;
-    list_transfer_limit m_transfer_limit;
+    transfer_limit m_transfer_limit;
     absl::Time m_first_chosen_at = absl::InfiniteFuture();
     int m_pending_sends = 0; ///< calls of `send_parts` in progress
     bool m_is_fetching = false;
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -226,6 +226,64 @@
     EXPECT_TRUE(calls_the_store());
 }
 
+// Guards against hundreds of hosts that call the store because of a lost
+// datagram: the store became too slow for the readers as well.
+TEST(topic_follower_gap, is_filled_by_peers_before_the_store_is_called)
+{
+    scripted_server store([](test_connection& connection)
+                          { connection.read_all(); });
+    asio::io_context context{1};
+    auto settings = make_settings();
+    settings.store_address = store.address();
+    gateway_state state(context, settings);
+    state.role = list_role::follower;
+    int calls = 0;
+    bool is_successful = true;
+    topic_follower* filled = nullptr;
+    topic_callbacks callbacks{[](const auto&) {}, [](const auto&) {},
+                              [](log_offset, const auto&) {}};
+    callbacks.catch_up = [&]() -> awaitable<bool>
+    {
+        ++calls;
+        if (is_successful)
+        {
+            const auto next = filled->next();
+            filled->append(next, {record_at(next.value(), "b", "2"),
+                                  record_at(next.value() + 1, "c", "3")});
+        }
+        co_return is_successful;
+    };
+    topic_follower follower(state, "topic", callbacks);
+    filled = &follower;
+    follower.merge({record_at(3, "a", "1")}, log_offset(4));
+    follower.apply_shared_records(log_offset(4), {}, monotonic::now());
+    asio::co_spawn(
+        context, [&] { return follower.run(); }, asio::detached);
+    context.poll();
+    ASSERT_EQ(calls, 1) << "at the start";
+    EXPECT_EQ(follower.next(), log_offset(6));
+    const auto report_gap = [&](std::int64_t end)
+    {
+        const auto now = monotonic::now();
+        follower.apply_shared_records(log_offset(end), {}, now);
+        follower.apply_shared_records(log_offset(end), {},
+                                      now + milliseconds(300));
+    };
+    report_gap(8);
+    context.run_for(milliseconds(50));
+    EXPECT_EQ(calls, 2);
+    EXPECT_FALSE(follower.has_gap());
+    EXPECT_EQ(store.connections(), 0);
+    is_successful = false;
+    report_gap(10);
+    for (int step = 0; step < 2000 && store.connections() == 0; ++step)
+    {
+        context.run_for(milliseconds(10));
+    }
+    EXPECT_EQ(calls, 3);
+    EXPECT_GT(store.connections(), 0);
+}
+
 // Guards against one unreadable record of another writer that stops the
 // follower of its topic.
 TEST_F(topic_follower_test, goes_on_past_a_record_that_cannot_be_read)
--- a/tests/peers/catch_up_test.cpp
+++ b/tests/peers/catch_up_test.cpp
@@ -28,7 +28,7 @@
     bool is_dead = false;
     absl::Time lists_until = absl::InfiniteFuture(); ///< from the store
     absl::Time known_at = absl::InfiniteFuture();
-    list_transfer_limit limit;
+    transfer_limit limit;
 };
 
 struct start_result
@@ -62,7 +62,7 @@
                                         index};
             switch (next_catch_up_step(view, waited))
             {
-            case catch_up_step::list_from_store:
+            case catch_up_step::read_from_store:
                 ++result.store_lists;
                 host.known_at = now + store_list_time;
                 break;
@@ -98,31 +98,31 @@
 // eighteen seconds in which a fleet has to serve again.
 constexpr int max_store_lists = 16;
 
-class initial_list : public testing::TestWithParam<int>
+class catch_up : public testing::TestWithParam<int>
 {
 };
 
-TEST_P(initial_list, few_hosts_of_a_hall_list_the_store)
+TEST_P(catch_up, few_hosts_of_a_hall_list_the_store)
 {
     const auto result = start_hall(GetParam(), 0);
     EXPECT_LE(result.store_lists, max_store_lists);
     EXPECT_LE(result.slowest, absl::Seconds(4));
 }
 
-TEST_P(initial_list, other_hosts_take_over_from_lost_readers)
+TEST_P(catch_up, other_hosts_take_over_from_lost_readers)
 {
     const auto result = start_hall(GetParam(), 4);
     EXPECT_LE(result.store_lists, 2 * max_store_lists);
     EXPECT_LE(result.slowest, absl::Seconds(8));
 }
 
-INSTANTIATE_TEST_SUITE_P(halls, initial_list, testing::Values(55, 197, 394));
+INSTANTIATE_TEST_SUITE_P(halls, catch_up, testing::Values(55, 197, 394));
 
 TEST(catch_up_steps, a_small_fleet_lists_the_store)
 {
     const catching_up_host small{true, true, 5};
     EXPECT_EQ(next_catch_up_step(small, absl::ZeroDuration()),
-              catch_up_step::list_from_store);
+              catch_up_step::read_from_store);
 }
 
 TEST(catch_up_steps, a_host_without_a_list_of_hosts_waits_for_a_second)
@@ -131,14 +131,14 @@
     EXPECT_EQ(next_catch_up_step(unknown, absl::Milliseconds(900)),
               catch_up_step::wait);
     EXPECT_EQ(next_catch_up_step(unknown, absl::Seconds(1)),
-              catch_up_step::list_from_store);
+              catch_up_step::read_from_store);
 }
 
 TEST(catch_up_steps, each_host_lists_the_store_within_five_seconds)
 {
     const catching_up_host last{true, false, 100000};
     EXPECT_EQ(next_catch_up_step(last, absl::Seconds(5)),
-              catch_up_step::list_from_store);
+              catch_up_step::read_from_store);
 }
 
 } // namespace
