gateway: Let a test wait for the end of its coroutine

Cause: an_exit_of_a_draining_server_is_no_evidence checked after one more turn of the loop. If the probe's coroutine had not ended, the check read the initial value, and the coroutine then wrote to a variable that was gone (1 of 498 repetitions beside builds, "stack smashing detected").

Change: the coroutine's end sets a promise, and the check takes its value. It is as strict: the same value is computed at the same point, now in every run.

--- a/tests/gateway/poison_path_test.cpp
+++ b/tests/gateway/poison_path_test.cpp
@@ -5,6 +5,7 @@
 #include "gateway_fixture.hpp"
 
 #include <base/text.hpp>
+#include <future>
 
 namespace daleshelf
 {
@@ -222,7 +223,7 @@
     scripted_server leaving([](test_connection&) {});
     add_server("a", leaving);
     leaving.crash();
-    bool is_blamed = true;
+    std::promise<bool> is_blamed;
     on_loop(
         [&]
         {
@@ -237,10 +238,9 @@
                 [&, entry]
                 { return m_state.crashes.probe(entry, crash_sign::broken); },
                 [&](const std::exception_ptr&)
-                { is_blamed = m_state.poison.size() > 0; });
+                { is_blamed.set_value(m_state.poison.size() > 0); });
         });
-    on_loop([] {});
-    EXPECT_FALSE(is_blamed);
+    EXPECT_FALSE(is_blamed.get_future().get());
 }
 
 TEST_F(poison_path, a_suspect_goes_where_nothing_else_runs)
