quotas: Go on counting a host when a keeper is replaced

Cause: whether the keepers know a host was asked again at each tick. A keeper that was replaced within the first 32 s of a host (985 hosts) took its share away until the new one had answered, though all others went on counting the host.

Change: a host that was counted once stays so. The test a_counted_host_accrues_while_a_keeper_is_replaced failed before.

--- a/libraries/quotas/shared_quota.cpp
+++ b/libraries/quotas/shared_quota.cpp
@@ -111,6 +111,7 @@
     m_fleet.evict_departed(now);
     std::erase_if(m_depleted_until,
                   [now](const auto& entry) { return entry.second <= now; });
+    m_is_counted = m_is_counted || is_counted(now);
     m_credit.set_share(share_at(now), now);
     std::vector<addressed_quota_message> messages;
     const auto keeper = m_fleet.keepers(now).front();
@@ -135,7 +136,7 @@
 // of it.
 double shared_quota::share_at(absl::Time now) const
 {
-    if (!is_counted(now) || m_is_stopping)
+    if (!m_is_counted || m_is_stopping)
     {
         return 0;
     }
@@ -169,7 +170,7 @@
 void shared_quota::announce_to_keepers(
     absl::Time now, std::vector<addressed_quota_message>& messages)
 {
-    if (m_fleet_known_at > now || is_counted(now) ||
+    if (m_fleet_known_at > now || m_is_counted ||
         now - m_announced_at < deposit_interval)
     {
         return;
--- a/libraries/quotas/shared_quota.hpp
+++ b/libraries/quotas/shared_quota.hpp
@@ -207,6 +207,7 @@
     absl::Duration m_join_delay;
     absl::Time m_fleet_known_at = absl::InfiniteFuture();
     bool m_was_listed = false;
+    bool m_is_counted = false; ///< all others count this host
     /// When each keeper first acknowledged a message of this host.
     std::map<host_id, absl::Time> m_first_acks;
     absl::Time m_announced_at = absl::InfinitePast();
--- a/tests/quotas/shared_quota_test.cpp
+++ b/tests/quotas/shared_quota_test.cpp
@@ -142,6 +142,41 @@
     }
 }
 
+// Those that have counted a host go on counting it when a keeper is replaced.
+TEST(shared_quota, a_counted_host_accrues_while_a_keeper_is_replaced)
+{
+    auto quota = make_quota("new");
+    quota.set_join_delay(absl::Seconds(30));
+    // One of many: it is not the keeper of its hall.
+    for (int number = 0; number < 50; ++number)
+    {
+        quota.fleet().update(host_id("n" + std::to_string(number)), north,
+                             incarnation(1), false, at(0));
+    }
+    quota.fleet().update(host_id("s1"), south, incarnation(1), false, at(0));
+    quota.record_fleet_discovery(false, at(0));
+    std::int64_t sequence = 0;
+    for (double second = 0; second <= 3; second += 0.25)
+    {
+        for (const auto& [to, message] : quota.tick(at(second)))
+        {
+            quota_message ack;
+            ack.kind = quota_message_kind::deposit_ack;
+            ack.from = to;
+            ack.hall = to.value().front() == 'n' ? north : south;
+            ack.sender_incarnation = incarnation(1);
+            ack.sequence = ++sequence;
+            ack.in_reply_to = message.sequence;
+            (void)quota.receive(ack, at(second));
+        }
+    }
+    ASSERT_GT(quota.share(), 0);
+    quota.fleet().update(host_id("s1"), south, incarnation(1), true, at(3));
+    quota.fleet().update(host_id("s2"), south, incarnation(1), false, at(3));
+    (void)quota.tick(at(3.25));
+    EXPECT_GT(quota.share(), 0);
+}
+
 // The hosts of that hall may not have heard of the new one.
 TEST(shared_quota, a_new_host_waits_if_a_keeper_has_not_counted_it)
 {
