--- a/tests/peers/relay_tree_test.cpp
+++ b/tests/peers/relay_tree_test.cpp
@@ -16,6 +16,7 @@
 std::vector<host_id> make_hall(int size)
 {
     std::vector<host_id> hall;
+    hall.reserve(static_cast<std::size_t>(size));
     for (int index = 0; index < size; ++index)
     {
         hall.emplace_back("host-" + std::to_string(index));
@@ -114,7 +115,7 @@
 RC_GTEST_PROP(relay_tree_views, parts_end_when_hosts_disagree, ())
 {
     const auto hall = make_hall(*rc::gen::inRange(2, 80));
-    const auto root = hall.front();
+    const auto& root = hall.front();
     std::map<host_id, relay_filter> filters;
     std::deque<host_id> senders{root};
     std::size_t forwards = 0;
