soak: Partition gateways from all servers, and judge what they serve

What callers saw: hosts without a path to any upstream served 0 of 145 first attempts, the others 165 of 168. Change: the soak partitions one gateway, half of them, all but one and all (by resets, silence, or refusal of new connections only); PARTITION and BLAME judge that.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from links import Link
+from partitions import PartitionSwitch, SilentAddress
 
 HERE = Path(__file__).resolve().parent
 ZONES = ("one", "two", "three")
@@ -100,10 +101,21 @@
         environment = {**os.environ, "DALESHELF_BOOT": str(self.settings)}
         self._suspended = fleet.folder / f"{name}.suspended"
         self._suspended_ns = 0
+        preloaded = []
         if fleet.clock_library:
             self._write_suspended()
-            environment["LD_PRELOAD"] = str(fleet.clock_library)
+            preloaded.append(str(fleet.clock_library))
             environment["SOAK_SUSPENDED_NS"] = str(self._suspended)
+        self.partition = PartitionSwitch(fleet.folder / f"{name}.partition")
+        if fleet.partition_library:
+            preloaded.append(str(fleet.partition_library))
+            silent_ip, silent_port = fleet.silent.address
+            environment |= {"SOAK_PARTITION": str(self.partition.path),
+                            "SOAK_SERVER_PORT": str(SERVER_PORT),
+                            "SOAK_SILENT_IP": silent_ip,
+                            "SOAK_SILENT_PORT": str(silent_port)}
+        if preloaded:
+            environment["LD_PRELOAD"] = ":".join(preloaded)
         super().__init__(name, [str(fleet.program), "gateway"],
                          fleet.folder / f"{name}.log", fleet.on_line,
                          environment)
@@ -195,6 +207,10 @@
         self.resting = options.resting
         self.clock_library = (Path(options.suspensions).resolve()
                               if options.suspensions else None)
+        self.partition_library = (Path(options.partitions).resolve()
+                                  if options.partitions else None)
+        if self.partition_library:
+            self.silent = SilentAddress(self.ip(7, 1))
         self.on_line = on_line
         self.store_address = (self.ip(4, 1), STORE_PORT)
         self.store = Process("store", [
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -22,6 +22,8 @@
         self._healed.set()
         self._server = None
         self._writers = set()
+        self._partitioned = set()  # endpoints of callers that get silence
+        self._released = asyncio.Event()
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, *self.address)
@@ -37,6 +39,21 @@
         self.mode = "pass"
         self._healed.set()
 
+    def partition(self, callers, mode):
+        """Resets or silences the open connections of some callers."""
+        if mode == "silence":
+            self._partitioned |= callers
+            return
+        for writer in self._writers:
+            if writer.get_extra_info("peername") in callers:
+                writer.transport.abort()
+
+    def release(self):
+        """Ends the silence towards the callers of all partitions."""
+        self._partitioned.clear()
+        self._released.set()
+        self._released = asyncio.Event()
+
     def refuse(self):
         """Refuses connections until it is started again, as a port does
         whose process has ended."""
@@ -54,11 +71,13 @@
             if self.mode == "reset":
                 writer.transport.abort()
                 return
-            await self._wait("up")
+            await self._wait("up", None)
             target_reader, other = await asyncio.open_connection(*self.target)
             self._writers.add(other)
-            await asyncio.gather(self._pump("up", reader, other),
-                                 self._pump("down", target_reader, writer))
+            caller = writer.get_extra_info("peername")
+            await asyncio.gather(
+                self._pump("up", reader, other, caller),
+                self._pump("down", target_reader, writer, caller))
         except OSError:
             writer.transport.abort()
         finally:
@@ -67,22 +86,24 @@
                     end.close()
                     self._writers.discard(end)
 
-    async def _wait(self, way):
+    async def _wait(self, way, caller):
         while self.mode in HELD[way]:
             await self._healed.wait()
+        while caller in self._partitioned:
+            await self._released.wait()
 
-    async def _pump(self, way, reader, writer):
+    async def _pump(self, way, reader, writer, caller):
         """Passes bytes on until one end closes; a reset is passed on too."""
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(DELAY)
-                await self._wait(way)
+                await self._wait(way, caller)
                 writer.write(data)
                 await writer.drain()
-            await self._wait(way)
+            await self._wait(way, caller)
             # An end in order; whoever half-closed waits for nothing more.
             writer.close()
         except OSError:
-            await self._wait(way)
+            await self._wait(way, caller)
             writer.transport.abort()
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -6,6 +6,7 @@
 from deadly import Deadly
 from http_wire import Message
 from limits import Limits
+from partitions import judge, judge_unserved
 from promises import Attempt, Disturbances, Promises
 from rebirths import Rebirths
 from rollouts import Rollouts
@@ -46,6 +47,39 @@
         self.run_at("server-2")
         self.assertEqual(self.names(), ["TWICE"])
 
+    @staticmethod
+    def attempts_at(gateway, served, rejected, took=0.1):
+        attempts = []
+        for number in range(served + rejected):
+            attempt = Attempt("a", "safe", "tenant", gateway, 10.0, 1.5)
+            attempt.status = 200 if number < served else 503
+            attempt.ended_at = attempt.sent_at + took
+            attempts.append(attempt)
+        return attempts
+
+    def test_partitioned_gateways_serve_like_the_others(self):
+        others = self.attempts_at("gateway-2", 95, 5)
+        for served, is_broken in ((60, False), (50, True)):
+            inside = self.attempts_at("gateway-1", served, 80 - served)
+            broken = judge(inside + others, {"gateway-1"}, 5.0, 15.0)
+            self.assertEqual(broken is not None, is_broken)
+
+    def test_a_dead_service_is_no_partition(self):
+        attempts = (self.attempts_at("gateway-1", 0, 80) +
+                    self.attempts_at("gateway-2", 0, 80))
+        self.assertIsNone(judge(attempts, {"gateway-1"}, 5.0, 15.0))
+
+    def test_requests_count_from_three_seconds_after_a_partition(self):
+        attempts = (self.attempts_at("gateway-1", 0, 80) +
+                    self.attempts_at("gateway-2", 80, 0))
+        self.assertIsNone(judge(attempts, {"gateway-1"}, 7.5, 15.0))
+
+    def test_what_nobody_can_serve_is_rejected_at_once(self):
+        quick = self.attempts_at("gateway-1", 0, 80)
+        slow = self.attempts_at("gateway-2", 0, 20, took=1.0)
+        self.assertIsNone(judge_unserved(quick, 5.0, 15.0))
+        self.assertIsNotNone(judge_unserved(quick + slow, 5.0, 15.0))
+
     def deadly_after_crashes(self, crashes):
         def spawn(coroutine):
             coroutine.close()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,7 @@
 from deadly import Deadly
 from fleet import STOP_MS, ZONES, Fleet
 from limits import Limits, LimitSwitch
+from partitions import Partitions
 from promises import Disturbances, Promises
 from rebirths import Rebirths
 from rollouts import Rollouts
@@ -64,6 +65,9 @@
         self.tasks = []
         self.counts = {}
         self.ready = asyncio.Event()
+        self.partitions_ended = asyncio.Event()
+        if not options.partitions:
+            self.partitions_ended.set()
 
     @staticmethod
     def now():
@@ -110,6 +114,9 @@
             self.promises.duty(event, now)
         elif event.get("name") == "process_started":
             self.limits.restarts(process.name)
+        elif (event.get("name") == "upstream_ended" and
+              self.options.only_partitions):
+            self.promises.breach("BLAME", f"{process.name}: {event}")
         elif event.get("name") == "unexpected_error":
             self.promises.breach("ERROR", f"{process.name}: {event}")
 
@@ -148,10 +155,15 @@
             switch = LimitSwitch(self, self.options.seed)
             self.spawn(switch.run(self.options.seconds))
         begin = self.now()
-        for trouble in faults.plan(self.options.seed, self.options.seconds):
+        if self.options.partitions:
+            self.spawn(self.partition_gateways())
+        troubles = (faults.plan(self.options.seed, self.options.seconds)
+                    if not self.options.only_partitions else [])
+        for trouble in troubles:
             await asyncio.sleep(max(0.0, begin + trouble.at - self.now()))
             self.count(trouble.kind)
             self.spawn(self.carry_out(trouble))
+        await self.partitions_ended.wait()
         await asyncio.sleep(6.0)
         await asyncio.sleep(RECOVERY)
         measured_from = self.now()
@@ -163,6 +175,12 @@
         self.check_quota()
         rebirths.check()
 
+    async def partition_gateways(self):
+        try:
+            await Partitions(self, self.options.seed).run()
+        finally:
+            self.partitions_ended.set()
+
     def spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self.on_task_end)
@@ -527,6 +545,12 @@
     parser.add_argument("--limits", action="store_true",
                         help="let servers name and change limits of requests "
                         "a second")
+    parser.add_argument("--partitions", metavar="LIBRARY",
+                        help="partition gateways from all servers, with this "
+                        "library preloaded into them")
+    parser.add_argument("--only-partitions", action="store_true",
+                        help="no other troubles; no server may be recorded as "
+                        "crashed")
     parser.add_argument("--judge-time", action="store_true")
     parser.add_argument("--logs", help="folder that keeps the logs")
     options = parser.parse_args()
