--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -146,9 +146,10 @@
     409, log_severity::info, "quota_view",
     "A keeper has refused parts of a quota; the fields give what it holds and "
     "the part of the fleet that gives to it."};
-inline constexpr log_event upstream_failed{501, log_severity::warning,
-                                           "upstream_failed",
-                                           "An attempt at an upstream failed."};
+inline constexpr log_event upstream_failed{
+    501, log_severity::warning, "upstream_failed",
+    "An attempt at an upstream failed; the fields say why a connect failed, if "
+    "one did."};
 inline constexpr log_event upstream_leaving{
     502, log_severity::info, "upstream_leaving",
     "An upstream is leaving and gets no new work."};
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -147,6 +147,8 @@
     std::string m_quota_verdict; ///< how the verdict was reached, for logs
     bool m_is_usage_counted = false;
     bool m_was_sent = false; ///< whether the last attempt sent anything
+    connect_error m_connect_error =
+        connect_error::none; ///< of the last attempt
     std::string m_server_hall;
     bool m_is_cancelled = false;
     bool m_may_have_run = false;
--- a/services/gateway/request_log.cpp
+++ b/services/gateway/request_log.cpp
@@ -44,6 +44,7 @@
          {"server", server.id.value()},
          {"born", std::to_string(server.started_at.value())},
          {"end", std::string(names.at(static_cast<std::size_t>(result)))},
+         {"error", std::string(name_of(m_connect_error))},
          {"attempts", std::to_string(m_attempts)},
          {"ms", std::to_string(elapsed().count())}});
 }
--- a/services/gateway/server_connection.cpp
+++ b/services/gateway/server_connection.cpp
@@ -21,6 +21,20 @@
     ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
 }
 
+// @param is_open whether the socket was not closed at the deadline
+connect_error error_of(const error_code& error, bool is_open)
+{
+    if (!is_open || error == asio::error::timed_out)
+    {
+        return connect_error::timed_out;
+    }
+    if (error == asio::error::connection_refused)
+    {
+        return connect_error::refused;
+    }
+    return error ? connect_error::failed : connect_error::none;
+}
+
 milliseconds usable_idle_time(const server_connection& connection,
                               bool is_repeatable)
 {
@@ -32,6 +46,22 @@
 
 } // namespace
 
+std::string_view name_of(connect_error error)
+{
+    switch (error)
+    {
+    case connect_error::none:
+        return "";
+    case connect_error::refused:
+        return "refused";
+    case connect_error::timed_out:
+        return "timed_out";
+    case connect_error::failed:
+        return "failed";
+    }
+    return "";
+}
+
 std::unique_ptr<server_connection>
 connection_pool::take(const upstream_id& server, bool is_repeatable)
 {
@@ -64,31 +94,33 @@
     return nullptr;
 }
 
-awaitable<std::unique_ptr<server_connection>>
+awaitable<server_connect_result>
 connection_pool::connect(const server_entry& server,
                          monotonic::time_point deadline)
 {
+    server_connect_result result;
     const auto endpoint = parse_endpoint(server.address);
     if (!endpoint)
     {
-        co_return nullptr;
+        result.error = connect_error::failed;
+        co_return result;
     }
     const auto id = server.id;
     ++m_connections_made;
-    const auto result =
-        co_await connect_channel(m_context, *endpoint, deadline);
-    if (result.channel == nullptr)
+    const auto made = co_await connect_channel(m_context, *endpoint, deadline);
+    result.error = made.error;
+    if (made.channel == nullptr)
     {
-        if (result.is_refused)
+        if (made.error == connect_error::refused)
         {
             notify_failure(id, true);
         }
-        co_return nullptr;
+        co_return result;
     }
-    auto connection = std::make_unique<server_connection>();
-    connection->server = id;
-    connection->channel = result.channel;
-    co_return connection;
+    result.connection = std::make_unique<server_connection>();
+    result.connection->server = id;
+    result.connection->channel = made.channel;
+    co_return result;
 }
 
 void connection_pool::keep(std::unique_ptr<server_connection> connection)
@@ -190,8 +222,8 @@
     const auto [error] = co_await socket->async_connect(endpoint, use_result);
     timer.cancel();
     connect_result result;
-    result.is_refused = error == asio::error::connection_refused;
-    if (error || !socket->is_open())
+    result.error = error_of(error, socket->is_open());
+    if (result.error != connect_error::none)
     {
         co_return result;
     }
--- a/services/gateway/server_connection.hpp
+++ b/services/gateway/server_connection.hpp
@@ -24,6 +24,25 @@
     milliseconds idle_limit{0}; ///< as stated by the upstream; 0: not stated
 };
 
+/// Why a connection could not be opened.
+enum class connect_error
+{
+    none,
+    refused,   ///< the port refuses connections
+    timed_out, ///< nothing answered in time
+    failed,    ///< any other error
+};
+
+/// @return the name of the error in the log
+[[nodiscard]] std::string_view name_of(connect_error error);
+
+/// Result of opening a connection to an upstream.
+struct server_connect_result
+{
+    std::unique_ptr<server_connection> connection; ///< null if it failed
+    connect_error error = connect_error::none;
+};
+
 /// Pools idle connections to upstreams for reuse.
 class connection_pool
 {
@@ -48,9 +67,9 @@
     take(const upstream_id& server, bool is_repeatable);
 
     /// Opens a new connection.
-    /// @return the connection, or null if it failed or the deadline passed
-    awaitable<std::unique_ptr<server_connection>>
-    connect(const server_entry& server, monotonic::time_point deadline);
+    /// @param deadline when the attempt fails
+    awaitable<server_connect_result> connect(const server_entry& server,
+                                             monotonic::time_point deadline);
 
     /// Returns a connection to the pool after a complete response.
     void keep(std::unique_ptr<server_connection> connection);
@@ -86,7 +105,7 @@
 struct connect_result
 {
     std::shared_ptr<byte_channel> channel; ///< null if the connect failed
-    bool is_refused = false;               ///< the port refuses connections
+    connect_error error = connect_error::none;
 };
 
 /// Opens a connection, and starts the channel that reads it.
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -105,9 +105,11 @@
     m_connection = m_pool.take(m_request.server.id, m_request.is_repeatable);
     if (!m_connection)
     {
-        m_connection = co_await m_pool.connect(
+        auto result = co_await m_pool.connect(
             m_request.server,
             std::min(m_request.deadline, monotonic::now() + connect_timeout));
+        m_connect_error = result.error;
+        m_connection = std::move(result.connection);
     }
     co_return m_connection != nullptr && !m_is_cancelled;
 }
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -95,6 +95,12 @@
         return m_verdict;
     }
 
+    /// @return why no connection to the upstream was made
+    [[nodiscard]] connect_error failure() const
+    {
+        return m_connect_error;
+    }
+
     /// Resets the connection at once, so that the upstream drops the request.
     void cancel();
 
@@ -115,6 +121,7 @@
     response_head m_head;
     platform::server_notice m_notice;
     std::string m_piece;
+    connect_error m_connect_error = connect_error::none;
     verdict m_verdict = verdict::not_run;
     bool m_is_framed = false;
     bool m_is_cancelled = false;
