--- a/libraries/ingress/forward.hpp
+++ b/libraries/ingress/forward.hpp
@@ -6,6 +6,7 @@
 {
 
 class event_splitter;
+class link_monitor;
 class prefix_cache_estimate;
 class retry_budget_share;
 class route_table;
--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -339,6 +339,7 @@
         return;
     }
     known.consecutive_failures += 1;
+    known.failed_at = now;
     // A single failed request is weak evidence: services fail some requests
     // while they are healthy.
     constexpr int tolerated_failures = 3;
@@ -353,6 +354,12 @@
     known.unhealthy_until = now + unhealthy_time;
 }
 
+void server_choice::discard_failures(absl::Time since)
+{
+    absl::erase_if(m_health, [since](const auto& known)
+                   { return known.second.failed_at >= since; });
+}
+
 void server_choice::set_peer_load(
     const host_id& peer, absl::flat_hash_map<upstream_id, server_load> loads)
 {
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -117,6 +117,10 @@
     void record_outcome(const upstream_incarnation& server,
                         attempt_outcome outcome, absl::Time now);
 
+    /// Discards the failures recorded since a time, because this host's own
+    /// links were cut then.
+    void discard_failures(absl::Time since);
+
     /// Sends the upstream nothing until a time, since it asked this host to
     /// back off. Only a new incarnation ends the back-off earlier; a
     /// successful response, a request for a shorter back-off, or a temporary
@@ -165,6 +169,7 @@
     struct health
     {
         int consecutive_failures = 0;
+        absl::Time failed_at = absl::InfinitePast(); ///< last failure
         absl::Time unhealthy_until = absl::InfinitePast();
     };
 
--- a/libraries/peers/host_state.cpp
+++ b/libraries/peers/host_state.cpp
@@ -146,6 +146,7 @@
     message.set_servers_offset(state.servers_offset.value());
     message.set_is_stopping(state.is_stopping);
     message.set_reaches_store(state.reaches_store);
+    message.set_is_partitioned(state.is_partitioned);
     message.set_fleet_size(state.fleet_size);
     message.set_duty_holder(state.duty_holder.value());
     message.set_duty_token(state.duty_token);
@@ -173,6 +174,7 @@
     state.servers_offset = log_offset(message.servers_offset());
     state.is_stopping = message.is_stopping();
     state.reaches_store = message.reaches_store();
+    state.is_partitioned = message.is_partitioned();
     state.fleet_size = message.fleet_size();
     state.duty_holder = host_id(message.duty_holder());
     state.duty_token = message.duty_token();
--- a/libraries/peers/host_state.hpp
+++ b/libraries/peers/host_state.hpp
@@ -52,6 +52,8 @@
     log_offset servers_offset; ///< first upstream record not yet applied
     bool is_stopping = false;
     bool reaches_store = false;
+    /// Its own links reach no upstream, while its peers' links do.
+    bool is_partitioned = false;
     std::vector<service_report> services;
     std::vector<reported_load> loads;
     counts_by_window counts; ///< of this incarnation
