gateway: Connect to upstreams through peers while own links are cut

Cause: a host had no path to an upstream but its own links, and read a cut of these as failures of all upstreams: three failed connects, then a rejection. Change: a host that can connect to no upstream of a service asks a peer to, by CONNECT on the peers' port. If the peer can, the links are cut, and connections go through peers until two probes succeed; if it cannot either, the service is down, and its requests are rejected at once, while probes test it. Quota, retries, limits, deadline and verdict stay with the host that has the client. A refused port counts as a crash only if another upstream can be connected and no peer reaches the upstream; failures of the time of the cut are discarded.

--- a/libraries/ingress/link_monitor.cpp
+++ b/libraries/ingress/link_monitor.cpp
@@ -26,17 +26,12 @@
 {
 }
 
-upstream_path link_monitor::choose_path(const service_name& service,
-                                        absl::Time now)
+upstream_path link_monitor::path_to(const service_name& service) const
 {
-    auto& links = m_services[service];
-    if (links.is_unreachable)
+    const auto found = m_services.find(service);
+    if (found != m_services.end() && found->second.is_unreachable)
     {
-        if (now < links.next_trial)
-        {
-            return upstream_path::none;
-        }
-        links.next_trial = now + m_options.trial_interval;
+        return upstream_path::none;
     }
     return is_relayed(service) ? upstream_path::relayed : upstream_path::direct;
 }
@@ -114,14 +109,14 @@
     if (!is_relayed(service))
     {
         delay_relays(now);
-        mark_unreachable(links, earliest(links.failures), now);
+        mark_unreachable(links, earliest(links.failures));
         return;
     }
     links.relay_failures.try_emplace(server, now);
     if (links.relay_failures.size() >=
         std::min(m_options.min_failures, usable_count))
     {
-        mark_unreachable(links, earliest(links.relay_failures), now);
+        mark_unreachable(links, earliest(links.relay_failures));
     }
 }
 
@@ -129,12 +124,8 @@
 {
     auto& links = m_services[service];
     const auto first = earliest(links.failures);
-    if (!is_relayed(service))
-    {
-        delay_relays(now);
-    }
-    mark_unreachable(links, std::min(first, now - m_options.trial_interval),
-                     now);
+    delay_relays(now);
+    mark_unreachable(links, std::min(first, now - m_options.response_memory));
 }
 
 bool link_monitor::record_probe(const service_name& service, bool is_connected,
@@ -142,10 +133,12 @@
 {
     auto& links = m_services[service];
     links.probes = is_connected ? links.probes + 1 : 0;
-    if (!links.is_relayed || links.probes < m_options.min_probes)
+    const auto needed = links.is_relayed ? m_options.min_probes : 1;
+    if (links.probes < needed)
     {
         return false;
     }
+    links.probes = 0;
     links.is_relayed = false;
     links.is_total = false;
     record_connected(service, now);
@@ -153,12 +146,12 @@
     return true;
 }
 
-std::vector<service_name> link_monitor::relayed_services() const
+std::vector<service_name> link_monitor::impaired_services() const
 {
     std::vector<service_name> services;
     for (const auto& [service, links] : m_services)
     {
-        if (links.is_relayed)
+        if (links.is_relayed || links.is_unreachable)
         {
             services.push_back(service);
         }
@@ -166,6 +159,14 @@
     return services;
 }
 
+bool link_monitor::should_probe_peers(const service_name& service,
+                                      absl::Time now) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && found->second.is_unreachable &&
+           now >= m_next_relay;
+}
+
 absl::Time link_monitor::failing_since(const service_name& service) const
 {
     const auto found = m_services.find(service);
@@ -194,14 +195,9 @@
 // A service that responds on existing connections is reachable, although some
 // of its upstreams cannot be connected.
 void link_monitor::mark_unreachable(service_links& links,
-                                    absl::Time failing_since,
-                                    absl::Time now) const
+                                    absl::Time failing_since)
 {
-    if (links.responded_at < failing_since)
-    {
-        links.is_unreachable = true;
-        links.next_trial = now + m_options.trial_interval;
-    }
+    links.is_unreachable = links.responded_at < failing_since;
 }
 
 void link_monitor::update_partitioned()
--- a/libraries/ingress/link_monitor.hpp
+++ b/libraries/ingress/link_monitor.hpp
@@ -28,9 +28,9 @@
     std::size_t min_failures = 3;
     /// Failures older than this are no evidence of a cut in progress.
     absl::Duration failure_window = absl::Seconds(2);
-    /// Interval between attempts to reach a service that neither this host nor
-    /// a peer could reach.
-    absl::Duration trial_interval = absl::Milliseconds(250);
+    /// A relayed service that has responded within this time is reachable,
+    /// although no peer could be asked just now.
+    absl::Duration response_memory = absl::Milliseconds(250);
     /// Delay of the next relay attempt after one that failed; doubles with each
     /// consecutive failure.
     absl::Duration min_relay_delay = absl::Milliseconds(500);
@@ -51,10 +51,8 @@
 public:
     explicit link_monitor(const link_monitor_options& options = {});
 
-    /// Selects the path of a new connection. While a service is unreachable,
-    /// one caller per trial interval gets a path.
-    [[nodiscard]] upstream_path choose_path(const service_name& service,
-                                            absl::Time now);
+    /// @return the path of a new connection
+    [[nodiscard]] upstream_path path_to(const service_name& service) const;
 
     /// @return whether connections to the service are relayed
     [[nodiscard]] bool is_relayed(const service_name& service) const;
@@ -90,12 +88,18 @@
     void record_no_relay(const service_name& service, absl::Time now);
 
     /// Records a direct connection attempt made to test the links.
-    /// @return whether the service is connected directly again
+    /// @return whether the service is connected directly from now on, and was
+    /// not before
     bool record_probe(const service_name& service, bool is_connected,
                       absl::Time now);
 
-    /// @return services whose connections are relayed
-    [[nodiscard]] std::vector<service_name> relayed_services() const;
+    /// @return services that are not connected directly now, whose links are
+    /// to be probed
+    [[nodiscard]] std::vector<service_name> impaired_services() const;
+
+    /// @return whether an unreachable service is to be tried through a peer
+    [[nodiscard]] bool should_probe_peers(const service_name& service,
+                                          absl::Time now) const;
 
     /// @return whether no upstream of any service can be connected directly
     /// while peers can
@@ -118,15 +122,14 @@
         bool is_relayed = false;
         bool is_total = false; ///< no service was connected meanwhile
         bool is_unreachable = false;
-        absl::Time next_trial = absl::InfinitePast();
         int probes = 0; ///< consecutive successful ones
     };
 
     [[nodiscard]] bool is_suspect(const service_links& links,
                                   absl::Time now) const;
     void delay_relays(absl::Time now);
-    void mark_unreachable(service_links& links, absl::Time failing_since,
-                          absl::Time now) const;
+    static void mark_unreachable(service_links& links,
+                                 absl::Time failing_since);
     void update_partitioned();
 
     link_monitor_options m_options;
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -58,6 +58,8 @@
         events::upstream_limit_changed,
         events::upstream_limit_unreadable,
         events::upstream_limit_reached,
+        events::upstream_links_cut,
+        events::upstream_links_restored,
     };
     return catalogue;
 }
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -181,6 +181,14 @@
     "An upstream names a limit that is no decimal number; it is ignored. One "
     "line for each start of the upstream."};
 
+inline constexpr log_event upstream_links_cut{
+    510, log_severity::warning, "upstream_links_cut",
+    "Peers reach a service that this host cannot connect to; its connections "
+    "go through peers. The fields name the first peer, and whether all "
+    "services are cut off."};
+inline constexpr log_event upstream_links_restored{
+    511, log_severity::info, "upstream_links_restored",
+    "Upstreams of a service can be connected directly again."};
 inline constexpr log_event upstream_limit_reached{
     509, log_severity::info, "upstream_limit_reached",
     "Requests were sent elsewhere, or rejected, since upstreams had no room "
--- a/services/gateway/crash_detector.cpp
+++ b/services/gateway/crash_detector.cpp
@@ -97,7 +97,10 @@
     }
     if (sign == crash_sign::refused)
     {
-        handle_crash(instance, sign);
+        asio::co_spawn(
+            m_state.context,
+            [this, server, sign] { return verify_crash(server, sign); },
+            asio::detached);
         return;
     }
     asio::co_spawn(
@@ -145,7 +148,18 @@
     m_running_probes.erase(instance);
     if (is_crashed)
     {
-        handle_crash(instance, sign);
+        co_await verify_crash(server, sign);
+    }
+}
+
+// A cut link of this host refuses connections too.
+awaitable<void> crash_detector::verify_crash(server_entry server,
+                                             crash_sign sign)
+{
+    const bool has_failed = co_await m_state.upstreams.has_failed(server);
+    if (has_failed)
+    {
+        handle_crash({server.id, server.started_at}, sign);
     }
 }
 
--- a/services/gateway/crash_detector.hpp
+++ b/services/gateway/crash_detector.hpp
@@ -62,6 +62,7 @@
 private:
     [[nodiscard]] bool is_expected_to_run(const server_entry& server) const;
     awaitable<void> probe_port(server_entry server, crash_sign sign);
+    awaitable<void> verify_crash(server_entry server, crash_sign sign);
     awaitable<void> probe_after_delay(server_entry server,
                                       suspect_request request);
     void record_crash_of(const server_incarnation& instance,
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -242,7 +242,7 @@
         {
             session->close_if_idle();
         }
-        if (m_state.requests_in_flight == 0)
+        if (m_state.requests_in_flight == 0 && m_peers.open_tunnels() == 0)
         {
             break;
         }
@@ -324,6 +324,12 @@
               std::chrono::duration<double>(m_suspended_time).count());
     meter.set("requests_in_flight", "Requests that are being served.",
               static_cast<double>(m_state.requests_in_flight));
+    meter.set("services_impaired",
+              "Services whose upstreams this host cannot connect to directly.",
+              static_cast<double>(
+                  m_state.upstreams.links().impaired_services().size()));
+    meter.set("tunnels_open", "Connections relayed for peers.",
+              static_cast<double>(m_peers.open_tunnels()));
     meter.set("server_connections_made", "Connections opened to servers.",
               static_cast<double>(m_state.pool.connections_made()));
     double rollout_share = 0;
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -70,6 +70,7 @@
     , rollouts(self, own_incarnation, servers.versions())
     , choice(servers, hall, random_seed(settings), settings)
     , pool(loop)
+    , upstreams(*this)
     , quota(loop, shared_quota(self, hall, own_incarnation,
                                make_quota_options(settings)))
     , retries(make_retry_options(settings))
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "quota_service.hpp"
 #include "server_connection.hpp"
 #include "skipped_records.hpp"
+#include "upstream_connector.hpp"
 #include "upstream_limiter.hpp"
 
 #include <absl/random/random.h>
@@ -88,6 +89,7 @@
     rollout_participant rollouts;
     server_choice choice;
     connection_pool pool;
+    upstream_connector upstreams;
     quota_service quota;
     retry_budget_share retries;
     usage_counter usage;
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -66,7 +66,12 @@
     , m_sharing(state, topics, m_table,
                 [this](const std::string& address, const std::string& bytes)
                 { send_datagram(udp_endpoint(address), bytes); })
+    , m_tunnels(state)
 {
+    m_server.set_tunnel_handler(
+        [this](request_head head, std::shared_ptr<byte_channel> channel)
+        { return m_tunnels.serve(std::move(head), std::move(channel)); });
+    m_state.upstreams.set_peers([this] { return relay_peers(); });
     m_state.quota.set_sender(
         [this](const host_id& to, const std::string& bytes)
         {
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -6,6 +6,7 @@
 #include "host_list.hpp"
 #include "simple_http_server.hpp"
 #include "topic_sharing.hpp"
+#include "tunnel.hpp"
 
 #include <functional>
 #include <peers/peer_table.hpp>
@@ -129,6 +130,15 @@
     /// @return the known peers
     [[nodiscard]] std::vector<host_id> hosts(bool is_reachable_only) const;
 
+    /// @return tunnels that peers have open through this host
+    [[nodiscard]] std::int64_t open_tunnels() const
+    {
+        return m_tunnels.open_count();
+    }
+
+    /// @return peers that may relay connections to upstreams, in random order
+    [[nodiscard]] std::vector<relay_peer> relay_peers() const;
+
     /// @return work of the requests to the service through each host since its
     /// start, in milliseconds of upstream time
     [[nodiscard]] std::map<host_id, reported_work>
@@ -161,6 +171,7 @@
     asio::ip::udp::socket m_socket;
     simple_http_server m_server;
     topic_sharing m_sharing;
+    tunnel_server m_tunnels;
     std::function<void(std::int64_t, const host_id&)> m_on_counts;
     std::function<std::string(std::string_view)> m_on_rollout;
     std::function<void(std::string_view)> m_on_poison;
--- a/services/gateway/peer_states.cpp
+++ b/services/gateway/peer_states.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::size_t max_announced_hosts = 4;
+constexpr std::size_t max_relay_candidates = 16;
+constexpr std::size_t max_relay_attempts = 4;
 
 } // namespace
 
@@ -75,6 +77,10 @@
 void peer_exchange::apply(const host_state& state)
 {
     const auto now = gateway_state::now();
+    if (state.is_stopping)
+    {
+        m_state.pool.drop_relayed_by(state.self.name);
+    }
     m_state.clock.update(state.self.name,
                          absl::FromUnixMillis(state.wall_time_ms), now);
     auto& quota = m_state.quota.shared();
@@ -102,6 +108,37 @@
     }
 }
 
+std::vector<relay_peer> peer_exchange::relay_peers() const
+{
+    std::vector<const peer_record*> usable;
+    const auto now = gateway_state::now();
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        if (m_table.is_reachable(name, now) && !peer.state.is_stopping &&
+            !peer.state.is_partitioned)
+        {
+            usable.push_back(&peer);
+        }
+    }
+    // In a large fleet most states are old. The newest ones come from peers
+    // that are running and can be reached.
+    const auto kept = std::min(usable.size(), max_relay_candidates);
+    std::partial_sort(usable.begin(),
+                      usable.begin() + static_cast<std::ptrdiff_t>(kept),
+                      usable.end(),
+                      [](const auto* left, const auto* right)
+                      { return left->heard_at > right->heard_at; });
+    usable.resize(kept);
+    std::shuffle(usable.begin(), usable.end(), m_state.random);
+    usable.resize(std::min(usable.size(), max_relay_attempts));
+    std::vector<relay_peer> peers;
+    std::transform(usable.begin(), usable.end(), std::back_inserter(peers),
+                   [](const auto* peer) -> relay_peer {
+                       return {peer->state.self.name, peer->address};
+                   });
+    return peers;
+}
+
 host_state peer_exchange::own_state()
 {
     host_state state;
@@ -114,6 +151,7 @@
         m_state.routes ? m_state.routes->configuration().version : 0;
     state.servers_offset = m_topics.servers.next();
     state.is_stopping = m_state.is_stopping;
+    state.is_partitioned = m_state.upstreams.links().is_partitioned();
     state.reaches_store = m_topics.configuration.is_store_reachable();
     for (const auto& [service, load] : m_state.loads)
     {
--- a/services/gateway/request_choice.cpp
+++ b/services/gateway/request_choice.cpp
@@ -97,6 +97,12 @@
                                    retry_when_full, max_retry_after));
         co_return;
     }
+    if (result == attempt_result::no_path)
+    {
+        co_await reject(http_status::unavailable, "no_upstream_path",
+                        retry_when_full);
+        co_return;
+    }
     co_await reject(http_status::unavailable,
                     result == attempt_result::not_reached ? "no_server_reached"
                                                           : "servers_full",
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -201,7 +201,8 @@
 {
     server_request sent(std::move(target.permit), target.server);
     sent.id = m_facts.id.value();
-    sent.bytes = serialized_request(target.server);
+    sent.serialize = [this, server = target.server]
+    { return serialized_request(server); };
     sent.is_repeatable = allows_repeats(*m_route);
     sent.has_no_response_body = m_request.head.method == "HEAD";
     sent.deadline = m_deadline;
@@ -212,7 +213,7 @@
 request_flow::attempt(permitted_server& target, const choice_request& wanted)
 {
     const auto& server = target.server;
-    server_exchange exchange(m_state.pool, make_server_request(target));
+    server_exchange exchange(m_state.upstreams, make_server_request(target));
     m_exchange = &exchange;
     m_expected_first_ms =
         m_service->is_engine &&
@@ -265,8 +266,10 @@
     {
         outcome = attempt_outcome::unreachable;
         const bool is_unsent = exchange.known_verdict() == verdict::not_run;
-        result =
-            is_unsent ? attempt_result::not_reached : attempt_result::broken;
+        result = !is_unsent ? attempt_result::broken
+                 : m_connect_error == connect_error::no_path
+                     ? attempt_result::no_path
+                     : attempt_result::not_reached;
         m_may_have_run = m_may_have_run || !is_unsent;
     }
     else if (platform::states_not_run(exchange.head()))
@@ -307,7 +310,9 @@
         m_state.suspects.end(suspect->fingerprint, server.id);
     }
     m_state.choice.end_attempt(server.incarnation());
-    if (result != attempt_result::abandoned)
+    // Without a path, nothing is known about the upstream.
+    if (result != attempt_result::abandoned &&
+        result != attempt_result::no_path)
     {
         m_state.choice.record_outcome(server.incarnation(), outcome,
                                       gateway_state::now());
@@ -326,7 +331,8 @@
 // Step 6: whether the request can be sent to another upstream.
 bool request_flow::can_retry(attempt_result result)
 {
-    if (result == attempt_result::late || time_left().count() <= 0)
+    if (result == attempt_result::late || result == attempt_result::no_path ||
+        time_left().count() <= 0)
     {
         return false;
     }
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -54,6 +54,7 @@
         answered,     ///< the client has the complete response
         not_run,      ///< certainly not executed; can be retried elsewhere
         not_reached,  ///< no connection, nothing was delivered
+        no_path,      ///< own links are cut, and no peer relays
         server_error, ///< executed; the upstream's 5xx response is kept
         broken,       ///< may have run, or its response was cut off
         late,         ///< the deadline has passed
--- a/services/gateway/request_log.cpp
+++ b/services/gateway/request_log.cpp
@@ -34,9 +34,9 @@
     {
         return;
     }
-    static constexpr std::array<std::string_view, 7> names{
-        "answered", "not_run", "not_reached", "server_error",
-        "broken",   "late",    "abandoned"};
+    static constexpr std::array<std::string_view, 8> names{
+        "answered",     "not_run", "not_reached", "no_path",
+        "server_error", "broken",  "late",        "abandoned"};
     m_state.meter.count_failed_attempt(
         names.at(static_cast<std::size_t>(result)));
     log(events::upstream_failed,
--- a/services/gateway/server_connection.cpp
+++ b/services/gateway/server_connection.cpp
@@ -58,12 +58,15 @@
         return "timed_out";
     case connect_error::failed:
         return "failed";
+    case connect_error::no_path:
+        return "no_path";
     }
     return "";
 }
 
 std::unique_ptr<server_connection>
-connection_pool::take(const upstream_id& server, bool is_repeatable)
+connection_pool::take(const upstream_id& server, bool is_repeatable,
+                      bool requires_relay)
 {
     const auto found = m_idle.find(server);
     if (found == m_idle.end())
@@ -82,6 +85,11 @@
             // The others have been idle for longer still.
             return nullptr;
         }
+        if (requires_relay && newest->relay.value().empty())
+        {
+            // The older ones are direct too, or about to expire.
+            return nullptr;
+        }
         auto taken = std::move(newest);
         connections.pop_back();
         taken->channel->set_close_handler(nullptr);
@@ -174,6 +182,24 @@
     m_idle.erase(found);
 }
 
+void connection_pool::drop_relayed_by(const host_id& peer)
+{
+    for (auto& [server, connections] : m_idle)
+    {
+        std::erase_if(connections,
+                      [&](const auto& connection)
+                      {
+                          if (connection->relay != peer)
+                          {
+                              return false;
+                          }
+                          connection->channel->set_close_handler(nullptr);
+                          connection->channel->close();
+                          return true;
+                      });
+    }
+}
+
 void connection_pool::notify_failure(const upstream_id& server, bool is_refused)
 {
     if (m_failure_listener)
--- a/services/gateway/server_connection.hpp
+++ b/services/gateway/server_connection.hpp
@@ -20,6 +20,7 @@
 {
     std::shared_ptr<byte_channel> channel;
     upstream_id server;
+    host_id relay; ///< peer that it goes through; empty: it is direct
     monotonic::time_point idle_since{};
     milliseconds idle_limit{0}; ///< as stated by the upstream; 0: not stated
 };
@@ -31,6 +32,7 @@
     refused,   ///< the port refuses connections
     timed_out, ///< nothing answered in time
     failed,    ///< any other error
+    no_path,   ///< own links are cut, and no peer relays
 };
 
 /// @return the name of the error in the log
@@ -62,9 +64,11 @@
     /// Takes an idle connection from the pool.
     /// @param is_repeatable whether the request can be sent again if the
     /// upstream closes the connection while the request is on its way
+    /// @param requires_relay whether direct connections are left out
     /// @return the connection, or null if none is usable
     [[nodiscard]] std::unique_ptr<server_connection>
-    take(const upstream_id& server, bool is_repeatable);
+    take(const upstream_id& server, bool is_repeatable,
+         bool requires_relay = false);
 
     /// Opens a new connection.
     /// @param deadline when the attempt fails
@@ -80,6 +84,9 @@
     /// Closes the idle connections to an upstream that has left.
     void drop(const upstream_id& server);
 
+    /// Closes the idle connections through a peer that is to stop.
+    void drop_relayed_by(const host_id& peer);
+
     [[nodiscard]] std::int64_t connections_made() const
     {
         return m_connections_made;
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -9,14 +9,14 @@
 {
 
 constexpr std::uint32_t max_head_bytes = 65536;
-constexpr milliseconds connect_timeout{350};
 // An upstream that reads later than this may be draining by then.
 constexpr milliseconds send_timeout{1500};
 
 } // namespace
 
-server_exchange::server_exchange(connection_pool& pool, server_request request)
-    : m_pool(pool), m_request(std::move(request))
+server_exchange::server_exchange(upstream_connector& upstreams,
+                                 server_request request)
+    : m_upstreams(upstreams), m_request(std::move(request))
 {
 }
 
@@ -66,6 +66,14 @@
                 co_return exchange_state::complete;
             }
             const auto& channel = *m_connection->channel;
+            const bool is_relayed = !m_connection->relay.value().empty();
+            if (channel.connection_state() == channel_state::finished &&
+                is_relayed)
+            {
+                // The end of a relaying process looks the same as the end of a
+                // response without a length.
+                co_return fail();
+            }
             if (channel.connection_state() == channel_state::finished)
             {
                 // The remaining input is an incomplete chunk.
@@ -102,15 +110,10 @@
 
 awaitable<bool> server_exchange::connect()
 {
-    m_connection = m_pool.take(m_request.server.id, m_request.is_repeatable);
-    if (!m_connection)
-    {
-        auto result = co_await m_pool.connect(
-            m_request.server,
-            std::min(m_request.deadline, monotonic::now() + connect_timeout));
-        m_connect_error = result.error;
-        m_connection = std::move(result.connection);
-    }
+    auto result = co_await m_upstreams.connect(
+        m_request.server, m_request.is_repeatable, m_request.deadline);
+    m_connect_error = result.error;
+    m_connection = std::move(result.connection);
     co_return m_connection != nullptr && !m_is_cancelled;
 }
 
@@ -118,8 +121,8 @@
 {
     const auto until =
         std::min(m_request.deadline, monotonic::now() + send_timeout);
-    const auto result =
-        co_await m_connection->channel->write(m_request.bytes, until);
+    const auto bytes = m_request.serialize();
+    const auto result = co_await m_connection->channel->write(bytes, until);
     if (result.size > 0)
     {
         m_verdict = verdict::may_have_run;
@@ -141,6 +144,7 @@
         {
             if (parse_input())
             {
+                m_upstreams.record_response(m_request.server.service);
                 m_is_framed = !m_parser->ends_with_connection();
                 co_return exchange_state::head;
             }
@@ -259,7 +263,7 @@
     {
         m_connection->idle_limit = *idle;
     }
-    m_pool.keep(std::move(m_connection));
+    m_upstreams.keep(std::move(m_connection));
 }
 
 } // namespace daleshelf
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "send_permit.hpp"
-#include "server_connection.hpp"
+#include "upstream_connector.hpp"
 
 #include <base/verdict.hpp>
 #include <memory>
@@ -24,8 +24,10 @@
 
     send_permit permit;
     server_entry server;
-    std::string id;    ///< as given by the client
-    std::string bytes; ///< head and body
+    std::string id; ///< as given by the client
+    /// Writes head and body; called once the upstream is connected, since the
+    /// head states the remaining time.
+    std::function<std::string()> serialize;
     bool is_repeatable = false;
     bool has_no_response_body = false; ///< a HEAD request
     monotonic::time_point deadline{};
@@ -46,7 +48,7 @@
 class server_exchange
 {
 public:
-    server_exchange(connection_pool& pool, server_request request);
+    server_exchange(upstream_connector& upstreams, server_request request);
     server_exchange(const server_exchange&) = delete;
     server_exchange& operator=(const server_exchange&) = delete;
     ~server_exchange();
@@ -114,7 +116,7 @@
     exchange_state fail();
     void release();
 
-    connection_pool& m_pool;
+    upstream_connector& m_upstreams;
     server_request m_request;
     std::unique_ptr<server_connection> m_connection;
     std::unique_ptr<response_parser> m_parser;
--- a/services/gateway/simple_http_server.cpp
+++ b/services/gateway/simple_http_server.cpp
@@ -97,6 +97,11 @@
             break;
         }
         const auto head = parser.take_head();
+        if (head.method == "CONNECT" && m_tunnel_handler)
+        {
+            co_await m_tunnel_handler(head, channel);
+            co_return;
+        }
         is_kept_alive = keeps_connection(head.fields, head.version);
         const auto response = m_handler(head.target);
         std::string bytes;
--- a/services/gateway/simple_http_server.hpp
+++ b/services/gateway/simple_http_server.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <string>
+#include <wire/message_head.hpp>
 
 namespace daleshelf
 {
@@ -34,6 +35,16 @@
     simple_http_server(asio::io_context& context, const std::string& address,
                        handler handle_request);
 
+    /// Handles CONNECT requests; the handler owns the connection.
+    using tunnel_handler = std::function<awaitable<void>(
+        request_head head, std::shared_ptr<byte_channel> channel)>;
+
+    /// Sets the handler of CONNECT requests; without one they are rejected.
+    void set_tunnel_handler(tunnel_handler handler)
+    {
+        m_tunnel_handler = std::move(handler);
+    }
+
     /// Starts accepting connections.
     void start();
 
@@ -43,6 +54,7 @@
 
     asio::ip::tcp::acceptor m_acceptor;
     handler m_handler;
+    tunnel_handler m_tunnel_handler;
 };
 
 } // namespace daleshelf
--- a/tests/ingress/link_monitor_test.cpp
+++ b/tests/ingress/link_monitor_test.cpp
@@ -41,7 +41,7 @@
         m_links.record_failed(engines, upstream_id("0"), usable, m_now);
     }
     EXPECT_FALSE(m_links.should_ask_peer(engines, m_now));
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::direct);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::direct);
 }
 
 TEST_F(link_monitor_test, failures_interrupted_by_a_connection_are_no_cut)
@@ -56,8 +56,8 @@
 {
     partition();
     EXPECT_TRUE(m_links.is_partitioned());
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::relayed);
-    EXPECT_EQ(m_links.choose_path(calls, m_now), upstream_path::relayed);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::relayed);
+    EXPECT_EQ(m_links.path_to(calls), upstream_path::relayed);
 }
 
 TEST_F(link_monitor_test, a_service_that_peers_cannot_reach_either_is_dead)
@@ -67,20 +67,32 @@
     ASSERT_TRUE(m_links.should_ask_peer(engines, m_now));
     m_links.record_relay_failed(engines, upstream_id("0"), usable, m_now);
     EXPECT_FALSE(m_links.is_partitioned());
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::none);
-    EXPECT_EQ(m_links.choose_path(calls, m_now), upstream_path::direct);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::none);
+    EXPECT_EQ(m_links.path_to(calls), upstream_path::direct);
 }
 
-TEST_F(link_monitor_test, an_unreachable_service_is_tried_once_an_interval)
+TEST_F(link_monitor_test, a_probe_ends_the_rejection_of_an_unreachable_service)
 {
     fail(engines, 3);
     m_links.record_no_relay(engines, m_now);
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::none);
-    m_now += absl::Milliseconds(250);
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::direct);
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::none);
-    m_links.record_connected(engines, m_now);
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::direct);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::none);
+    EXPECT_EQ(m_links.impaired_services().size(), 1);
+    EXPECT_FALSE(m_links.record_probe(engines, false, m_now));
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::none);
+    EXPECT_TRUE(m_links.record_probe(engines, true, m_now));
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::direct);
+    EXPECT_TRUE(m_links.impaired_services().empty());
+}
+
+TEST_F(link_monitor_test, a_peer_ends_the_rejection_of_an_unreachable_service)
+{
+    fail(engines, 3);
+    m_links.record_no_relay(engines, m_now);
+    EXPECT_FALSE(m_links.should_probe_peers(engines, m_now));
+    m_now += absl::Milliseconds(500);
+    EXPECT_TRUE(m_links.should_probe_peers(engines, m_now));
+    m_links.record_relayed(engines, m_now);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::relayed);
 }
 
 TEST_F(link_monitor_test, a_service_that_still_responds_is_not_unreachable)
@@ -88,7 +100,7 @@
     fail(engines, 3);
     m_links.record_response(engines, m_now);
     m_links.record_relay_failed(engines, upstream_id("0"), usable, m_now);
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::direct);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::direct);
 }
 
 TEST_F(link_monitor_test, peers_are_asked_less_often_when_they_do_not_help)
@@ -106,8 +118,8 @@
     m_links.record_connected(calls, m_now);
     m_links.record_relayed(engines, m_now);
     EXPECT_FALSE(m_links.is_partitioned());
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::relayed);
-    EXPECT_EQ(m_links.choose_path(calls, m_now), upstream_path::direct);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::relayed);
+    EXPECT_EQ(m_links.path_to(calls), upstream_path::direct);
 }
 
 TEST_F(link_monitor_test, one_upstream_that_no_peer_reaches_ends_no_relaying)
@@ -115,7 +127,7 @@
     partition();
     m_now += absl::Seconds(5);
     m_links.record_relay_failed(engines, upstream_id("5"), usable, m_now);
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::relayed);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::relayed);
 }
 
 TEST_F(link_monitor_test, consecutive_probes_restore_direct_connections)
@@ -126,7 +138,7 @@
     EXPECT_FALSE(m_links.record_probe(engines, true, m_now));
     EXPECT_TRUE(m_links.record_probe(engines, true, m_now));
     EXPECT_FALSE(m_links.is_partitioned());
-    EXPECT_EQ(m_links.choose_path(engines, m_now), upstream_path::direct);
+    EXPECT_EQ(m_links.path_to(engines), upstream_path::direct);
 }
 
 TEST_F(link_monitor_test, old_failures_are_no_evidence)
