gateway: Count no evidence of a cut link for rollouts and demand

Change: a broken or late attempt counts for a rollout once another upstream could be connected; a request that no upstream has received counts once.

--- a/services/gateway/request_engines.cpp
+++ b/services/gateway/request_engines.cpp
@@ -7,6 +7,25 @@
 namespace daleshelf
 {
 
+namespace
+{
+
+// Records a failed attempt for a rollout, unless the links of this host are
+// cut.
+awaitable<void> record_verified_failure(gateway_state& state,
+                                        server_entry server, std::string route,
+                                        response_sample sample)
+{
+    const bool is_credible = co_await state.upstreams.are_links_usable(server);
+    if (is_credible)
+    {
+        state.rollouts.record_response(server.service, server.version, route,
+                                       sample);
+    }
+}
+
+} // namespace
+
 // Predicts whether the first event would miss the deadline even at the best
 // upstream. Rejecting at once then saves the client the wait.
 // @return the time in ms after which slots are expected to be free, or nothing
@@ -61,17 +80,34 @@
     {
         m_seen.first_latency = to_ms(time);
     }
-    m_state.rollouts.record_response(server.service, server.version,
-                                     m_route->name, m_seen);
+    // A connection that broke, or stayed silent, may be due to a cut link of
+    // this host.
+    const bool needs_verification =
+        (result == attempt_result::broken || result == attempt_result::late) &&
+        m_state.rollouts.has_running_order(m_service->name);
+    if (!needs_verification)
+    {
+        m_state.rollouts.record_response(server.service, server.version,
+                                         m_route->name, m_seen);
+        return;
+    }
+    asio::co_spawn(
+        m_state.context,
+        [&state = m_state, server, route = m_route->name, sample = m_seen]
+        { return record_verified_failure(state, server, route, sample); },
+        asio::detached);
 }
 
-// Records the work that the request brings, as input for autoscaling.
+// Records the work that the request brings, as input for autoscaling. It is the
+// same work until an upstream has received it.
 void request_flow::record_demand()
 {
-    if (!m_service->is_engine)
+    const bool is_recorded = m_is_demand_recorded && m_attempts == 0;
+    if (!m_service->is_engine || is_recorded)
     {
         return;
     }
+    m_is_demand_recorded = true;
     const auto tokens = static_cast<double>(m_work.expected_tokens);
     auto& load = m_state.loads[m_service->name];
     load.work += {1, tokens, tokens * tokens,
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -147,6 +147,7 @@
     double m_quota_cost = 0;
     std::string m_quota_verdict; ///< how the verdict was reached, for logs
     bool m_is_usage_counted = false;
+    bool m_is_demand_recorded = false;
     bool m_was_sent = false; ///< whether the last attempt sent anything
     connect_error m_connect_error =
         connect_error::none; ///< of the last attempt
--- a/services/gateway/simple_http_server.hpp
+++ b/services/gateway/simple_http_server.hpp
@@ -45,6 +45,12 @@
         m_tunnel_handler = std::move(handler);
     }
 
+    /// @return the port that connections are accepted on
+    [[nodiscard]] unsigned short port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
     /// Starts accepting connections.
     void start();
 
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -94,6 +94,14 @@
     return message;
 }
 
+std::string test_connection::read_until(const std::string& text)
+{
+    while (m_input.find(text) == std::string::npos && read_some())
+    {
+    }
+    return std::exchange(m_input, {});
+}
+
 std::string test_connection::read_all()
 {
     while (read_some())
@@ -206,9 +214,17 @@
 }
 
 gateway_fixture::~gateway_fixture()
+{
+    stop();
+}
+
+void gateway_fixture::stop()
 {
     m_context.stop();
-    m_thread.join();
+    if (m_thread.joinable())
+    {
+        m_thread.join();
+    }
 }
 
 void gateway_fixture::configure()
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -34,6 +34,10 @@
     /// @return the bytes, or what was received before the connection closed
     std::string read_message();
 
+    /// Reads until the text has been received, or the connection closes.
+    /// @return everything received
+    std::string read_until(const std::string& text);
+
     /// Reads until the connection closes.
     std::string read_all();
 
@@ -134,6 +138,10 @@
     /// Adds an upstream to the list.
     void add_server(const std::string& id, const scripted_server& server);
 
+    /// Stops the event loop, before objects that its handlers use are
+    /// destroyed.
+    void stop();
+
     /// Runs a function on the gateway's thread and waits until it returns.
     void on_loop(const std::function<void()>& run);
 
