gateway: Spare upstreams that crash when they reject many requests

Cause: upstreams may state Server-Brittle: N, and crash when they reject more than N requests a second for lack of room; nothing read that. Change: such an upstream gets no more requests than it has slots, counted over all hosts as far as reported; after a rejection a host leaves it alone for as long as it needs to reject one request of every host (0.25 to 10 s).

--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -167,7 +167,8 @@
     for (const auto& [hash, server] : servers)
     {
         if (request.excluded.contains(server->id) ||
-            now < back_off_end(server->id) || is_passed_over(server->id, now))
+            now < back_off_end(server->id) || is_passed_over(server->id, now) ||
+            !has_room(*server))
         {
             continue;
         }
@@ -248,6 +249,28 @@
     m_back_off_ends[server.id] = end;
 }
 
+void server_choice::set_rejects_safely(const upstream_incarnation& server,
+                                       bool rejects_safely)
+{
+    if (is_superseded(server))
+    {
+        return;
+    }
+    if (rejects_safely)
+    {
+        m_brittle.erase(server.id);
+        return;
+    }
+    m_brittle.insert(server.id);
+}
+
+// Other upstreams queue requests beyond their slots, or reject them harmlessly.
+bool server_choice::has_room(const server_entry& server) const
+{
+    return !m_brittle.contains(server.id) ||
+           total_load(server.id).active < server.slots;
+}
+
 void server_choice::pass_over(const upstream_incarnation& server,
                               absl::Time until)
 {
@@ -307,6 +330,7 @@
     m_own_loads.erase(server);
     m_back_off_ends.erase(server);
     m_passed_over.erase(server);
+    m_brittle.erase(server);
     m_health.erase(server);
     m_prefix_caches.erase(server);
 }
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -128,6 +128,11 @@
     void set_back_off(const upstream_incarnation& server, absl::Time until,
                       absl::Time now);
 
+    /// Sets whether the upstream crashes when it rejects many requests. Such an
+    /// upstream gets no more requests than it runs concurrently.
+    void set_rejects_safely(const upstream_incarnation& server,
+                            bool rejects_safely);
+
     /// Passes over the upstream until a time, since its rate limit is used up.
     void pass_over(const upstream_incarnation& server, absl::Time until);
 
@@ -175,6 +180,7 @@
 
     [[nodiscard]] bool is_superseded(const upstream_incarnation& server) const;
     [[nodiscard]] absl::Time back_off_end(const upstream_id& server) const;
+    [[nodiscard]] bool has_room(const server_entry& server) const;
     [[nodiscard]] bool is_passed_over(const upstream_id& server,
                                       absl::Time now) const;
     /// An upstream and its cost for a request.
@@ -222,6 +228,8 @@
     absl::flat_hash_map<upstream_id, health> m_health;
     absl::flat_hash_map<upstream_id, absl::Time> m_back_off_ends;
     absl::flat_hash_map<upstream_id, absl::Time> m_passed_over; ///< until when
+    /// Upstreams that crash when they reject many requests.
+    absl::flat_hash_set<upstream_id> m_brittle;
     absl::flat_hash_map<upstream_id, prefix_cache_estimate> m_prefix_caches;
 };
 
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -228,6 +228,12 @@
 {
     m_notice.limit = notice.limit ? notice.limit : m_notice.limit;
     m_notice.withdraws_limit = notice.withdraws_limit && !is_unrelated;
+    m_notice.rejection_limit = notice.rejection_limit
+                                   ? notice.rejection_limit
+                                   : m_notice.rejection_limit;
+    m_notice.withdraws_rejection_limit =
+        notice.withdraws_rejection_limit && !is_unrelated;
+    m_notice.is_rejected = notice.is_rejected && !is_unrelated;
     m_notice.has_malformed_limit =
         m_notice.has_malformed_limit || notice.has_malformed_limit;
     m_notice.is_leaving = m_notice.is_leaving || notice.is_leaving;
--- a/services/gateway/server_notices.cpp
+++ b/services/gateway/server_notices.cpp
@@ -1,5 +1,6 @@
 #include "server_notices.hpp"
 
+#include <algorithm>
 #include <platform/request_format.hpp>
 #include <telemetry/log.hpp>
 
@@ -23,6 +24,44 @@
          {"origin", "answer"}});
 }
 
+// The hosts reject independently. If each waits for as long as the upstream
+// needs to reject one request of every host, the sum stays within the limit.
+absl::Duration rejection_back_off(gateway_state& state, double limit)
+{
+    constexpr double min_seconds = 0.25;
+    constexpr double max_seconds = 10;
+    const auto hosts = static_cast<double>(state.quota.shared().fleet_size());
+    const auto seconds =
+        std::clamp(hosts / std::max(limit, 1.0), min_seconds, max_seconds);
+    return absl::Seconds(seconds * absl::Uniform(state.random, 1.0, 1.5));
+}
+
+void apply_rejection_limit(gateway_state& state, const server_entry& server,
+                           const platform::server_notice& notice)
+{
+    if (notice.withdraws_rejection_limit)
+    {
+        state.choice.set_rejects_safely(server.incarnation(), true);
+    }
+    if (!notice.rejection_limit)
+    {
+        return;
+    }
+    state.choice.set_rejects_safely(server.incarnation(), false);
+    if (!notice.is_rejected)
+    {
+        return;
+    }
+    const auto now = gateway_state::now();
+    const auto pause = rejection_back_off(state, *notice.rejection_limit);
+    state.choice.set_back_off(server.incarnation(), now + pause, now);
+    log(events::upstream_rests,
+        {{"server", server.id.value()},
+         {"born", std::to_string(server.started_at.value())},
+         {"rejection_limit", std::to_string(*notice.rejection_limit)},
+         {"rest_ms", std::to_string(absl::ToInt64Milliseconds(pause))}});
+}
+
 } // namespace
 
 void apply_notice(gateway_state& state, const server_entry& server,
@@ -35,6 +74,7 @@
     {
         apply_leaving(state, server);
     }
+    apply_rejection_limit(state, server, notice);
     if (notice.back_off)
     {
         const auto now = gateway_state::now();
--- a/tests/gateway/server_rest_test.cpp
+++ b/tests/gateway/server_rest_test.cpp
@@ -12,13 +12,14 @@
 namespace
 {
 
-/// Rejects all requests with a Retry-After, and counts them.
+/// Rejects all requests, and counts them.
 class rejecting_server
 {
 public:
-    explicit rejecting_server(const std::string& seconds)
-        : m_server([this, seconds](test_connection& connection)
-                   { reject_all(connection, seconds); })
+    /// @param field name and value of a header field of the rejections
+    explicit rejecting_server(const std::string& field)
+        : m_server([this, field](test_connection& connection)
+                   { reject_all(connection, field); })
     {
     }
 
@@ -33,7 +34,7 @@
     }
 
 private:
-    void reject_all(test_connection& connection, const std::string& seconds)
+    void reject_all(test_connection& connection, const std::string& field)
     {
         while (true)
         {
@@ -43,10 +44,9 @@
                 return;
             }
             ++m_request_count;
-            connection.send(
-                concat("HTTP/1.1 503 Full\r\nX-Attempt-Id: ", id_of(request),
-                       "\r\nX-Not-Executed: 1\r\nRetry-After: ", seconds,
-                       "\r\nContent-Length: 0\r\n\r\n"));
+            connection.send(concat("HTTP/1.1 503 Full\r\nX-Attempt-Id: ",
+                                   id_of(request), "\r\nX-Not-Executed: 1\r\n",
+                                   field, "\r\nContent-Length: 0\r\n\r\n"));
         }
     }
 
@@ -81,7 +81,7 @@
 
 TEST_F(server_rest, a_server_that_asks_for_rest_gets_none_of_the_next_requests)
 {
-    const rejecting_server rejecting("60");
+    const rejecting_server rejecting("Retry-After: 60");
     add_server("a", rejecting.server());
     constexpr int max_requests = 200;
     for (int index = 0; index < max_requests && rejecting.request_count() == 0;
@@ -101,7 +101,7 @@
 
 TEST_F(server_rest, neither_repeats_nor_resumes_go_to_a_server_that_rests)
 {
-    const rejecting_server rejecting("60");
+    const rejecting_server rejecting("Retry-After: 60");
     add_server("a", rejecting.server());
     for (int index = 0; index < 200 && rejecting.request_count() == 0; ++index)
     {
@@ -126,8 +126,8 @@
 TEST_F(server_rest, when_all_back_off_retry_after_names_the_first_ready_one)
 {
     on_loop([&] { m_state.servers.remove(upstream_id("b")); });
-    const rejecting_server longer("4");
-    const rejecting_server shorter("3");
+    const rejecting_server longer("Retry-After: 4");
+    const rejecting_server shorter("Retry-After: 3");
     add_server("a", longer.server());
     add_server("c", shorter.server());
     // The first request is sent to both: neither has run it.
@@ -145,7 +145,7 @@
 TEST_F(server_rest, a_server_that_has_rested_is_asked_again)
 {
     on_loop([&] { m_state.servers.remove(upstream_id("b")); });
-    const rejecting_server rejecting("0.05");
+    const rejecting_server rejecting("Retry-After: 0.05");
     add_server("a", rejecting.server());
     fetch("/unsafe/x");
     while (rejecting.request_count() < 2)
@@ -155,5 +155,17 @@
     SUCCEED();
 }
 
+TEST_F(server_rest, an_upstream_that_crashes_by_rejecting_is_left_alone)
+{
+    on_loop([&] { m_state.servers.remove(upstream_id("b")); });
+    const rejecting_server brittle("Server-Brittle: 1");
+    add_server("a", brittle.server());
+    for (int index = 0; index < 3; ++index)
+    {
+        EXPECT_TRUE(fetch("/unsafe/x").starts_with("HTTP/1.1 503 "));
+    }
+    EXPECT_EQ(brittle.request_count(), 1);
+}
+
 } // namespace
 } // namespace daleshelf
--- a/tests/ingress/server_choice_test.cpp
+++ b/tests/ingress/server_choice_test.cpp
@@ -132,6 +132,21 @@
     EXPECT_EQ(choose({}, 0, false)->id, upstream_id("a"));
 }
 
+TEST_F(server_choice_test, an_upstream_that_must_not_reject_gets_its_slots_only)
+{
+    m_directory.set(make_server("a", calls));
+    m_choice.set_rejects_safely({upstream_id("a"), {}}, false);
+    const request_facts facts;
+    for (int request = 0; request < 4; ++request)
+    {
+        ASSERT_NE(choose(facts, 0, false), nullptr);
+        start(m_choice, "a", facts, false);
+    }
+    EXPECT_EQ(choose(facts, 0, false), nullptr);
+    m_choice.set_rejects_safely({upstream_id("a"), {}}, true);
+    EXPECT_NE(choose(facts, 0, false), nullptr);
+}
+
 TEST_F(server_choice_test, a_leaving_or_tried_server_gets_nothing)
 {
     m_directory.set(make_server("a", calls));
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -98,6 +98,28 @@
     EXPECT_EQ(read_notice(head).back_off, std::chrono::milliseconds(250));
 }
 
+TEST(request_format, reads_whether_a_server_bears_rejecting)
+{
+    response_head head;
+    head.status = 200;
+    head.fields.fields = {{"server-brittle", " 4 "}};
+    EXPECT_EQ(read_notice(head).rejection_limit, 4.0);
+    EXPECT_FALSE(read_notice(head).is_rejected);
+    head.status = 503;
+    head.fields.fields = {{"Server-Brittle", "0"}, {"X-Not-Executed", "1"}};
+    EXPECT_EQ(read_notice(head).rejection_limit, 0.0);
+    EXPECT_TRUE(read_notice(head).is_rejected);
+    for (const auto* text : {"", "-1", "many", "inf"})
+    {
+        head.fields.fields = {{"Server-Brittle", text}};
+        EXPECT_FALSE(read_notice(head).rejection_limit) << text;
+        EXPECT_FALSE(read_notice(head).withdraws_rejection_limit) << text;
+    }
+    head.status = 200;
+    head.fields.fields = {{"X-Server-Seal", "s"}};
+    EXPECT_TRUE(read_notice(head).withdraws_rejection_limit);
+}
+
 TEST(request_format, ignores_a_back_off_that_is_not_a_number_of_seconds)
 {
     response_head head;
--- a/tests/platform/source_rules_test.cpp
+++ b/tests/platform/source_rules_test.cpp
@@ -57,7 +57,7 @@
         "windowId",          "desiredCount",       "DALESHELF_BOOT",
         "zonePrices",        "coldRemainingMs",    "streamResume",
         "privateKey",        "afterRevision",      "Server-Leaving",
-        "Server-Limit"};
+        "Server-Limit",      "Server-Brittle"};
     for_each_source({"libraries", "services", "utilities", "standins"},
                     [&](const files::path& path, const std::string& text)
                     {
