--- a/tests/explain/explain_test.cpp
+++ b/tests/explain/explain_test.cpp
@@ -83,6 +83,16 @@
     EXPECT_TRUE(story.cause.ends_with("within the limit that it has named"));
 }
 
+TEST(explain, names_a_host_without_a_path_to_its_upstreams)
+{
+    const auto story = explain_request(
+        "r",
+        read(
+            R"({"time":"1","name":"request_refused","id":"r","reason":"no_upstream_path"})"));
+    EXPECT_TRUE(story.cause.starts_with(
+        "refused: this machine could connect to no server of the service"));
+}
+
 TEST(explain, tells_requests_apart)
 {
     EXPECT_EQ(explain_request("q", read(example)).cause,
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -43,6 +43,7 @@
     state.configuration_version = 9;
     state.servers_offset = log_offset(44);
     state.is_stopping = true;
+    state.is_partitioned = true;
     service_report sent;
     sent.service = service_name("engines");
     sent.work = {7, 1.5, 2.5, 70};
@@ -79,6 +80,7 @@
     EXPECT_EQ(decoded.learned.read_ms_per_token, 0.25);
     EXPECT_EQ(decoded.learned.generations, 12);
     EXPECT_EQ(read->fleet_size, 77);
+    EXPECT_TRUE(read->is_partitioned);
 }
 
 // A table with `count` peers in one hall, all of which reach the store.
--- a/utilities/daleshelf/explain.cpp
+++ b/utilities/daleshelf/explain.cpp
@@ -60,6 +60,9 @@
         {"servers_limited",
          "refused: no server had room within the limit that it has named"},
         {"no_server_reached", "refused: no server could be reached"},
+        {"no_upstream_path",
+         "refused: this machine could connect to no server of the service, nor "
+         "could another one for it"},
         {"may_have_run",
          "failed: a server broke off after it may have run, and it may not "
          "run twice"},
