ingress: Ask peers for each service whose upstreams fail

Cause: the delay between two requests for a relay was the host's. The probes of one unreachable service kept it running, so peers were never asked for the other one, and its requests waited for connects that could not be made. Change: each service has its own delay. Evidence: link_monitor_test.peers_are_asked_for_each_service failed before.

--- a/libraries/ingress/link_monitor.cpp
+++ b/libraries/ingress/link_monitor.cpp
@@ -47,7 +47,7 @@
                                    absl::Time now) const
 {
     const auto found = m_services.find(service);
-    return found != m_services.end() && now >= m_next_relay &&
+    return found != m_services.end() && now >= found->second.next_relay &&
            is_suspect(found->second, now);
 }
 
@@ -88,8 +88,8 @@
     links.is_unreachable = false;
     links.responded_at = now;
     links.relay_failures.clear();
-    m_relay_delay = absl::ZeroDuration();
-    m_next_relay = now;
+    links.relay_delay = absl::ZeroDuration();
+    links.next_relay = now;
     if (links.is_relayed || links.failures.empty())
     {
         return false;
@@ -108,7 +108,7 @@
     auto& links = m_services[service];
     if (!is_relayed(service))
     {
-        delay_relays(now);
+        delay_relays(links, now);
         mark_unreachable(links, earliest(links.failures));
         return;
     }
@@ -124,7 +124,7 @@
 {
     auto& links = m_services[service];
     const auto first = earliest(links.failures);
-    delay_relays(now);
+    delay_relays(links, now);
     mark_unreachable(links, std::min(first, now - m_options.response_memory));
 }
 
@@ -164,7 +164,7 @@
 {
     const auto found = m_services.find(service);
     return found != m_services.end() && found->second.is_unreachable &&
-           now >= m_next_relay;
+           now >= found->second.next_relay;
 }
 
 absl::Time link_monitor::failing_since(const service_name& service) const
@@ -185,11 +185,12 @@
            count >= std::min(m_options.min_failures, links.usable_count);
 }
 
-void link_monitor::delay_relays(absl::Time now)
+void link_monitor::delay_relays(service_links& links, absl::Time now) const
 {
-    m_relay_delay = std::clamp(m_relay_delay * 2, m_options.min_relay_delay,
-                               m_options.max_relay_delay);
-    m_next_relay = now + m_relay_delay;
+    links.relay_delay =
+        std::clamp(links.relay_delay * 2, m_options.min_relay_delay,
+                   m_options.max_relay_delay);
+    links.next_relay = now + links.relay_delay;
 }
 
 // A service that responds on existing connections is reachable, although some
--- a/libraries/ingress/link_monitor.hpp
+++ b/libraries/ingress/link_monitor.hpp
@@ -122,12 +122,14 @@
         bool is_relayed = false;
         bool is_total = false; ///< no service was connected meanwhile
         bool is_unreachable = false;
+        absl::Time next_relay = absl::InfinitePast();
+        absl::Duration relay_delay = absl::ZeroDuration();
         int probes = 0; ///< consecutive successful ones
     };
 
     [[nodiscard]] bool is_suspect(const service_links& links,
                                   absl::Time now) const;
-    void delay_relays(absl::Time now);
+    void delay_relays(service_links& links, absl::Time now) const;
     static void mark_unreachable(service_links& links,
                                  absl::Time failing_since);
     void update_partitioned();
@@ -136,8 +138,6 @@
     absl::flat_hash_map<service_name, service_links> m_services;
     absl::Time m_connected_at = absl::InfinitePast(); ///< any service
     bool m_is_partitioned = false;
-    absl::Time m_next_relay = absl::InfinitePast();
-    absl::Duration m_relay_delay = absl::ZeroDuration();
 };
 
 } // namespace daleshelf
--- a/tests/ingress/link_monitor_test.cpp
+++ b/tests/ingress/link_monitor_test.cpp
@@ -112,6 +112,17 @@
     EXPECT_TRUE(m_links.should_ask_peer(engines, m_now));
 }
 
+// Requests of the other service waited for connects that could not be made.
+TEST_F(link_monitor_test, peers_are_asked_for_each_service)
+{
+    fail(engines, 3);
+    m_links.record_no_relay(engines, m_now);
+    fail(calls, 3);
+    ASSERT_TRUE(m_links.should_ask_peer(calls, m_now));
+    m_links.record_no_relay(calls, m_now);
+    EXPECT_EQ(m_links.path_to(calls), upstream_path::none);
+}
+
 TEST_F(link_monitor_test, a_cut_of_one_service_is_no_partition)
 {
     fail(engines, 3);
