gateway: State what the rest after a rejection does not bound

Cause: a comment said that the rejections of all hosts stay within an upstream's limit; the rest is capped at 10 s, so with more hosts than ten times the limit they may not. Two other comments used unusual terms. Change: comments only; a FIXME names the gap.

--- a/libraries/ingress/link_monitor.hpp
+++ b/libraries/ingress/link_monitor.hpp
@@ -70,7 +70,7 @@
     void record_failed(const service_name& service, const upstream_id& server,
                        std::size_t usable_count, absl::Time now);
 
-    /// Records a response of the service, on whatever path.
+    /// Records a response of the service, received directly or through a peer.
     void record_response(const service_name& service, absl::Time now);
 
     /// Records that a peer has connected to an upstream that this host cannot
--- a/services/gateway/server_connection.cpp
+++ b/services/gateway/server_connection.cpp
@@ -261,8 +261,8 @@
 
 void detect_silent_peer(asio::ip::tcp::socket& socket)
 {
-    // A sound peer can be silent for a second or two. On Linux this also
-    // decides when keep-alive gives up, whatever the number of probes.
+    // A sound peer can be silent for a second or two. On Linux this timeout
+    // also overrides the keep-alive probe count.
     constexpr int unacknowledged_ms = 2500;
     constexpr int idle_seconds = 1;
     constexpr int probe_count = 2;
--- a/services/gateway/server_notices.cpp
+++ b/services/gateway/server_notices.cpp
@@ -24,8 +24,10 @@
          {"origin", "answer"}});
 }
 
-// The hosts reject independently. If each waits for as long as the upstream
-// needs to reject one request of every host, the sum stays within the limit.
+// Spreads the rejections of all hosts over time: each host backs off for as
+// long as the upstream may take to reject one request of every host.
+// FIXME: With more hosts than max_seconds times the limit, the sum can exceed
+// it; hosts would have to share the rejections that they have seen.
 absl::Duration rejection_back_off(gateway_state& state, double limit)
 {
     constexpr double min_seconds = 0.25;
