gateway: Log at which version a stream goes on

The logs of ORDER could not tell whether a request takes a stream up, at which software version it goes on, and which attempt began it. Clients name that attempt in Resumes, which was passed on unread. It is decoded now, and stream_resumed (410) names it, the last event, the upstream and its version; upstream_failed names the version too.

--- a/libraries/ingress/request_facts.hpp
+++ b/libraries/ingress/request_facts.hpp
@@ -30,6 +30,9 @@
     std::int64_t max_output_tokens = 0; ///< 0: not stated
     std::vector<prompt_part> prompt;
     std::optional<std::int64_t> last_event; ///< id after which to resume
+    /// The client's attempt that brought the first event of the stream that
+    /// this request resumes.
+    std::optional<request_id> resumed;
 };
 
 } // namespace daleshelf
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -37,6 +37,7 @@
         events::request_ended,
         events::request_unreadable,
         events::quota_view,
+        events::stream_resumed,
         events::upstream_failed,
         events::upstream_leaving,
         events::order_given,
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -146,6 +146,11 @@
     409, log_severity::info, "quota_view",
     "A keeper has refused parts of a quota; the fields give what it holds and "
     "the part of the fleet that gives to it."};
+inline constexpr log_event stream_resumed{
+    410, log_severity::info, "stream_resumed",
+    "A stream that has begun is sent to another upstream; the fields give the "
+    "client's attempt that began it, the last event, and the upstream's "
+    "software version."};
 inline constexpr log_event upstream_failed{
     501, log_severity::warning, "upstream_failed",
     "An attempt at an upstream failed; the fields say why a connect failed, if "
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -173,6 +173,7 @@
         }
         m_tried.insert(chosen.id);
         m_server_hall = chosen.hall.value();
+        log_resumption(chosen);
         const auto sent_at = monotonic::now();
         const auto result = co_await attempt(*target, wanted);
         log_attempt(chosen, result);
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -132,6 +132,7 @@
                                attempt_result result, monotonic::duration time);
     void count_usage();
     void log_attempt(const server_entry& server, attempt_result result) const;
+    void log_resumption(const server_entry& server) const;
     void log_outcome(std::string_view outcome);
     void count_outcome(std::string_view outcome);
 
--- a/services/gateway/request_log.cpp
+++ b/services/gateway/request_log.cpp
@@ -43,12 +43,33 @@
         {{"id", m_facts.id.value()},
          {"server", server.id.value()},
          {"born", std::to_string(server.started_at.value())},
+         {"version", server.version.value()},
          {"end", std::string(names.at(static_cast<std::size_t>(result)))},
          {"error", std::string(name_of(m_connect_error))},
          {"attempts", std::to_string(m_attempts)},
          {"ms", std::to_string(elapsed().count())}});
 }
 
+// Logs an attempt that continues a stream of an earlier one.
+void request_flow::log_resumption(const server_entry& server) const
+{
+    const bool is_taken_up = m_facts.resumed || m_facts.last_event;
+    if (!m_response.has_begun() && !is_taken_up)
+    {
+        return;
+    }
+    const auto last_event = m_last_event ? m_last_event : m_facts.last_event;
+    const auto begun_by =
+        is_taken_up ? m_facts.resumed.value_or(request_id()) : m_facts.id;
+    log(events::stream_resumed,
+        {{"id", m_facts.id.value()},
+         {"begun_by", begun_by.value()},
+         {"last_event", std::to_string(last_event.value_or(0))},
+         {"server", server.id.value()},
+         {"version", server.version.value()},
+         {"attempts", std::to_string(m_attempts)}});
+}
+
 void request_flow::count_outcome(std::string_view outcome)
 {
     using seconds = std::chrono::duration<double>;
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -28,6 +28,7 @@
         {"X-Token-Count", "1460, 80"},
         {"X-Prompt-Prefix", "5c1e:800,91bd:410"},
         {"Last-Event-Id", "12"},
+        {"Resumes", "abb"},
         {"X-Credential", "key"},
     }));
     EXPECT_EQ(facts.id.value(), "abc");
@@ -38,6 +39,7 @@
     EXPECT_EQ(facts.prompt[1].id, "91bd");
     EXPECT_EQ(facts.prompt[1].tokens, 410);
     EXPECT_EQ(facts.last_event, 12);
+    EXPECT_EQ(facts.resumed, request_id("abb"));
 }
 
 TEST(request_format, leaves_out_what_cannot_be_read)
