tests: Show streams that go on at another software version

The stand-in's events name the version that wrote them, and the content of a stream is that of the attempt that began it: the checks of content are as strict as before.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -13,6 +13,7 @@
 SHARE_LEAVING = 0.03
 SHARE_HOLDING = 0.5
 PATIENCE = 1.5
+SHARE_BREAKING = 0.3  # of streams whose connection their client loses
 
 
 class Client:
@@ -49,6 +50,10 @@
         attempt, start, fields = self._draw()
         promises = self._soak.promises
         promises.attempts[attempt.id] = attempt
+        if self._soak.versions and attempt.kind == "stream":
+            self._soak.versions.begins(attempt)
+            if self._random.random() < SHARE_BREAKING:
+                attempt.breaks_after = self._random.randint(1, attempt.events)
         limit = attempt.deadline + PATIENCE
         leaves = self._random.random() < SHARE_LEAVING
         if leaves:
@@ -61,6 +66,8 @@
         except (http_wire.Broken, OSError):
             promises.cut_off(attempt, self._soak.now())
             self._drop()
+            if self._soak.versions and attempt.kind == "stream":
+                await self._take_up(attempt, start, fields)
             return 0.05
         except TimeoutError:
             if not leaves:
@@ -72,6 +79,38 @@
         retry = float(answer.fields.get("retry-after", "0"))
         return min(retry, 1.0)
 
+    async def _take_up(self, broken, start, fields):
+        """Takes a broken stream up at another gateway, once."""
+        seen = broken.seen_events
+        if not 0 < seen < broken.events or len(broken.versions) != 1:
+            return
+        others = [gateway for gateway in self._soak.fleet.gateways
+                  if gateway is not self._gateway]
+        gateway = self._random.choice(others)
+        attempt = Attempt(
+            uuid.UUID(int=self._random.getrandbits(128)).hex[:16], broken.kind,
+            broken.tenant, gateway.name, self._soak.now(), broken.deadline,
+            broken.events, seen_events=seen, events_before=seen,
+            resumes=broken.stream, versions=broken.versions)
+        self._soak.promises.attempts[attempt.id] = attempt
+        self._soak.versions.takes_up(attempt)
+        fields = {**fields, "X-Attempt-Id": attempt.id,
+                  "Resumes": attempt.resumes, "Last-Event-Id": str(seen)}
+        own, writer = self._reader, None
+        try:
+            async with asyncio.timeout(attempt.deadline):
+                self._reader, writer = await asyncio.open_connection(
+                    *gateway.client_address)
+                writer.write(http_wire.write_message(start, fields))
+                await writer.drain()
+                await self._read_answer(attempt)
+        except (http_wire.Broken, OSError, TimeoutError):
+            self._soak.promises.cut_off(attempt, self._soak.now())
+        finally:
+            self._reader = own
+            if writer is not None:
+                writer.transport.abort()
+
     def _draw(self):
         kind = self._random.choice(("safe", "unsafe", "stream", "fixed"))
         attempt = Attempt(
@@ -118,7 +157,10 @@
                 lines = dict(line.split(": ", 1) for line in
                              event.decode().split("\n"))
                 self._soak.promises.saw_event(attempt, int(lines["id"]),
-                                              lines["data"])
+                                              lines["data"],
+                                              lines["version"])
+                if attempt.seen_events == attempt.breaks_after:
+                    raise http_wire.Broken("the client loses its connection")
         if rest:
             self._soak.promises.breach("ORDER", f"{attempt.id}: half an event "
                                        f"at the end: {rest[:60]!r}")
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -38,6 +38,18 @@
     ended_at: float = 0.0
     seen_events: int = 0
     runs: list = field(default_factory=list)  # (time, server, events before)
+    resumes: str = ""  # attempt that brought the first event of the stream
+    breaks_after: int = 0  # events, after which the client disconnects
+    events_before: int = 0  # that the stream had when it was taken up
+    versions: set = field(default_factory=set)  # that wrote the stream's events
+
+    @property
+    def stream(self):
+        return self.resumes or self.id
+
+    @property
+    def has_begun(self):
+        return self.seen_events > self.events_before
 
     @property
     def may_repeat(self):
@@ -194,14 +206,19 @@
                 self.breach("MIXED", f"{attempt.id}: {answer.body[:80]!r}")
         self._check_time(attempt, now)
 
-    def saw_event(self, attempt, number, data):
+    def saw_event(self, attempt, number, data, version=""):
         """Judges one event of a stream, as it comes."""
         attempt.seen_events += 1
         if number != attempt.seen_events:
             self.breach("ORDER", f"{attempt.id}: event {number} where "
                         f"{attempt.seen_events} was due")
-        if data != server_stand_in.event_data(attempt.id, number):
+        if data != server_stand_in.event_data(attempt.stream, number):
             self.breach("MIXED", f"{attempt.id}: event {number} holds {data}")
+        if version not in attempt.versions and attempt.versions:
+            self.breach("ORDER", f"{attempt.id} of stream {attempt.stream}: "
+                        f"event {number} of {version} after events of "
+                        f"{sorted(attempt.versions)}")
+        attempt.versions.add(version)
 
     def streamed(self, attempt, now):
         """Judges a stream that has ended as complete."""
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -11,6 +11,7 @@
 from rebirths import Rebirths
 from rollouts import Rollouts
 from server import event_data, plain_body
+from versions import judge as judge_taken_up
 
 
 class PromisesTest(unittest.TestCase):
@@ -47,6 +48,30 @@
         self.run_at("server-2")
         self.assertEqual(self.names(), ["TWICE"])
 
+    def test_a_stream_of_two_versions(self):
+        attempt = self.send("stream", 3)
+        for number, version in ((1, "v1"), (2, "v1"), (3, "v2")):
+            self.promises.saw_event(attempt, number, event_data("a", number),
+                                    version)
+        self.assertEqual(self.names(), ["ORDER"])
+
+    def test_a_stream_taken_up_at_another_version(self):
+        first = self.send("stream", 2)
+        self.promises.saw_event(first, 1, event_data("a", 1), "v1")
+        second = Attempt("b", "stream", "tenant", "gateway-2", 11.0, 1.5, 2,
+                         seen_events=1, events_before=1, resumes="a",
+                         versions=first.versions)
+        self.assertFalse(second.has_begun)
+        self.promises.saw_event(second, 2, event_data("a", 2), "v2")
+        self.assertTrue(second.has_begun)
+        self.assertEqual(self.names(), ["ORDER"])
+
+    def test_streams_taken_up_go_on_as_often_as_new_ones_begin(self):
+        self.assertFalse(judge_taken_up(6, 12, 20, 20))
+        self.assertTrue(judge_taken_up(5, 12, 20, 20))
+        self.assertFalse(judge_taken_up(5, 12, 16, 20))
+        self.assertFalse(judge_taken_up(0, 11, 20, 20))
+
     @staticmethod
     def attempts_at(gateway, served, rejected, took=0.1):
         attempts = []
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -36,13 +36,17 @@
     return f"{attempt} {tenant} {digest}".encode()
 
 
-def event_data(attempt, number):
-    """Returns the one right content of an event."""
-    return hashlib.sha256(f"{attempt}/{number}".encode()).hexdigest()[:24]
+def event_data(stream, number):
+    """Returns the one right content of an event.
 
+    A stream is named by the attempt that brought its first event.
+    """
+    return hashlib.sha256(f"{stream}/{number}".encode()).hexdigest()[:24]
 
-def event_bytes(attempt, number):
-    return (f"id: {number}\ndata: {event_data(attempt, number)}\n\n").encode()
+
+def event_bytes(stream, number, version):
+    return (f"id: {number}\ndata: {event_data(stream, number)}\n"
+            f"version: {version}\n\n").encode()
 
 
 def events_wanted(fields):
@@ -152,7 +156,7 @@
             tell({"crash": attempt, "server": self.options.id})
             os._exit(CRASHED)
         if "x-token-count" in fields:
-            await self.stream(attempt, head, resumed,
+            await self.stream(fields.get("resumes", attempt), head, resumed,
                               events_wanted(fields), writer)
         elif random.random() < self.options.failing:
             await asyncio.sleep(0.015)
@@ -165,7 +169,7 @@
         await writer.drain()
         return not self.is_draining
 
-    async def stream(self, attempt, head, resumed, wanted, writer):
+    async def stream(self, stream, head, resumed, wanted, writer):
         lines = ["HTTP/1.1 200 OK"]
         lines += [f"{name}: {value}" for name, value in head.items()]
         lines += ["Content-Type: text/event-stream",
@@ -175,7 +179,7 @@
             await asyncio.sleep(EVENT_PAUSE)
             if writer.is_closing():
                 raise http_wire.Broken("the caller has left")
-            data = event_bytes(attempt, number)
+            data = event_bytes(stream, number, self.options.version)
             writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,7 @@
 from promises import Disturbances, Promises
 from rebirths import Rebirths
 from rollouts import Rollouts
+from versions import Versions
 
 LEAD = 3.0
 RECOVERY = 12.0
@@ -58,6 +59,8 @@
         self.limits = Limits(self.promises, self.disturbances)
         self.deadly = Deadly(self, options.seed)
         self.fleet = Fleet(options, folder, self.on_line)
+        self.versions = (Versions(self, options.seed) if options.versions
+                         else None)
         self.is_over = False
         self.version = 0
         self.routes = list(EXTRA_ROUTES)
@@ -144,6 +147,8 @@
                 seed = self.options.seed * 1000 + index * 100 + number
                 self.spawn(Client(self, gateway, tenant, seed).run())
         self.spawn(self.watch_processes())
+        if self.versions:
+            self.spawn(self.versions.run())
         if self.options.rollouts:
             self.spawn(Rollouts(self, self.options.seed).run())
         rebirths = Rebirths(self, self.options.seed)
@@ -174,6 +179,8 @@
         self.check_recovery(measured_from, measured_to)
         self.check_quota()
         rebirths.check()
+        if self.versions:
+            self.versions.check()
 
     async def partition_gateways(self):
         try:
@@ -530,6 +537,9 @@
                         help="0 to 200: loopback addresses; one a run")
     parser.add_argument("--rollouts", action="store_true",
                         help="order roll-outs beside the troubles")
+    parser.add_argument("--versions", action="store_true",
+                        help="let servers of several software versions serve "
+                        "side by side, and clients take broken streams up")
     parser.add_argument("--rebirths", action="store_true",
                         help="let servers start again under their ids, and "
                         "others write entries, beside the troubles")
