gateway: Continue a broken stream at its own software version only

When an upstream broke off in the middle of a stream, the next one was chosen as for a new request: nothing in the choice named the version that had begun it.

Once a first event is forwarded, the choice is restricted to upstreams of the version that wrote it. A stream of a rollout's target may continue there while the order runs, never after it was rolled back; one of a replaced version ends. Without such an upstream the stream is broken off at once. The same gap stood between choice and send: an upstream that has restarted, or is listed at another version, by the time its connection is made gets nothing, and another one is chosen.

Over a client's tries the fault remains.

--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -118,6 +118,11 @@
 std::vector<hashed_server>
 server_choice::candidates(const choice_request& request) const
 {
+    if (request.stream_version)
+    {
+        return m_directory.resumption_servers(request.service,
+                                              *request.stream_version);
+    }
     if (!request.canary)
     {
         return m_directory.usable(request.service);
--- a/libraries/ingress/server_choice.hpp
+++ b/libraries/ingress/server_choice.hpp
@@ -49,6 +49,9 @@
     /// The version under roll-out that gets the request; nothing: the versions
     /// in use.
     std::optional<canary_target> canary;
+    /// The version that has begun the request's stream: events of two versions
+    /// do not fit together. Nothing: any version in use.
+    std::optional<version_name> stream_version;
     absl::flat_hash_set<upstream_id> excluded; ///< already attempted
     /// Halls in which an attempt broke: the whole hall may be cut off.
     absl::flat_hash_set<hall_id> avoided_halls;
--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -204,6 +204,14 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
+bool server_directory::has_restarted(const server_entry& server) const
+{
+    const auto* listed = find(server.id);
+    return listed != nullptr &&
+           (listed->version != server.version ||
+            listed->incarnation().is_newer_than(server.incarnation()));
+}
+
 bool server_directory::is_usable(const upstream_id& id) const
 {
     const auto* entry = find(id);
@@ -278,6 +286,27 @@
 server_directory::canary_servers(const service_name& service,
                                  const version_name& version,
                                  double share) const
+{
+    const auto servers = usable_of_version(service, version);
+    const auto part = std::ceil(static_cast<double>(servers.size()) * share);
+    const auto size = std::min(servers.size(), static_cast<std::size_t>(part));
+    return {servers.begin(),
+            std::next(servers.begin(), static_cast<std::ptrdiff_t>(size))};
+}
+
+std::vector<hashed_server>
+server_directory::resumption_servers(const service_name& service,
+                                     const version_name& version) const
+{
+    return m_versions.allows_resumption(service, version)
+               ? usable_of_version(service, version)
+               : std::vector<hashed_server>();
+}
+
+// Whatever the version gate allows.
+std::vector<hashed_server>
+server_directory::usable_of_version(const service_name& service,
+                                    const version_name& version) const
 {
     const auto versions = m_index.find(service);
     if (versions == m_index.end())
@@ -285,15 +314,8 @@
         return {};
     }
     const auto found = versions->second.find(version);
-    if (found == versions->second.end())
-    {
-        return {};
-    }
-    const auto& servers = found->second;
-    const auto part = std::ceil(static_cast<double>(servers.size()) * share);
-    const auto size = std::min(servers.size(), static_cast<std::size_t>(part));
-    return {servers.begin(),
-            std::next(servers.begin(), static_cast<std::ptrdiff_t>(size))};
+    return found == versions->second.end() ? std::vector<hashed_server>()
+                                           : found->second;
 }
 
 } // namespace daleshelf
--- a/libraries/ingress/server_directory.hpp
+++ b/libraries/ingress/server_directory.hpp
@@ -101,6 +101,10 @@
     /// @return the listed upstream, or null
     [[nodiscard]] const server_entry* find(const upstream_id& id) const;
 
+    /// @return whether a later incarnation of the upstream, or one of another
+    /// version, is listed by now
+    [[nodiscard]] bool has_restarted(const server_entry& server) const;
+
     /// @return whether the upstream may get new requests
     [[nodiscard]] bool is_usable(const upstream_id& id) const;
 
@@ -120,6 +124,12 @@
     canary_servers(const service_name& service, const version_name& version,
                    double share) const;
 
+    /// @return the upstreams of a version that may continue streams that this
+    /// version has begun
+    [[nodiscard]] std::vector<hashed_server>
+    resumption_servers(const service_name& service,
+                       const version_name& version) const;
+
     /// @return number of listed upstreams, usable or not
     [[nodiscard]] std::size_t size() const
     {
@@ -150,6 +160,9 @@
     last_known(const upstream_id& id) const;
     [[nodiscard]] bool is_outdated(const server_entry& entry,
                                    const removed_server& known) const;
+    [[nodiscard]] std::vector<hashed_server>
+    usable_of_version(const service_name& service,
+                      const version_name& version) const;
     void add_to_index(const server_entry& entry);
     void remove_from_index(const server_entry& entry);
     void record_removal(const server_entry& entry);
--- a/libraries/rollouts/version_gate.cpp
+++ b/libraries/rollouts/version_gate.cpp
@@ -122,6 +122,16 @@
            known->second.replaced_at == absl::InfiniteFuture();
 }
 
+bool version_gate::allows_resumption(const service_name& service,
+                                     const version_name& version) const
+{
+    const auto order = m_orders.find(service);
+    const bool is_running_target =
+        order != m_orders.end() && order->second.order.target == version &&
+        order->second.phase == rollout_phase::running;
+    return is_running_target || allows(service, version);
+}
+
 const rollout_order* version_gate::order_of(const service_name& service) const
 {
     const auto at = m_orders.find(service);
--- a/libraries/rollouts/version_gate.hpp
+++ b/libraries/rollouts/version_gate.hpp
@@ -53,6 +53,11 @@
     [[nodiscard]] bool allows(const service_name& service,
                               const version_name& version) const;
 
+    /// @return whether upstreams of the version may continue streams that it
+    /// has begun: also those of the target of an order, while it is running
+    [[nodiscard]] bool allows_resumption(const service_name& service,
+                                         const version_name& version) const;
+
     /// @return the service's order, if one is known
     [[nodiscard]] const rollout_order*
     order_of(const service_name& service) const;
--- a/services/gateway/request_choice.cpp
+++ b/services/gateway/request_choice.cpp
@@ -14,6 +14,7 @@
     wanted.is_engine = m_service->is_engine;
     wanted.facts = &m_facts;
     wanted.engine = m_state.engines.model_of(m_service->name).pooled_estimate();
+    wanted.stream_version = m_stream_version;
     wanted.excluded = m_tried;
     wanted.avoided_halls = m_broken_halls;
     mark_suspect(wanted);
@@ -26,7 +27,7 @@
 const server_entry* request_flow::choose_server(choice_request& wanted)
 {
     const auto now = gateway_state::now();
-    if (m_tried.empty())
+    if (m_tried.empty() && !m_stream_version)
     {
         wanted.canary = m_state.rollouts.pick_target(m_service->name, now);
     }
@@ -61,8 +62,10 @@
             wanted.excluded.insert(chosen.id);
             continue;
         }
-        // It may have started to drain while the permit was acquired.
-        if (m_state.servers.is_usable(chosen.id))
+        // It may have started to drain, or restarted, while the permit was
+        // acquired.
+        if (m_state.servers.is_usable(chosen.id) &&
+            !m_state.servers.has_restarted(chosen))
         {
             co_return permitted_server{chosen, std::move(*permit)};
         }
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -203,7 +203,11 @@
     server_request sent(std::move(target.permit), target.server);
     sent.id = m_facts.id.value();
     sent.serialize = [this, server = target.server]
-    { return serialized_request(server); };
+    {
+        return m_state.servers.has_restarted(server)
+                   ? std::string()
+                   : serialized_request(server);
+    };
     sent.is_repeatable = allows_repeats(*m_route);
     sent.has_no_response_body = m_request.head.method == "HEAD";
     sent.deadline = m_deadline;
@@ -216,6 +220,7 @@
     const auto& server = target.server;
     server_exchange exchange(m_state.upstreams, make_server_request(target));
     m_exchange = &exchange;
+    m_attempted_version = server.version;
     m_expected_first_ms =
         m_service->is_engine &&
                 m_state.rollouts.has_running_order(m_service->name)
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -164,6 +164,10 @@
     /// Upstreams passed over because their limits are used up, for the log.
     name_batch m_passed_over{max_named};
     absl::flat_hash_set<hall_id> m_broken_halls;
+    version_name m_attempted_version; ///< software of the last upstream
+    /// The software version that has begun the stream; only that one may
+    /// continue it.
+    std::optional<version_name> m_stream_version;
     std::optional<std::int64_t> m_last_event;
     std::optional<std::int64_t> m_weights_version;
     server_exchange* m_exchange = nullptr;
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -122,6 +122,10 @@
     const auto until =
         std::min(m_request.deadline, monotonic::now() + send_timeout);
     const auto bytes = m_request.serialize();
+    if (bytes.empty())
+    {
+        co_return false;
+    }
     const auto result = co_await m_connection->channel->write(bytes, until);
     if (result.size > 0)
     {
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -26,7 +26,8 @@
     server_entry server;
     std::string id; ///< as given by the client
     /// Writes head and body; called once the upstream is connected, since the
-    /// head states the remaining time.
+    /// head states the remaining time. Empty: the upstream has restarted since
+    /// it was chosen, and nothing is sent.
     std::function<std::string()> serialize;
     bool is_repeatable = false;
     bool has_no_response_body = false; ///< a HEAD request
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -86,6 +86,20 @@
         on_loop([&] { m_state.servers.set(entry); });
     }
 
+    /// Gives the service a retry budget of at least one attempt.
+    void refill_retry_budget()
+    {
+        on_loop(
+            [&]
+            {
+                constexpr int requests_per_retry = 10;
+                for (int number = 0; number < requests_per_retry; ++number)
+                {
+                    m_state.retries.count_request(service_name("service"));
+                }
+            });
+    }
+
     void unlist(const std::string& id)
     {
         on_loop([&] { m_state.servers.remove(upstream_id(id)); });
@@ -129,6 +143,7 @@
     list("d", "v2", d);
     for (int number = 0; number < stream_count; ++number)
     {
+        refill_retry_budget();
         const auto client = connect();
         client->send(request_for("/stream/x", std::to_string(number)));
         const auto stream = client->read_until(last_chunk);
--- a/tests/ingress/server_choice_test.cpp
+++ b/tests/ingress/server_choice_test.cpp
@@ -69,6 +69,29 @@
     absl::flat_hash_set<upstream_id> m_excluded;
 };
 
+TEST_F(server_choice_test, a_stream_stays_with_its_version)
+{
+    for (const auto* id : {"a", "b", "c", "d"})
+    {
+        auto entry = make_server(id, engines);
+        entry.version = version_name(std::string(id) < "c" ? "v1" : "v2");
+        m_directory.set(entry);
+    }
+    const auto facts = make_facts("shared", "one");
+    choice_request request;
+    request.service = engines;
+    request.is_engine = true;
+    request.facts = &facts;
+    request.stream_version = version_name("v2");
+    for (const auto* excluded : {"a", "c"})
+    {
+        request.excluded = {upstream_id(excluded)};
+        EXPECT_EQ(m_choice.choose(request, at(0))->version, version_name("v2"));
+    }
+    request.excluded = {upstream_id("c"), upstream_id("d")};
+    EXPECT_EQ(m_choice.choose(request, at(0)), nullptr);
+}
+
 TEST_F(server_choice_test, prompts_that_share_parts_go_to_one_server)
 {
     for (const auto* id : {"a", "b", "c", "d"})
--- a/tests/ingress/server_directory_test.cpp
+++ b/tests/ingress/server_directory_test.cpp
@@ -169,6 +169,27 @@
 
 // Rendezvous hashing, selection and scaling all use the list of usable
 // upstreams, so an unjudged version must not be in it.
+TEST(server_directory, a_server_that_restarts_at_another_version_is_noticed)
+{
+    server_directory directory;
+    server_entry first;
+    first.id = upstream_id("a");
+    first.started_at = upstream_birth(100);
+    first.version = version_name("v1");
+    directory.set(first);
+    EXPECT_FALSE(directory.has_restarted(first));
+    auto second = first;
+    second.started_at = upstream_birth(200);
+    directory.set(second);
+    EXPECT_TRUE(directory.has_restarted(first));
+    EXPECT_FALSE(directory.has_restarted(second));
+    auto unborn = second;
+    unborn.version = version_name("v0");
+    EXPECT_TRUE(directory.has_restarted(unborn));
+    directory.remove(first.id);
+    EXPECT_FALSE(directory.has_restarted(first));
+}
+
 TEST(server_directory, the_target_of_a_roll_out_is_not_usable)
 {
     server_directory directory;
--- a/tests/rollouts/version_gate_test.cpp
+++ b/tests/rollouts/version_gate_test.cpp
@@ -107,6 +107,26 @@
     EXPECT_FALSE(gate.allows(engines, new_version));
 }
 
+TEST_F(version_gate_test, a_running_target_may_continue_its_streams)
+{
+    gate.set_order(order_of(new_version, 5));
+    gate.record_server(engines, new_version, false, at(10));
+    EXPECT_TRUE(gate.allows_resumption(engines, new_version));
+    EXPECT_TRUE(gate.allows_resumption(engines, old_version));
+    gate.set_phase(engines, log_offset(5), rollout_phase::rolled_back, at(12));
+    EXPECT_FALSE(gate.allows_resumption(engines, new_version));
+    EXPECT_TRUE(gate.allows_resumption(engines, old_version));
+}
+
+TEST_F(version_gate_test, a_replaced_version_continues_no_streams)
+{
+    gate.set_order(order_of(new_version, 5));
+    gate.record_server(engines, new_version, false, at(10));
+    gate.set_phase(engines, log_offset(5), rollout_phase::completed, at(12));
+    EXPECT_TRUE(gate.allows_resumption(engines, new_version));
+    EXPECT_FALSE(gate.allows_resumption(engines, old_version));
+}
+
 // An order for the version in use must not stop the service.
 TEST_F(version_gate_test, the_only_version_is_allowed)
 {
