gateway: Resume a client's stream at the version that began it

Now the host that forwards a first event keeps the stream's origin (attempt, service, version) and reports it to 4 to 6 keepers, chosen by rendezvous hash of the attempt: one in each of three halls, and three in the own hall, which may be cut off. The host that is to resume a stream asks them; what none knows, or has no upstream of its version, is rejected at once with 503. A host that starts is sent the origins that it should keep. Where a stream is unnamed, or no keeper knows, a version is derived only if the service has had no other for as long as any client waits, by a list that is not behind.

docs/design/streams.md weighs the ways.

--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -45,7 +45,12 @@
         remove_from_index(listed);
     }
     m_withheld.erase(entry.id);
+    if (was_listed)
+    {
+        count_listed(listed, -1);
+    }
     listed = entry;
+    count_listed(listed, 1);
     if (is_restart)
     {
         add_to_index(listed);
@@ -119,6 +124,7 @@
         remove_from_index(found->second);
     }
     record_removal(found->second);
+    count_listed(found->second, -1);
     m_servers.erase(found);
     m_withheld.erase(id);
     return true;
@@ -218,6 +224,31 @@
     return entry != nullptr && !entry->is_draining && !m_withheld.contains(id);
 }
 
+std::map<service_name, std::set<version_name>>
+server_directory::listed_versions() const
+{
+    std::map<service_name, std::set<version_name>> listed;
+    for (const auto& [service, counts] : m_listed_counts)
+    {
+        for (const auto& [version, count] : counts)
+        {
+            listed[service].insert(version);
+        }
+    }
+    return listed;
+}
+
+void server_directory::count_listed(const server_entry& entry, int change)
+{
+    auto& counts = m_listed_counts[entry.service];
+    auto& count = counts[entry.version];
+    count += change;
+    if (count == 0)
+    {
+        counts.erase(entry.version);
+    }
+}
+
 // Adds the entry to the index if it is usable.
 void server_directory::add_to_index(const server_entry& entry)
 {
--- a/libraries/ingress/server_directory.hpp
+++ b/libraries/ingress/server_directory.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <rollouts/version_gate.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -130,6 +131,10 @@
     resumption_servers(const service_name& service,
                        const version_name& version) const;
 
+    /// @return the versions of each service's listed upstreams, usable or not
+    [[nodiscard]] std::map<service_name, std::set<version_name>>
+    listed_versions() const;
+
     /// @return number of listed upstreams, usable or not
     [[nodiscard]] std::size_t size() const
     {
@@ -163,6 +168,7 @@
     [[nodiscard]] std::vector<hashed_server>
     usable_of_version(const service_name& service,
                       const version_name& version) const;
+    void count_listed(const server_entry& entry, int change);
     void add_to_index(const server_entry& entry);
     void remove_from_index(const server_entry& entry);
     void record_removal(const server_entry& entry);
@@ -174,6 +180,8 @@
     std::deque<upstream_id> m_removal_order; ///< oldest removal first
     absl::node_hash_map<upstream_id, server_entry> m_servers;
     absl::flat_hash_map<service_name, version_index> m_index;
+    /// Number of listed upstreams, usable or not.
+    std::map<service_name, std::map<version_name, int>> m_listed_counts;
     /// Upstreams whose record another writer has overwritten.
     absl::flat_hash_set<upstream_id> m_withheld;
     version_gate m_versions;
--- a/libraries/peers/datagram_format.hpp
+++ b/libraries/peers/datagram_format.hpp
@@ -19,6 +19,7 @@
     records = 6,        ///< `shared_records`
     poison = 7,         ///< `poison_record`s
     limits = 8,         ///< `limit_record`s
+    origins = 9,        ///< `origin_message`
 };
 
 /// Reads the format from the first field, so that each datagram is parsed only
@@ -42,6 +43,7 @@
     case datagram_format::records:
     case datagram_format::poison:
     case datagram_format::limits:
+    case datagram_format::origins:
         return static_cast<datagram_format>(bytes[1]);
     case datagram_format::none:
         break;
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -149,8 +149,8 @@
 inline constexpr log_event stream_resumed{
     410, log_severity::info, "stream_resumed",
     "A stream that has begun is sent to another upstream; the fields give the "
-    "client's attempt that began it, the last event, and the upstream's "
-    "software version."};
+    "client's attempt that began it, the last event, the software version, "
+    "and how that is known."};
 inline constexpr log_event upstream_failed{
     501, log_severity::warning, "upstream_failed",
     "An attempt at an upstream failed; the fields say why a connect failed, if "
--- a/meta/generate.sh
+++ b/meta/generate.sh
@@ -8,3 +8,4 @@
 (cd poison && protoc --cpp_out=generated poison.proto)
 (cd rollouts && protoc --cpp_out=generated rollout.proto)
 (cd upstream_limits && protoc --cpp_out=generated limit.proto)
+(cd streams && protoc --cpp_out=generated streams.proto)
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -190,6 +190,7 @@
         m_state.skipped.log_summary();
         m_state.servers.versions().set_orders_known_at(
             gateway_state::to_time(m_configuration.complete_as_of()));
+        m_state.origins.observe_versions();
         m_state.pool.sweep(now);
         m_state.choice.drop_unlisted();
         m_state.limits.run_maintenance();
--- a/services/gateway/gateway_records.cpp
+++ b/services/gateway/gateway_records.cpp
@@ -146,6 +146,7 @@
     {
         return;
     }
+    m_state.origins.observe_versions();
     if (change == entry_change::restarted)
     {
         m_state.choice.reset_server(entry.id);
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -43,6 +43,9 @@
          "IP:PORT that other gateways reach, by UDP and TCP", required},
         {"peers.seeds", &settings::peer_seeds,
          "IP:PORT of some other gateways; only the IP numbers count"},
+        {"peers.first_start", &settings::is_first_start,
+         "whether the whole fleet starts for the first time: no stream is "
+         "older than this process"},
         {"store.address", &settings::store_address,
          "IP:PORT of the platform's store", required},
         {"duties.address", &settings::duties_address,
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -22,6 +22,7 @@
     std::string metrics_address;
     std::string peers_address;
     std::vector<std::string> peer_seeds;
+    bool is_first_start = false; ///< of the whole fleet
     std::string store_address;
     std::string duties_address;
     std::string log_level = "info";
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -69,6 +69,7 @@
     , own_incarnation(absl::ToUnixMillis(wall_time()))
     , rollouts(self, own_incarnation, servers.versions())
     , choice(servers, hall, random_seed(settings), settings)
+    , origins(loop, self, hall, servers, settings.is_first_start)
     , pool(loop)
     , upstreams(*this)
     , quota(loop, shared_quota(self, hall, own_incarnation,
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -6,6 +6,7 @@
 #include "crash_detector.hpp"
 #include "gateway_metrics.hpp"
 #include "gateway_settings.hpp"
+#include "origin_service.hpp"
 #include "quota_service.hpp"
 #include "server_connection.hpp"
 #include "skipped_records.hpp"
@@ -88,6 +89,7 @@
     server_directory servers;
     rollout_participant rollouts;
     server_choice choice;
+    origin_service origins;
     connection_pool pool;
     upstream_connector upstreams;
     quota_service quota;
--- /dev/null
+++ b/services/gateway/origin_service.cpp
@@ -0,0 +1,264 @@
+#include "origin_service.hpp"
+
+#include <algorithm>
+
+namespace daleshelf
+{
+
+namespace
+{
+
+// 0.15 KB each. A host keeps those of a few hundred streams in present fleets.
+constexpr std::size_t max_origins = 16384;
+// In one datagram of about 25 KB, for a host that has started.
+constexpr std::size_t max_sent_origins = 256;
+// A keeper replies within 3 ms in the same region, and 45 ms from another. A
+// host that has used up its CPU quota is paused for up to 0.09 s.
+constexpr milliseconds reply_timeout{150};
+
+absl::Time now()
+{
+    return absl::UnixEpoch() +
+           absl::FromChrono(monotonic::now().time_since_epoch());
+}
+
+} // namespace
+
+std::string_view name_of(origin_source source)
+{
+    switch (source)
+    {
+    case origin_source::own:
+        return "own";
+    case origin_source::keeper:
+        return "keeper";
+    case origin_source::sole:
+        return "sole_version";
+    case origin_source::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+origin_service::origin_service(asio::io_context& context, host_id self,
+                               hall_id hall, const server_directory& servers,
+                               bool is_first_start)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_hall(std::move(hall))
+    , m_servers(servers)
+    , m_origins(max_origins)
+    , m_versions(is_first_start)
+{
+}
+
+void origin_service::record(const stream_origin& origin,
+                            absl::Duration keep_time)
+{
+    m_origins.add(origin, keep_time, now());
+    origin_message report;
+    report.origins = {{origin, keep_time}};
+    const auto bytes = encode(report);
+    for (const auto& keeper : other_keepers(origin.attempt))
+    {
+        m_peers.send(keeper, bytes);
+    }
+}
+
+awaitable<found_origin> origin_service::find(origin_query query)
+{
+    query.span = std::max(query.span, m_longest_wait);
+    found_origin found;
+    found.origin = {query.begun_by, query.service, {}};
+    // 1. What this host knows itself.
+    if (const auto own = m_origins.find(query.begun_by, now()))
+    {
+        found.origin = *own;
+        found.source = origin_source::own;
+        co_return found;
+    }
+    const bool is_named = !query.begun_by.value().empty();
+    auto sole = sole_version(query.service, query.span);
+    // 2. What the keepers know. An origin that is kept goes before a version
+    // that is derived: this host may not know the newest one yet.
+    if (is_named || !sole)
+    {
+        const auto question = co_await ask_keepers(query);
+        if (question->origin)
+        {
+            found.origin = *question->origin;
+            found.source = origin_source::keeper;
+            co_return found;
+        }
+        sole = sole ? sole : uncontradicted(question->sole_version, query);
+    }
+    // 3. The only version that the service has had, according to this host, or
+    // to a peer that has run for longer.
+    if (sole)
+    {
+        found.origin.version = *sole;
+        found.source = origin_source::sole;
+    }
+    co_return found;
+}
+
+// @return the version that a peer takes for the only one, unless this host has
+// seen another
+std::optional<version_name>
+origin_service::uncontradicted(const std::optional<version_name>& reported,
+                               const origin_query& query) const
+{
+    const bool is_contradicted =
+        reported &&
+        m_versions.has_other(query.service, *reported, query.span, now());
+    return is_contradicted ? std::nullopt : reported;
+}
+
+awaitable<std::shared_ptr<origin_service::pending_question>>
+origin_service::ask_keepers(origin_query query)
+{
+    const auto number = ++m_last_question;
+    const auto question =
+        std::make_shared<pending_question>(m_context.get_executor());
+    origin_message message;
+    message.question = number;
+    message.origins = {{{query.begun_by, query.service, {}}, query.span}};
+    const auto bytes = encode(message);
+    const bool is_named = !query.begun_by.value().empty();
+    const auto keepers =
+        other_keepers(is_named ? query.begun_by : query.resumed_by);
+    question->unanswered = keepers.size();
+    m_pending[number] = question;
+    for (const auto& keeper : keepers)
+    {
+        m_peers.send(keeper, bytes);
+    }
+    const auto until = monotonic::now() + reply_timeout;
+    while (question->unanswered > 0 && !question->origin &&
+           monotonic::now() < until)
+    {
+        co_await question->replied.wait_until(until);
+    }
+    m_pending.erase(number);
+    co_return question;
+}
+
+std::vector<host_id>
+origin_service::other_keepers(const request_id& attempt) const
+{
+    if (!m_peers.candidates)
+    {
+        return {};
+    }
+    auto keepers = origin_keepers(attempt, m_hall, m_peers.candidates());
+    std::erase(keepers, m_self);
+    return keepers;
+}
+
+// A list that lacks upstreams may lack a version too.
+std::optional<version_name>
+origin_service::sole_version(const service_name& service,
+                             absl::Duration span) const
+{
+    const bool is_current =
+        !m_peers.is_server_list_current || m_peers.is_server_list_current();
+    return is_current ? m_versions.sole_version(service, span, now())
+                      : std::nullopt;
+}
+
+void origin_service::observe_versions()
+{
+    for (const auto& [service, versions] : m_servers.listed_versions())
+    {
+        m_versions.observe(service, versions, now());
+    }
+}
+
+std::string origin_service::receive(std::string_view bytes)
+{
+    const auto message = decode_origins(bytes);
+    if (!message)
+    {
+        return {};
+    }
+    if (message->is_reply)
+    {
+        handle_reply(*message);
+        return {};
+    }
+    if (message->question > 0)
+    {
+        return reply_to(*message);
+    }
+    for (const auto& [origin, keep_time] : message->origins)
+    {
+        m_origins.add(origin, keep_time, now());
+    }
+    return {};
+}
+
+std::string origin_service::reply_to(const origin_message& question) const
+{
+    origin_message reply;
+    reply.question = question.question;
+    reply.is_reply = true;
+    for (const auto& [asked, span] : question.origins)
+    {
+        if (const auto known = m_origins.find(asked.attempt, now()))
+        {
+            reply.origins.push_back({*known, absl::ZeroDuration()});
+        }
+        reply.sole_version = sole_version(asked.service, span);
+    }
+    return encode(reply);
+}
+
+void origin_service::handle_reply(const origin_message& reply)
+{
+    const auto pending = m_pending.find(reply.question);
+    if (pending == m_pending.end())
+    {
+        return;
+    }
+    auto& question = *pending->second;
+    question.unanswered -= std::min<std::size_t>(question.unanswered, 1);
+    if (!reply.origins.empty())
+    {
+        question.origin = reply.origins.front().origin;
+    }
+    if (reply.sole_version)
+    {
+        question.sole_version = reply.sole_version;
+    }
+    question.replied.notify();
+}
+
+void origin_service::send_kept(const keeper_candidate& started)
+{
+    if (!m_peers.candidates || started.hall != m_hall)
+    {
+        return;
+    }
+    const auto candidates = m_peers.candidates();
+    const auto kept = m_origins.all(now());
+    origin_message report;
+    for (auto origin = kept.rbegin();
+         origin != kept.rend() && report.origins.size() < max_sent_origins;
+         ++origin)
+    {
+        const auto keepers =
+            origin_keepers(origin->origin.attempt, m_hall, candidates);
+        if (std::find(keepers.begin(), keepers.end(), started.host) !=
+            keepers.end())
+        {
+            report.origins.push_back(
+                {origin->origin, origin->expires_at - now()});
+        }
+    }
+    if (!report.origins.empty())
+    {
+        m_peers.send(started.host, encode(report));
+    }
+}
+
+} // namespace daleshelf
--- /dev/null
+++ b/services/gateway/origin_service.hpp
@@ -0,0 +1,156 @@
+/// @file
+/// Finds out which software version began a stream.
+#pragma once
+
+#include "async_event.hpp"
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <functional>
+#include <ingress/server_directory.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <streams/origin_keepers.hpp>
+#include <streams/origin_message.hpp>
+#include <streams/origin_store.hpp>
+#include <streams/version_history.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daleshelf
+{
+
+/// The other hosts, as far as this service needs them.
+struct origin_peers
+{
+    /// Returns all known hosts, with this one.
+    std::function<std::vector<keeper_candidate>()> candidates;
+    std::function<void(const host_id& to, const std::string& bytes)> send;
+    /// Returns whether this host knows all listed upstreams that peers know.
+    std::function<bool()> is_server_list_current;
+};
+
+/// How the origin of a stream became known, for the log.
+enum class origin_source
+{
+    own,     ///< the stream began at this host, or this host is its keeper
+    keeper,  ///< a keeper replied
+    sole,    ///< the service has had no other version for long enough
+    unknown, ///< neither
+};
+
+/// @return the name of the source in the log
+[[nodiscard]] std::string_view name_of(origin_source source);
+
+/// The origin of a stream that is to be resumed.
+struct found_origin
+{
+    stream_origin origin;
+    origin_source source = origin_source::unknown;
+};
+
+/// A stream that is to be resumed.
+struct origin_query
+{
+    /// The client's attempt that began it; empty: the client did not name it.
+    request_id begun_by;
+    request_id resumed_by; ///< the present attempt
+    service_name service;  ///< that the route leads to
+    absl::Duration span;   ///< age that the stream may have at least
+};
+
+/// Reports the origins of streams that begin at this host to their keepers, and
+/// asks them for the origins of streams that are to be resumed here. The steps
+/// are those of docs/design/streams.md. Runs on the gateway's event loop.
+class origin_service
+{
+public:
+    /// @param context event loop
+    /// @param self this host
+    /// @param hall its hall
+    /// @param servers the listed upstreams; must outlive this object
+    /// @param is_first_start whether the whole fleet starts for the first time
+    origin_service(asio::io_context& context, host_id self, hall_id hall,
+                   const server_directory& servers, bool is_first_start);
+
+    /// Sets the access to peers; without it, this host is alone.
+    void set_peers(origin_peers peers)
+    {
+        m_peers = std::move(peers);
+    }
+
+    /// Keeps the origin of a stream that begins here, and reports it to the
+    /// keepers.
+    /// @param keep_time for which the client may resume the stream
+    void record(const stream_origin& origin, absl::Duration keep_time);
+
+    /// Finds the version that began a stream.
+    /// @return the origin; its source is `unknown` if no version is certain
+    awaitable<found_origin> find(origin_query query);
+
+    /// Records the time for which a client waits for a stream and all attempts
+    /// to resume it: a stream may be as old as the longest one.
+    void observe_wait(absl::Duration wait)
+    {
+        m_longest_wait = std::clamp(wait, m_longest_wait, max_resumable_time);
+    }
+
+    /// Records the versions that are listed now.
+    void observe_versions();
+
+    /// Handles a datagram of a peer.
+    /// @return the encoded reply to the sender; empty: none
+    [[nodiscard]] std::string receive(std::string_view bytes);
+
+    /// Sends a host that has started the origins that it should keep.
+    void send_kept(const keeper_candidate& started);
+
+    /// @return number of origins kept
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_origins.size();
+    }
+
+private:
+    /// A question to keepers.
+    struct pending_question
+    {
+        explicit pending_question(const asio::any_io_executor& executor)
+            : replied(executor)
+        {
+        }
+
+        async_event replied;
+        std::size_t unanswered = 0;
+        std::optional<stream_origin> origin;
+        std::optional<version_name> sole_version;
+    };
+
+    awaitable<std::shared_ptr<pending_question>>
+    ask_keepers(origin_query query);
+    [[nodiscard]] std::vector<host_id>
+    other_keepers(const request_id& attempt) const;
+    [[nodiscard]] std::optional<version_name>
+    sole_version(const service_name& service, absl::Duration span) const;
+    [[nodiscard]] std::optional<version_name>
+    uncontradicted(const std::optional<version_name>& reported,
+                   const origin_query& query) const;
+    [[nodiscard]] std::string reply_to(const origin_message& question) const;
+    void handle_reply(const origin_message& reply);
+
+    asio::io_context& m_context;
+    host_id m_self;
+    hall_id m_hall;
+    const server_directory& m_servers;
+    origin_peers m_peers;
+    origin_store m_origins;
+    version_history m_versions;
+    absl::Duration m_longest_wait = absl::ZeroDuration();
+    std::int64_t m_last_question = 0;
+    std::map<std::int64_t, std::shared_ptr<pending_question>> m_pending;
+};
+
+} // namespace daleshelf
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -72,15 +72,15 @@
         [this](request_head head, std::shared_ptr<byte_channel> channel)
         { return m_tunnels.serve(std::move(head), std::move(channel)); });
     m_state.upstreams.set_peers([this] { return relay_peers(); });
-    m_state.quota.set_sender(
-        [this](const host_id& to, const std::string& bytes)
-        {
-            const auto peer = m_table.peers().find(to);
-            if (peer != m_table.peers().end())
-            {
-                send_datagram(udp_endpoint(peer->second.address), bytes);
-            }
-        });
+    m_state.quota.set_sender([this](const host_id& to, const std::string& bytes)
+                             { send_to_host(to, bytes); });
+    origin_peers origin_access;
+    origin_access.candidates = [this] { return keeper_candidates(); };
+    origin_access.send = [this](const host_id& to, const std::string& bytes)
+    { send_to_host(to, bytes); };
+    origin_access.is_server_list_current = [this]
+    { return is_server_list_current(); };
+    m_state.origins.set_peers(std::move(origin_access));
     // All gateways use the same ports, so a seed's IP address is enough. Until
     // a seed has sent its state, its address is used as its name.
     for (const auto& seed : state.settings.peer_seeds)
@@ -349,11 +349,60 @@
             m_on_limits(bytes);
         }
         return;
+    case datagram_format::origins:
+    {
+        const auto reply = m_state.origins.receive(bytes);
+        if (!reply.empty())
+        {
+            send_datagram(sender, reply);
+        }
+        return;
+    }
     case datagram_format::none:
         return;
     }
 }
 
+void peer_exchange::send_to_host(const host_id& host, const std::string& bytes)
+{
+    const auto peer = m_table.peers().find(host);
+    if (peer != m_table.peers().end())
+    {
+        send_datagram(udp_endpoint(peer->second.address), bytes);
+    }
+}
+
+// A host whose hall is not known yet cannot be ranked.
+std::vector<keeper_candidate> peer_exchange::keeper_candidates() const
+{
+    std::vector<keeper_candidate> candidates{{m_state.self, m_state.hall}};
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        if (!peer.state.hall.value().empty())
+        {
+            candidates.push_back({name, peer.state.hall});
+        }
+    }
+    return candidates;
+}
+
+bool peer_exchange::is_server_list_current() const
+{
+    if (m_topics.servers.is_store_reachable())
+    {
+        return true;
+    }
+    const auto now = gateway_state::now();
+    return m_table.reachable_count(now) > 1 &&
+           std::none_of(m_table.peers().begin(), m_table.peers().end(),
+                        [&](const auto& peer)
+                        {
+                            return m_table.is_reachable(peer.first, now) &&
+                                   peer.second.state.servers_offset >
+                                       m_topics.servers.next();
+                        });
+}
+
 void peer_exchange::send_to_peer(const std::string& address,
                                  const std::string& bytes)
 {
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -160,6 +160,9 @@
     void send_to_next_targets(const std::string& bytes);
     void send_to_candidates(const std::string& bytes);
     void send_to_random(std::size_t count, const std::string& bytes);
+    void send_to_host(const host_id& host, const std::string& bytes);
+    [[nodiscard]] std::vector<keeper_candidate> keeper_candidates() const;
+    [[nodiscard]] bool is_server_list_current() const;
     [[nodiscard]] host_state own_state();
     [[nodiscard]] std::int64_t store_answer_age_ms() const;
     [[nodiscard]] std::vector<host_address> next_known_hosts();
--- a/services/gateway/peer_states.cpp
+++ b/services/gateway/peer_states.cpp
@@ -70,6 +70,7 @@
         {
             listener(newest.self.address);
         }
+        m_state.origins.send_kept({name, newest.hall});
     }
     apply(newest);
 }
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -60,7 +60,8 @@
     }
 }
 
-// Steps 1 to 4: validates the request; finds its route, workspace and quota.
+// Steps 1 to 5: validates the request; finds its route, workspace, version and
+// quota.
 awaitable<bool> request_flow::admit()
 {
     // 1. Without an id, responses cannot be matched to the request.
@@ -111,7 +112,24 @@
                         retry_when_unconfigured);
         co_return false;
     }
-    // 4. The quota.
+    // 4. The version, if it resumes a stream.
+    const bool is_servable = co_await pin_stream_version();
+    if (!is_servable)
+    {
+        co_return false;
+    }
+    // 5. The quota.
+    const bool is_within_quota = co_await take_quota();
+    if (!is_within_quota)
+    {
+        co_return false;
+    }
+    m_state.retries.count_request(m_service->name);
+    co_return true;
+}
+
+awaitable<bool> request_flow::take_quota()
+{
     if (m_tenant != nullptr)
     {
         const auto stated = m_facts.prompt_tokens + m_facts.max_output_tokens;
@@ -139,11 +157,10 @@
             co_return false;
         }
     }
-    m_state.retries.count_request(m_service->name);
     co_return true;
 }
 
-// Step 5: attempts upstreams, one after the other.
+// Step 6: attempts upstreams, one after the other.
 awaitable<void> request_flow::try_servers()
 {
     while (true)
@@ -334,7 +351,7 @@
     }
 }
 
-// Step 6: whether the request can be sent to another upstream.
+// Step 7: whether the request can be sent to another upstream.
 bool request_flow::can_retry(attempt_result result)
 {
     if (result == attempt_result::late || result == attempt_result::no_path ||
@@ -363,7 +380,7 @@
            m_state.retries.try_take(m_service->name);
 }
 
-// Step 7: sends the final response of a request that no attempt has answered.
+// Step 8: sends the final response of a request that no attempt has answered.
 awaitable<void> request_flow::finish_failed(attempt_result result)
 {
     if (m_response.has_begun())
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -74,6 +74,12 @@
     static constexpr std::size_t max_named = 4;
 
     awaitable<bool> admit();
+    awaitable<bool> take_quota();
+    [[nodiscard]] bool is_resumption() const;
+    awaitable<bool> pin_stream_version();
+    [[nodiscard]] const ingress_service*
+    service_of(const found_origin& found) const;
+    void record_stream_origin();
     awaitable<void> try_servers();
     [[nodiscard]] server_request
     make_server_request(permitted_server& target) const;
@@ -168,6 +174,8 @@
     /// The software version that has begun the stream; only that one may
     /// continue it.
     std::optional<version_name> m_stream_version;
+    /// How the version of a resumed stream is known.
+    origin_source m_origin_source = origin_source::own;
     std::optional<std::int64_t> m_last_event;
     std::optional<std::int64_t> m_weights_version;
     server_exchange* m_exchange = nullptr;
--- a/services/gateway/request_log.cpp
+++ b/services/gateway/request_log.cpp
@@ -64,6 +64,7 @@
     log(events::stream_resumed,
         {{"id", m_facts.id.value()},
          {"begun_by", begun_by.value()},
+         {"source", std::string(name_of(m_origin_source))},
          {"last_event", std::to_string(last_event.value_or(0))},
          {"server", server.id.value()},
          {"version", server.version.value()},
--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -192,7 +192,7 @@
     {
         co_return true;
     }
-    m_stream_version = m_stream_version.value_or(m_attempted_version);
+    record_stream_origin();
     co_return co_await send_piece(head, bytes);
 }
 
--- a/tests/fuzz/peers_fuzz.cpp
+++ b/tests/fuzz/peers_fuzz.cpp
@@ -12,6 +12,7 @@
 #include <poison/poison_message.hpp>
 #include <quotas/quota_message.hpp>
 #include <rollouts/rollout_message.hpp>
+#include <streams/origin_message.hpp>
 #include <upstream_limits/limit_message.hpp>
 #include <upstream_limits/limit_table.hpp>
 
@@ -91,7 +92,8 @@
                              &read_again<decode_rollout_directive>,
                              &read_again<decode_rollout_report>,
                              &read_poison_again,
-                             &read_limits_again};
+                             &read_limits_again,
+                             &read_again<decode_origins>};
 
 } // namespace
 } // namespace daleshelf::fuzz
