gateway: Ask hosts that run long enough for a service's only version

The hosts that run for longer than the stream can be old are asked now, by their reported start, besides the keepers of a named stream.

--- a/libraries/streams/origin_keepers.hpp
+++ b/libraries/streams/origin_keepers.hpp
@@ -2,6 +2,8 @@
 /// Choice of the hosts that keep the origin of a stream.
 #pragma once
 
+#include <absl/time/time.h>
+
 #include <base/identifiers.hpp>
 #include <cstddef>
 #include <vector>
@@ -14,6 +16,7 @@
 {
     host_id host;
     hall_id hall;
+    absl::Duration uptime; ///< of its process
 };
 
 /// How many hosts keep the origin of each stream.
--- a/services/gateway/origin_service.cpp
+++ b/services/gateway/origin_service.cpp
@@ -79,7 +79,7 @@
     }
     const bool is_named = !query.begun_by.value().empty();
     auto sole = sole_version(query.service, query.span);
-    // 2. What the keepers know. An origin that is kept goes before a version
+    // 2. What others know. An origin that is kept goes before a version
     // that is derived: this host may not know the newest one yet.
     if (is_named || !sole)
     {
@@ -124,14 +124,12 @@
     message.question = number;
     message.origins = {{{query.begun_by, query.service, {}}, query.span}};
     const auto bytes = encode(message);
-    const bool is_named = !query.begun_by.value().empty();
-    const auto keepers =
-        other_keepers(is_named ? query.begun_by : query.resumed_by);
-    question->unanswered = keepers.size();
+    const auto asked = hosts_to_ask(query);
+    question->unanswered = asked.size();
     m_pending[number] = question;
-    for (const auto& keeper : keepers)
+    for (const auto& host : asked)
     {
-        m_peers.send(keeper, bytes);
+        m_peers.send(host, bytes);
     }
     const auto until = monotonic::now() + reply_timeout;
     while (question->unanswered > 0 && !question->origin &&
@@ -155,6 +153,34 @@
     return keepers;
 }
 
+// Returns the keepers of a named stream, and hosts that have run for long
+// enough to know whether the service has had a single version.
+std::vector<host_id>
+origin_service::hosts_to_ask(const origin_query& query) const
+{
+    const bool is_named = !query.begun_by.value().empty();
+    auto asked =
+        is_named ? other_keepers(query.begun_by) : std::vector<host_id>();
+    if (!m_peers.candidates)
+    {
+        return asked;
+    }
+    auto candidates = m_peers.candidates();
+    std::erase_if(candidates, [&](const auto& candidate)
+                  { return candidate.uptime < query.span; });
+    for (auto& host : origin_keepers(query.resumed_by, m_hall, candidates))
+    {
+        const bool is_new =
+            host != m_self &&
+            std::find(asked.begin(), asked.end(), host) == asked.end();
+        if (is_new)
+        {
+            asked.push_back(std::move(host));
+        }
+    }
+    return asked;
+}
+
 // A list that lacks upstreams may lack a version too.
 std::optional<version_name>
 origin_service::sole_version(const service_name& service,
--- a/services/gateway/origin_service.hpp
+++ b/services/gateway/origin_service.hpp
@@ -133,6 +133,8 @@
     ask_keepers(origin_query query);
     [[nodiscard]] std::vector<host_id>
     other_keepers(const request_id& attempt) const;
+    [[nodiscard]] std::vector<host_id>
+    hosts_to_ask(const origin_query& query) const;
     [[nodiscard]] std::optional<version_name>
     sole_version(const service_name& service, absl::Duration span) const;
     [[nodiscard]] std::optional<version_name>
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -375,13 +375,20 @@
 // A host whose hall is not known yet cannot be ranked.
 std::vector<keeper_candidate> peer_exchange::keeper_candidates() const
 {
-    std::vector<keeper_candidate> candidates{{m_state.self, m_state.hall}};
+    const auto uptime_of = [now = m_state.time_of_day()](incarnation started)
+    { return now - absl::FromUnixMillis(started.value()); };
+    std::vector<keeper_candidate> candidates{
+        {m_state.self, m_state.hall, uptime_of(m_state.own_incarnation)}};
     for (const auto& [name, peer] : m_table.peers())
     {
-        if (!peer.state.hall.value().empty())
+        if (peer.state.hall.value().empty())
         {
-            candidates.push_back({name, peer.state.hall});
+            continue;
         }
+        const bool is_heard = peer.heard_at != absl::InfinitePast();
+        candidates.push_back(
+            {name, peer.state.hall,
+             is_heard ? uptime_of(peer.state.started) : absl::ZeroDuration()});
     }
     return candidates;
 }
--- a/services/gateway/peer_states.cpp
+++ b/services/gateway/peer_states.cpp
@@ -70,7 +70,7 @@
         {
             listener(newest.self.address);
         }
-        m_state.origins.send_kept({name, newest.hall});
+        m_state.origins.send_kept({name, newest.hall, absl::ZeroDuration()});
     }
     apply(newest);
 }
--- a/tests/gateway/origin_service_test.cpp
+++ b/tests/gateway/origin_service_test.cpp
@@ -23,7 +23,8 @@
     {
         for (int number = 0; number < host_count; ++number)
         {
-            m_candidates.push_back({name_of_host(number), hall_of(number)});
+            m_candidates.push_back(
+                {name_of_host(number), hall_of(number), keep_time});
         }
         for (int number = 0; number < host_count; ++number)
         {
@@ -174,7 +175,8 @@
         start(number, false);
         for (const auto& [name, other] : m_services)
         {
-            other->send_kept({name_of_host(number), hall_of(number)});
+            other->send_kept(
+                {name_of_host(number), hall_of(number), keep_time});
         }
         run();
     }
@@ -204,6 +206,7 @@
     {
         start(number, true);
         service(number).observe_versions();
+        m_candidates[number].uptime = absl::Minutes(1);
     }
     service(0).observe_versions();
     const auto found = find(0, "");
@@ -215,6 +218,18 @@
         << "this host has seen another version";
 }
 
+TEST_F(origin_service_test, hosts_that_run_for_long_enough_are_asked)
+{
+    list("a", first);
+    m_candidates[6].uptime = absl::Minutes(1);
+    start(6, true);
+    service(6).observe_versions();
+    EXPECT_EQ(find(0, "").origin.version, first);
+    EXPECT_EQ(find(0, "unseen").origin.version, first);
+    kill(6);
+    EXPECT_EQ(find(0, "").source, origin_source::unknown);
+}
+
 // A stream may have begun at a version that this host does not know yet.
 TEST_F(origin_service_test, a_kept_origin_goes_before_a_derived_one)
 {
--- a/tests/streams/origin_keepers_test.cpp
+++ b/tests/streams/origin_keepers_test.cpp
@@ -21,8 +21,9 @@
     std::vector<keeper_candidate> candidates;
     for (int number = 0; number < hosts; ++number)
     {
-        candidates.push_back(
-            {host_id(concat("host-", number)), hall_number(number % halls)});
+        candidates.push_back({host_id(concat("host-", number)),
+                              hall_number(number % halls),
+                              absl::ZeroDuration()});
     }
     return candidates;
 }
