--- a/tests/soak/deadly.py
+++ b/tests/soak/deadly.py
@@ -96,7 +96,7 @@
 
     def refused(self, attempt_id, reason):
         """A gateway has rejected a request as one that ends servers."""
-        is_innocent = not attempt_id.startswith("deadly-")
+        is_innocent = not attempt_id.startswith(("deadly-", "deadlypart-"))
         if reason in REASONS and is_innocent:
             self._soak.promises.breach("POISON", f"{attempt_id} was rejected "
                                        f"as {reason}")
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from deadly import Deadly
+from deadly_parts import DeadlyParts
 from http_wire import Message
 from limits import Limits
 from partitions import judge, judge_unserved
@@ -135,6 +136,30 @@
             deadly.ran("deadly-1", "gateway-1", 16.0 + number)
         self.assertEqual(self.names(), [])
 
+    def deadly_part_after_crashes(self, crashes):
+        attempts = {f"deadlypart-{number}": None for number in range(9)}
+        soak = SimpleNamespace(promises=self.promises,
+                               disturbances=self.disturbances)
+        parts = DeadlyParts(soak, 1)
+        for number, name in enumerate(attempts):
+            parts._part_of[name] = "dead0"
+            if number < crashes:
+                parts.crashed(name, 10.0 + number / 10)
+        return parts
+
+    def test_a_part_that_crashed_five_servers_is_sent_on(self):
+        parts = self.deadly_part_after_crashes(5)
+        for number in range(4):
+            parts.ran(f"deadlypart-{number}", "gateway-1", 16.0 + number)
+        self.assertEqual(self.names(), ["BUDGET"])
+
+    def test_a_part_that_crashed_four_servers_may_be_sent(self):
+        parts = self.deadly_part_after_crashes(4)
+        for number in range(4):
+            parts.ran(f"deadlypart-{number}", "gateway-1", 16.0 + number)
+            parts.ran("deadlypart-0", "gateway-1", 10.5)
+        self.assertEqual(self.names(), [])
+
     def test_an_innocent_request_is_rejected_for_a_deadly_one(self):
         deadly = self.deadly_after_crashes(3)
         deadly.refused("deadly-2", "ends_servers")
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -25,6 +25,7 @@
 DRAIN_TIME = 2.6
 REST = 1.2  # seconds, that a server asks for as it turns a request away
 DEADLY = "/deadly"  # ends the process that runs a request of that path
+DEADLY_PART = "dead"  # begins the ids of prompt parts that do so
 CRASH_TIME = 0.3
 CRASHED = 139
 NAMED_LIMITS = (2.0, 0.0, 10.0, 0.5, None)  # requests a second, in turn
@@ -151,7 +152,9 @@
                 "X-Weight-Versions": "1", **self.own_fields()}
         if self.is_draining:
             head["Connection"] = "close"
-        if request.target.endswith(DEADLY):
+        parts = fields.get("x-prompt-prefix", "").split(",")
+        if (request.target.endswith(DEADLY) or
+                any(part.startswith(DEADLY_PART) for part in parts)):
             await asyncio.sleep(CRASH_TIME)
             tell({"crash": attempt, "server": self.options.id})
             os._exit(CRASHED)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 import server as server_stand_in
 from clients import Client
 from deadly import Deadly
+from deadly_parts import DeadlyParts
 from fleet import STOP_MS, ZONES, Fleet
 from limits import Limits, LimitSwitch
 from partitions import Partitions
@@ -58,6 +59,8 @@
         self.promises = Promises(self.disturbances)
         self.limits = Limits(self.promises, self.disturbances)
         self.deadly = Deadly(self, options.seed)
+        self.deadly_parts = (DeadlyParts(self, options.seed)
+                             if options.deadly_parts else None)
         self.fleet = Fleet(options, folder, self.on_line)
         self.versions = (Versions(self, options.seed) if options.versions
                          else None)
@@ -101,6 +104,8 @@
         elif "crash" in event:
             self.count("crashes")
             self.deadly.crashed(process, now)
+            if self.deadly_parts:
+                self.deadly_parts.crashed(event["crash"], now)
         elif event.get("name") == "request_refused":
             self.deadly.refused(event["id"], event["reason"])
         elif "full" in event:
@@ -132,6 +137,8 @@
         attempt = self.promises.attempts.get(attempt_id)
         if attempt is not None:
             self.deadly.ran(attempt_id, attempt.gateway, now)
+            if self.deadly_parts:
+                self.deadly_parts.ran(attempt_id, attempt.gateway, now)
 
     def count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -156,18 +163,23 @@
             self.spawn(rebirths.run(begin_after=1.0))
         if self.options.deadly:
             self.spawn(self.deadly.run(self.options.seconds))
+        if self.deadly_parts:
+            self.spawn(self.deadly_parts.run(self.options.seconds))
         if self.options.limits:
             switch = LimitSwitch(self, self.options.seed)
             self.spawn(switch.run(self.options.seconds))
         begin = self.now()
         if self.options.partitions:
             self.spawn(self.partition_gateways())
-        troubles = (faults.plan(self.options.seed, self.options.seconds)
-                    if not self.options.only_partitions else [])
+        is_calm = self.options.only_partitions or self.options.calm
+        troubles = ([] if is_calm else
+                    faults.plan(self.options.seed, self.options.seconds))
         for trouble in troubles:
             await asyncio.sleep(max(0.0, begin + trouble.at - self.now()))
             self.count(trouble.kind)
             self.spawn(self.carry_out(trouble))
+        await asyncio.sleep(max(0.0, begin + self.options.seconds -
+                                self.now()) if self.options.calm else 0.0)
         await self.partitions_ended.wait()
         await asyncio.sleep(6.0)
         await asyncio.sleep(RECOVERY)
@@ -181,6 +193,8 @@
         rebirths.check()
         if self.versions:
             self.versions.check()
+        if self.deadly_parts:
+            self.deadly_parts.check()
 
     async def partition_gateways(self):
         try:
@@ -552,6 +566,9 @@
     parser.add_argument("--deadly", action="store_true",
                         help="send requests that crash the servers that run "
                         "them, half of their clients leaving before")
+    parser.add_argument("--deadly-parts", type=int, default=0, metavar="N",
+                        help="send requests with N prompt parts, at most 2, "
+                        "that crash the servers that run them")
     parser.add_argument("--limits", action="store_true",
                         help="let servers name and change limits of requests "
                         "a second")
@@ -561,6 +578,8 @@
     parser.add_argument("--only-partitions", action="store_true",
                         help="no other troubles; no server may be recorded as "
                         "crashed")
+    parser.add_argument("--calm", action="store_true",
+                        help="no troubles but those that are asked for")
     parser.add_argument("--judge-time", action="store_true")
     parser.add_argument("--logs", help="folder that keeps the logs")
     options = parser.parse_args()
