gateway: Reject requests with a prompt part that crashes upstreams

A fingerprint is of workspace, target and body, so each crash was the first of its request.

The same detector now also keeps records of prompt parts, of all but the last one, by service and part id: each attempt that an upstream had not begun to answer as it crashed counts against its shared parts; one that was answered, or that has brought events for half a second, disproves them. A part is confirmed at three crashes without any response, rejected at once from then on (part_ends_servers), probed once over the whole fleet, and cleared by one response. Records of parts merge, are gossiped, written and read as those of requests; upstream_ended and poison_proved name the subject. Confirmed parts explain crashes, so requests beside them are released.

--- a/libraries/poison/crash_cover.cpp
+++ b/libraries/poison/crash_cover.cpp
@@ -58,7 +58,8 @@
 }
 
 // A request that ran much shorter at one crash than at another was a bystander
-// at the former: it had not crashed the other upstream by that age.
+// at the former: it had not crashed the other upstream by that age. Requests
+// with one prompt part differ in the time after which they crash an upstream.
 crash_cover::culprit
 crash_cover::make_culprit(const poison_record& record) const
 {
@@ -70,7 +71,8 @@
     culprit made{record.fingerprint, record.responses.size(), {}};
     for (const auto& [incarnation, crash] : record.crashes)
     {
-        if (crash.request_age * m_age_spread >= longest)
+        if (record.kind == suspect_kind::prompt_part ||
+            crash.request_age * m_age_spread >= longest)
         {
             made.caused_crashes.insert(incarnation);
         }
--- a/libraries/poison/poison_detector.cpp
+++ b/libraries/poison/poison_detector.cpp
@@ -69,12 +69,7 @@
     if (record.is_confirmed)
     {
         // The probe completed: a new version fixed it, or it was innocent.
-        ++record.epoch;
-        record.crashes.clear();
-        record.responses.clear();
-        record.is_confirmed = false;
-        record.probe = {};
-        mark_changed(record, now);
+        clear(record, now);
         return true;
     }
     if (record.responses.size() < incarnation_limit &&
@@ -85,6 +80,16 @@
     return false;
 }
 
+void poison_detector::clear(poison_record& record, absl::Time now)
+{
+    ++record.epoch;
+    record.crashes.clear();
+    record.responses.clear();
+    record.is_confirmed = false;
+    record.probe = {};
+    mark_changed(record, now);
+}
+
 bool poison_detector::merge(const poison_record& received, absl::Time now)
 {
     expire_old(now);
@@ -93,7 +98,8 @@
         m_evidence.add_crash(incarnation, crash.at);
     }
     auto& record = find_or_create(
-        {received.fingerprint, received.shape, received.service}, now);
+        {received.fingerprint, received.shape, received.service, received.kind},
+        now);
     if (received.epoch < record.epoch)
     {
         return false;
@@ -134,6 +140,11 @@
         record.probe = received.probe;
         is_changed = true;
     }
+    if (record.is_confirmed && is_disproved(record))
+    {
+        clear(record, now);
+        return true;
+    }
     if (is_changed)
     {
         mark_changed(record, now);
@@ -263,7 +274,7 @@
 bool poison_detector::is_conclusive(const poison_record& seen,
                                     std::size_t servers) const
 {
-    if (m_evidence.is_explained_by_others(seen))
+    if (m_evidence.is_explained_by_others(seen) || is_disproved(seen))
     {
         return false;
     }
@@ -283,6 +294,14 @@
     return is_strong && is_distinguishable(seen, attribution);
 }
 
+// A part that crashes upstreams does so whatever else a request holds: one
+// response shows that it does not. Of one content, some attempts may complete.
+bool poison_detector::is_disproved(const poison_record& record)
+{
+    return record.kind == suspect_kind::prompt_part &&
+           !record.responses.empty();
+}
+
 // Whether the crashes are more than one event: a frequent request runs on many
 // of the upstreams that crash together.
 bool poison_detector::recurs(const poison_record& record) const
@@ -304,7 +323,7 @@
     {
         return attribution.unexplained_crashes > 0;
     }
-    return record.crashes.size() >= 2 &&
+    return record.kind == suspect_kind::request && record.crashes.size() >= 2 &&
            m_evidence.covers_all_crashes(record) && !has_rival(record);
 }
 
@@ -324,7 +343,7 @@
         {
             const auto& other = entry.second;
             return other.fingerprint != record.fingerprint &&
-                   other.responses.empty() &&
+                   other.kind == record.kind && other.responses.empty() &&
                    std::all_of(record.crashes.begin(), record.crashes.end(),
                                [&](const auto& crash)
                                { return other.crashes.contains(crash.first); });
@@ -423,6 +442,7 @@
     record.fingerprint = request.fingerprint;
     record.shape = request.shape;
     record.service = request.service;
+    record.kind = request.kind;
     record.changed_at = now;
     ++m_shapes[request.shape];
     return record;
--- a/libraries/poison/poison_detector.hpp
+++ b/libraries/poison/poison_detector.hpp
@@ -138,6 +138,8 @@
                                                  absl::Time now) const;
     [[nodiscard]] bool is_conclusive(const poison_record& seen,
                                      std::size_t servers) const;
+    [[nodiscard]] static bool is_disproved(const poison_record& record);
+    void clear(poison_record& record, absl::Time now);
     [[nodiscard]] bool recurs(const poison_record& record) const;
     [[nodiscard]] bool
     is_distinguishable(const poison_record& record,
--- a/libraries/poison/poison_message.cpp
+++ b/libraries/poison/poison_message.cpp
@@ -35,6 +35,7 @@
     item.set_print(record.fingerprint.value());
     item.set_shape(record.shape);
     item.set_service(record.service.value());
+    item.set_is_part(record.kind == suspect_kind::prompt_part);
     item.set_epoch(record.epoch);
     item.set_is_proved(record.is_confirmed);
     for (const auto& [incarnation, crash] : record.crashes)
@@ -67,6 +68,8 @@
     record.fingerprint = request_fingerprint(item.print());
     record.shape = item.shape();
     record.service = service_name(item.service());
+    record.kind =
+        item.is_part() ? suspect_kind::prompt_part : suspect_kind::request;
     record.epoch = item.epoch();
     record.is_confirmed = item.is_proved();
     for (const auto& entry : item.ends())
--- a/libraries/poison/poison_options.hpp
+++ b/libraries/poison/poison_options.hpp
@@ -49,7 +49,7 @@
     /// Time after which a probe without an outcome counts as lost.
     absl::Duration probe_timeout = absl::Seconds(30);
     /// Maximum number of records; each takes about 0.3 KB.
-    std::size_t record_limit = 512;
+    std::size_t record_limit = 1024;
     /// Maximum number of shapes whose responses are kept, of 0.1 KB each: these
     /// are 30 s of 120 requests per second with a different shape each.
     std::size_t shape_limit = 4096;
--- a/libraries/poison/poison_record.hpp
+++ b/libraries/poison/poison_record.hpp
@@ -49,12 +49,21 @@
     absl::Time claimed_at = absl::InfinitePast();
 };
 
-/// A request that may crash upstreams, described from one of its attempts.
+/// What a record is about.
+enum class suspect_kind
+{
+    request,     ///< requests of one content
+    prompt_part, ///< requests with one part in their prompts
+};
+
+/// A request that may crash upstreams, described from one of its attempts, or a
+/// part of its prompt.
 struct suspect_request
 {
     request_fingerprint fingerprint;
     request_shape shape = 0;
     service_name service;
+    suspect_kind kind = suspect_kind::request;
 };
 
 /// The evidence on one request. Hosts merge their records in any order. When an
@@ -65,6 +74,7 @@
     request_fingerprint fingerprint;
     request_shape shape = 0;
     service_name service;
+    suspect_kind kind = suspect_kind::request;
     std::int64_t epoch = 0;
     std::map<server_incarnation, server_crash> crashes;
     std::set<completed_response> responses;
--- a/libraries/poison/request_fingerprint.cpp
+++ b/libraries/poison/request_fingerprint.cpp
@@ -26,6 +26,13 @@
     return head;
 }
 
+// The head of a request begins with a length, never with this.
+std::string head_of(const prompt_part_content& content)
+{
+    const std::string_view service = content.service.value();
+    return concat("part:", service.size(), ":", service, content.part);
+}
+
 } // namespace
 
 request_shape shape_of(const request_content& content)
@@ -33,6 +40,17 @@
     return stable_hash(head_of(content));
 }
 
+request_shape shape_of(const prompt_part_content& content)
+{
+    return stable_hash(head_of(content));
+}
+
+request_fingerprint fingerprint_of(const prompt_part_content& content)
+{
+    return request_fingerprint(
+        sha256_hex(head_of(content)).substr(0, fingerprint_digits));
+}
+
 request_fingerprint fingerprint_of(const request_content& content)
 {
     auto bytes = head_of(content);
--- a/libraries/poison/request_fingerprint.hpp
+++ b/libraries/poison/request_fingerprint.hpp
@@ -31,9 +31,22 @@
     std::string_view body;
 };
 
+/// A part of a prompt, which requests of any content may share.
+struct prompt_part_content
+{
+    service_name service;
+    std::string_view part; ///< id
+};
+
 [[nodiscard]] request_shape shape_of(const request_content& content);
 
+[[nodiscard]] request_shape shape_of(const prompt_part_content& content);
+
 [[nodiscard]] request_fingerprint
 fingerprint_of(const request_content& content);
 
+/// @return the fingerprint; it differs from that of any request
+[[nodiscard]] request_fingerprint
+fingerprint_of(const prompt_part_content& content);
+
 } // namespace daleshelf
--- a/services/gateway/crash_detector.cpp
+++ b/services/gateway/crash_detector.cpp
@@ -13,8 +13,9 @@
 // An aborted request runs on for about 0.1 s at most upstreams. Within as much
 // time again, other requests reveal the crash of a busy upstream.
 constexpr absl::Duration attempt_retention = absl::Seconds(2);
-// 0.3 KB each; holds two seconds of 250 aborted requests per second.
-constexpr std::size_t max_unfinished_attempts = 512;
+// 0.3 KB each; holds two seconds of 250 aborted requests per second, with three
+// shared parts in their prompts.
+constexpr std::size_t max_unfinished_attempts = 2048;
 // A closed port refuses within a round trip.
 constexpr milliseconds probe_timeout{300};
 // By then an upstream that cancels aborted requests has crashed or survived.
@@ -61,6 +62,11 @@
     return "";
 }
 
+std::string_view name_of(suspect_kind kind)
+{
+    return kind == suspect_kind::prompt_part ? "prompt_part" : "request";
+}
+
 crash_detector::crash_detector(gateway_state& state)
     : m_state(state)
     , m_unfinished_attempts(max_unfinished_attempts, attempt_retention)
@@ -210,6 +216,7 @@
          {"born", std::to_string(instance.started_ms.value())},
          {"sign", std::string(name_of(sign))},
          {"print", request.fingerprint.value()},
+         {"subject", std::string(name_of(request.kind))},
          {"ends", std::to_string(record->crashes.size())},
          {"weight", std::to_string(m_state.poison.weight(*record, servers))},
          {"ran_ms", std::to_string(ran_ms)},
--- a/services/gateway/crash_detector.hpp
+++ b/services/gateway/crash_detector.hpp
@@ -77,4 +77,7 @@
 /// @return the name of the sign in the log
 [[nodiscard]] std::string_view name_of(crash_sign sign);
 
+/// @return the name of the kind in the log
+[[nodiscard]] std::string_view name_of(suspect_kind kind);
+
 } // namespace daleshelf
--- a/services/gateway/poison_service.cpp
+++ b/services/gateway/poison_service.cpp
@@ -193,6 +193,7 @@
         const auto servers = m_state.servers.usable_count(record.service);
         log(events::poison_proved,
             {{"print", record.fingerprint.value()},
+             {"subject", std::string(name_of(record.kind))},
              {"service", record.service.value()},
              {"ends", std::to_string(record.crashes.size())},
              {"weight", std::to_string(m_state.poison.weight(record, servers))},
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -171,6 +171,11 @@
         {
             co_return;
         }
+        const bool is_rejected = co_await reject_if_part_is_poison();
+        if (is_rejected)
+        {
+            co_return;
+        }
         auto wanted = make_choice_request();
         auto target = co_await choose_permitted_server(wanted);
         if (!target)
@@ -238,6 +243,7 @@
     server_exchange exchange(m_state.upstreams, make_server_request(target));
     m_exchange = &exchange;
     m_attempted_version = server.version;
+    m_first_event_at.reset();
     m_expected_first_ms =
         m_service->is_engine &&
                 m_state.rollouts.has_running_order(m_service->name)
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <telemetry/log_event.hpp>
 #include <telemetry/name_batch.hpp>
+#include <vector>
 
 namespace daleshelf
 {
@@ -126,6 +127,17 @@
     [[nodiscard]] bool must_wait(const request_fingerprint& fingerprint) const;
     awaitable<void> wait_for_peer_reports();
     awaitable<bool> reject_if_poison();
+    [[nodiscard]] std::vector<prompt_part_content> shared_parts() const;
+    awaitable<bool> reject_if_part_is_poison();
+    awaitable<void> reject_confirmed(const request_fingerprint& fingerprint,
+                                     std::string_view reason);
+    [[nodiscard]] bool
+    is_confirmed_poison(const request_fingerprint& fingerprint);
+    void record_part_responses(const completed_response& evidence,
+                               absl::Time now);
+    [[nodiscard]] bool has_responded() const;
+    void record_unfinished_parts(const server_entry& server,
+                                 monotonic::time_point started);
     void mark_suspect(choice_request& wanted);
     void record_attempt(const server_entry& server, attempt_result result,
                         monotonic::time_point started);
@@ -170,6 +182,8 @@
     /// Upstreams passed over because their limits are used up, for the log.
     name_batch m_passed_over{max_named};
     absl::flat_hash_set<hall_id> m_broken_halls;
+    /// When the last attempt forwarded its first event; nothing: none was.
+    std::optional<monotonic::time_point> m_first_event_at;
     version_name m_attempted_version; ///< software of the last upstream
     /// The software version that has begun the stream; only that one may
     /// continue it.
--- a/services/gateway/request_poison.cpp
+++ b/services/gateway/request_poison.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds report_wait{300};
 // A request with less time left than this many waits is rejected at once.
 constexpr int min_waits_left = 3;
+// A part that crashes upstreams does so as they begin to respond. An attempt
+// that has brought events for longer than this did not cause the crash by one.
+constexpr milliseconds max_response_start{500};
 
 } // namespace
 
@@ -28,6 +31,18 @@
             m_request.head.method, m_request.head.target, m_request.body};
 }
 
+// Returns the parts of the prompt that other requests may share: all but the
+// last one.
+std::vector<prompt_part_content> request_flow::shared_parts() const
+{
+    std::vector<prompt_part_content> parts;
+    for (std::size_t index = 0; index + 1 < m_facts.prompt.size(); ++index)
+    {
+        parts.push_back({m_service->name, m_facts.prompt[index].id});
+    }
+    return parts;
+}
+
 // Step 1: looks the request up among the suspected ones. The shape, which is
 // cheap to compute, rules out most requests before the fingerprint is computed.
 void request_flow::identify_suspect()
@@ -110,22 +125,81 @@
     {
         co_return false;
     }
+    if (is_confirmed)
+    {
+        co_await reject_confirmed(fingerprint, "ends_servers");
+        co_return true;
+    }
     if (m_may_have_run || m_response.has_begun())
     {
         co_await finish_failed(attempt_result::broken);
         co_return true;
     }
     refund_quota();
-    const auto wait = is_confirmed
-                          ? absl::ToChronoMilliseconds(
-                                m_state.poison.time_to_probe(fingerprint, now))
-                          : retry_when_suspected;
-    co_await reject(http_status::unavailable,
-                    is_confirmed ? "ends_servers" : "may_end_servers",
-                    std::max(wait, retry_when_suspected));
+    co_await reject(http_status::unavailable, "may_end_servers",
+                    retry_when_suspected);
     co_return true;
 }
 
+// Rejects the request until the next probe of what it is rejected for.
+awaitable<void>
+request_flow::reject_confirmed(const request_fingerprint& fingerprint,
+                               std::string_view reason)
+{
+    if (m_may_have_run || m_response.has_begun())
+    {
+        co_await finish_failed(attempt_result::broken);
+        co_return;
+    }
+    refund_quota();
+    const auto wait = absl::ToChronoMilliseconds(
+        m_state.poison.time_to_probe(fingerprint, gateway_state::now()));
+    co_await reject(http_status::unavailable, reason,
+                    std::max(wait, retry_when_suspected));
+}
+
+bool request_flow::is_confirmed_poison(const request_fingerprint& fingerprint)
+{
+    const auto servers = m_state.servers.usable_count(m_service->name);
+    return m_state.poison.judge(fingerprint, servers, gateway_state::now()) ==
+           suspicion::confirmed;
+}
+
+// Rejects the request at once if a part of its prompt crashes upstreams, except
+// where this host may send it as the probe of that part.
+// @return whether the request has its final response
+awaitable<bool> request_flow::reject_if_part_is_poison()
+{
+    if (m_state.poison.size() == 0)
+    {
+        co_return false;
+    }
+    for (const auto& part : shared_parts())
+    {
+        if (!m_state.poison.has_shape(shape_of(part)))
+        {
+            continue;
+        }
+        const auto fingerprint = fingerprint_of(part);
+        if (!is_confirmed_poison(fingerprint))
+        {
+            continue;
+        }
+        const bool is_probe = m_state.poison.acquire_probe(
+            fingerprint, m_state.self, gateway_state::now());
+        if (m_state.poison.has_unsent())
+        {
+            m_state.poison_updates.notify();
+        }
+        if (!is_probe)
+        {
+            co_await reject_confirmed(fingerprint, "part_ends_servers");
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
 // Step 3: lets the choice prefer upstreams where a crash does least harm.
 void request_flow::mark_suspect(choice_request& wanted)
 {
@@ -142,14 +216,18 @@
                                   attempt_result result,
                                   monotonic::time_point started)
 {
+    const completed_response evidence{{server.id, server.started_at},
+                                      m_state.self};
+    const auto now = gateway_state::now();
+    if (result == attempt_result::answered || has_responded())
+    {
+        record_part_responses(evidence, now);
+    }
     if (result != attempt_result::answered)
     {
         record_unfinished_attempt(server, result, started);
         return;
     }
-    const completed_response evidence{{server.id, server.started_at},
-                                      m_state.self};
-    const auto now = gateway_state::now();
     if (m_suspect)
     {
         m_state.poison.record_response(m_suspect->fingerprint, evidence, now);
@@ -162,6 +240,22 @@
     }
 }
 
+// Records that the parts of the prompt have not crashed an upstream.
+void request_flow::record_part_responses(const completed_response& evidence,
+                                         absl::Time now)
+{
+    for (const auto& part : shared_parts())
+    {
+        const auto shape = shape_of(part);
+        m_state.poison.record_shape_response(shape, evidence, now);
+        if (m_state.poison.has_shape(shape))
+        {
+            m_state.poison.record_response(fingerprint_of(part), evidence, now);
+            m_state.poison_updates.notify();
+        }
+    }
+}
+
 // Records an attempt without a response: it becomes evidence if the upstream
 // crashes. The crash can show later than this attempt, on another request to
 // the same upstream, whether or not a client still waits for this one.
@@ -181,6 +275,7 @@
         fingerprint_of(content()), shape_of(content()), m_service->name});
     m_state.crashes.record_unfinished_attempt(server, request,
                                               gateway_state::to_time(started));
+    record_unfinished_parts(server, started);
     if (is_broken)
     {
         m_suspect = request;
@@ -188,4 +283,30 @@
     }
 }
 
+// Whether the last attempt got beyond the start of its response.
+bool request_flow::has_responded() const
+{
+    return m_first_event_at &&
+           monotonic::now() - *m_first_event_at > max_response_start;
+}
+
+// Records the parts of the prompt for an attempt that may have crashed its
+// upstream as that began to respond.
+void request_flow::record_unfinished_parts(const server_entry& server,
+                                           monotonic::time_point started)
+{
+    if (has_responded())
+    {
+        return;
+    }
+    for (const auto& part : shared_parts())
+    {
+        m_state.crashes.record_unfinished_attempt(
+            server,
+            {fingerprint_of(part), shape_of(part), m_service->name,
+             suspect_kind::prompt_part},
+            gateway_state::to_time(started));
+    }
+}
+
 } // namespace daleshelf
--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -193,6 +193,7 @@
         co_return true;
     }
     record_stream_origin();
+    m_first_event_at = m_first_event_at.value_or(monotonic::now());
     co_return co_await send_piece(head, bytes);
 }
 
--- a/tests/poison/poison_detector_test.cpp
+++ b/tests/poison/poison_detector_test.cpp
@@ -459,5 +459,138 @@
     EXPECT_NE(fingerprint_of(shifted), fingerprint_of(content));
 }
 
+/// Prompt parts: requests that share one are otherwise different.
+class poison_part_test : public testing::Test
+{
+protected:
+    static suspect_request part(const std::string& id)
+    {
+        const prompt_part_content content{service_name("service"), id};
+        return {fingerprint_of(content), shape_of(content),
+                service_name("service"), suspect_kind::prompt_part};
+    }
+
+    void crash(const std::string& id, int server, double seconds)
+    {
+        m_detector.record_crash(part(id), incarnation_of(server),
+                                absl::Seconds(0.2), at(seconds));
+    }
+
+    void respond(const std::string& id, int server, double seconds)
+    {
+        m_detector.record_shape_response(part(id).shape, response(server),
+                                         at(seconds));
+        m_detector.record_response(part(id).fingerprint, response(server),
+                                   at(seconds));
+    }
+
+    suspicion judge(const std::string& id, double seconds)
+    {
+        return m_detector.judge(part(id).fingerprint, servers, at(seconds));
+    }
+
+    poison_detector m_detector{poison_options()};
+};
+
+TEST_F(poison_part_test, a_part_that_crashes_each_upstream_is_confirmed)
+{
+    for (const int server : {1, 2, 3})
+    {
+        EXPECT_NE(judge("dead", server), suspicion::confirmed);
+        crash("dead", server, server);
+    }
+    EXPECT_EQ(judge("dead", 3.5), suspicion::confirmed);
+    EXPECT_EQ(judge("other", 3.5), suspicion::none);
+}
+
+// Most requests of a route share its first part, which is at each crash.
+TEST_F(poison_part_test, a_part_with_one_response_is_innocent)
+{
+    for (int server = 1; server <= 8; ++server)
+    {
+        crash("dead", server, server);
+        crash("common", server, server);
+        if (server == 4)
+        {
+            respond("common", 20, server + 0.1);
+        }
+    }
+    EXPECT_EQ(judge("common", 9), suspicion::suspect);
+    EXPECT_EQ(judge("dead", 9), suspicion::confirmed);
+}
+
+TEST_F(poison_part_test, responses_before_the_first_crash_count)
+{
+    respond("common", 20, 0);
+    for (const int server : {1, 2, 3, 4})
+    {
+        crash("common", server, server);
+    }
+    EXPECT_EQ(judge("common", 5), suspicion::suspect);
+}
+
+TEST_F(poison_part_test, a_response_clears_a_confirmed_part)
+{
+    for (const int server : {1, 2, 3})
+    {
+        crash("dead", server, server);
+    }
+    EXPECT_EQ(judge("dead", 4), suspicion::confirmed);
+    respond("dead", 20, 5);
+    EXPECT_NE(judge("dead", 5), suspicion::confirmed);
+}
+
+// Another host has confirmed a part that this one has seen answered.
+TEST_F(poison_part_test, a_prior_response_clears_a_reported_confirmation)
+{
+    respond("common", 20, 0);
+    poison_detector other{poison_options()};
+    for (const int server : {1, 2, 3})
+    {
+        other.record_crash(part("common"), incarnation_of(server),
+                           absl::Seconds(0.2), at(server));
+    }
+    EXPECT_EQ(other.judge(part("common").fingerprint, servers, at(4)),
+              suspicion::confirmed);
+    const auto encoded =
+        encode_poison({*other.find(part("common").fingerprint)}, at(4));
+    const auto received = decode_poison(encoded, at(4));
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->front().kind, suspect_kind::prompt_part);
+    EXPECT_TRUE(m_detector.merge(received->front(), at(4)));
+    EXPECT_NE(judge("common", 4), suspicion::confirmed);
+    other.merge(*m_detector.find(part("common").fingerprint), at(4.1));
+    EXPECT_NE(other.judge(part("common").fingerprint, servers, at(4.1)),
+              suspicion::confirmed);
+}
+
+// A request that runs beside a deadly part is explained by it.
+TEST_F(poison_part_test, a_request_beside_a_confirmed_part_is_no_poison)
+{
+    for (int server = 1; server <= 4; ++server)
+    {
+        crash("dead", server, server);
+        if (server > 1)
+        {
+            m_detector.record_crash(request("popular"), incarnation_of(server),
+                                    absl::Seconds(1), at(server));
+        }
+    }
+    EXPECT_EQ(judge("dead", 5), suspicion::confirmed);
+    EXPECT_EQ(m_detector.judge(request("popular").fingerprint, servers, at(5)),
+              suspicion::suspect);
+}
+
+TEST_F(poison_part_test, two_deadly_parts_are_both_confirmed)
+{
+    for (const int server : {1, 2, 3})
+    {
+        crash("first", server, server);
+        crash("second", server + 10, server + 0.5);
+    }
+    EXPECT_EQ(judge("first", 5), suspicion::confirmed);
+    EXPECT_EQ(judge("second", 5), suspicion::confirmed);
+}
+
 } // namespace
 } // namespace daleshelf
--- a/tests/soak/deadly_parts.py
+++ b/tests/soak/deadly_parts.py
@@ -81,7 +81,9 @@
                 writer.write(http_wire.write_message(
                     f"POST /stream/{attempt.id} HTTP/1.1", fields))
                 answer = await http_wire.read_head(reader)
-                attempt.status = answer.status if answer is not None else 0
+                if answer is not None:
+                    await http_wire.read_body(reader, answer)
+                    attempt.status = answer.status
         except (OSError, TimeoutError, http_wire.Broken):
             pass
         finally:
