gateway: Accept a stream that ends with its connection after an event

Callers got such a stream as broken off, or resumed at another upstream: a stream with neither a length nor chunks was never taken for complete.

request_path.a_stream_without_a_length_ends_with_its_connection fails before and passes now; ..._inside_an_event_is_broken_off passes in both. Over a relaying peer such a stream stays broken off: its end cannot be told from the peer's.

--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -145,7 +145,7 @@
             continue;
         }
         if (state == exchange_state::failed || splitter.has_partial() ||
-            !exchange.is_framed() || !m_response.has_begun())
+            !m_response.has_begun())
         {
             co_return attempt_result::broken;
         }
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -85,12 +85,6 @@
         return std::move(m_request.permit);
     }
 
-    /// @return whether the body has a length or is chunked
-    [[nodiscard]] bool is_framed() const
-    {
-        return m_is_framed;
-    }
-
     /// @return what is known about the request's execution if the exchange
     /// failed
     [[nodiscard]] verdict known_verdict() const
@@ -126,7 +120,7 @@
     std::string m_piece;
     connect_error m_connect_error = connect_error::none;
     verdict m_verdict = verdict::not_run;
-    bool m_is_framed = false;
+    bool m_is_framed = false; ///< the body has a length or is chunked
     bool m_is_cancelled = false;
     bool m_is_unrelated = false; ///< the response being read is skipped
 };
--- a/tests/gateway/request_path_test.cpp
+++ b/tests/gateway/request_path_test.cpp
@@ -369,6 +369,42 @@
     EXPECT_EQ(one.requests() + two.requests(), 1);
 }
 
+std::string unframed_head()
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Seal: seal\r\n"
+           "Content-Type: text/event-stream\r\n\r\n";
+}
+
+TEST_F(request_path, a_stream_without_a_length_ends_with_its_connection)
+{
+    configure();
+    const scripted_server server(send_and_close(
+        unframed_head() + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    add_server("a", server);
+    for (const auto* path : {"/stream/x", "/fixed/x"})
+    {
+        const auto client = connect();
+        client->send(request_for(path));
+        const auto response = client->read_until(last_chunk);
+        EXPECT_TRUE(contains(response, "data: b")) << response;
+        EXPECT_TRUE(response.ends_with(last_chunk)) << response;
+    }
+    EXPECT_EQ(server.requests(), 2);
+}
+
+TEST_F(request_path, a_stream_that_ends_inside_an_event_is_broken_off)
+{
+    configure();
+    const scripted_server server(
+        send_and_close(unframed_head() + "id: 1\ndata: a\n\nid: 2\ndata:"));
+    add_server("a", server);
+    const auto client = connect();
+    client->send(request_for("/fixed/x"));
+    const auto response = client->read_all();
+    EXPECT_TRUE(contains(response, "data: a")) << response;
+    EXPECT_FALSE(response.ends_with(last_chunk)) << "it must not look complete";
+}
+
 TEST_F(request_path, counts_requests_by_route_and_outcome)
 {
     configure();
