--- a/benchmarks/stream_plays.cpp
+++ b/benchmarks/stream_plays.cpp
@@ -43,8 +43,7 @@
 class fleet
 {
 public:
-    fleet(const fleet_size& size, std::uint64_t seed)
-        : m_random(seed)
+    fleet(const fleet_size& size, std::uint64_t seed) : m_random(seed)
     {
         for (int number = 0; number < size.hosts; ++number)
         {
--- a/libraries/streams/origin_keepers.cpp
+++ b/libraries/streams/origin_keepers.cpp
@@ -61,6 +61,7 @@
             {weight_of(candidate.host.value(), key), candidate.host});
     }
     std::vector<weighted<hall_id>> halls;
+    halls.reserve(hosts_by_hall.size());
     for (const auto& [hall, hosts] : hosts_by_hall)
     {
         halls.push_back({weight_of(hall.value(), key), hall});
--- a/tests/streams/origin_keepers_test.cpp
+++ b/tests/streams/origin_keepers_test.cpp
@@ -19,6 +19,7 @@
 std::vector<keeper_candidate> make_hosts(int hosts, int halls)
 {
     std::vector<keeper_candidate> candidates;
+    candidates.reserve(static_cast<std::size_t>(hosts));
     for (int number = 0; number < hosts; ++number)
     {
         candidates.push_back({host_id(concat("host-", number)),
