--- a/libraries/ingress/server_directory.cpp
+++ b/libraries/ingress/server_directory.cpp
@@ -334,7 +334,7 @@
                : std::vector<hashed_server>();
 }
 
-// Whatever the version gate allows.
+// Does not consult the version gate.
 std::vector<hashed_server>
 server_directory::usable_of_version(const service_name& service,
                                     const version_name& version) const
--- a/libraries/poison/poison_detector.cpp
+++ b/libraries/poison/poison_detector.cpp
@@ -294,8 +294,8 @@
     return is_strong && is_distinguishable(seen, attribution);
 }
 
-// A part that crashes upstreams does so whatever else a request holds: one
-// response shows that it does not. Of one content, some attempts may complete.
+// A poisonous part crashes every upstream that responds to it, so one response
+// disproves it. Attempts of a poisonous request may complete.
 bool poison_detector::is_disproved(const poison_record& record)
 {
     return record.kind == suspect_kind::prompt_part &&
