review: Show that an unsealed success reaches clients

Cause: a response without an id counts as the awaited one, and the seal of a success is not asked for.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/run.py"
