--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -231,7 +231,7 @@
         self.version += 1
         configuration = {"version": self.version, **configuration}
         await put(self.store_address, "keyed.op", "config",
-                  json.dumps(configuration).encode())
+                  json.dumps(configuration, separators=(",", ":")).encode())
         return time.monotonic()
 
     async def wait_ready(self, limit=15.0):
