--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,6 +1,6 @@
 """Servers hand out bytes that are not their answers; what do clients get?
 
-Two of three servers spoil 5 in 100 of their answers for five seconds: in place
+Two of four servers spoil 5 in 100 of their answers for five seconds: in place
 of the answer they send a 200 without `X-Server-Seal` and `X-Attempt-Id`, with
 other bytes. MIXED is judged at the clients.
 """
@@ -67,7 +67,7 @@
 
     async def run(self):
         await self.fleet.start()
-        for _ in range(3):
+        for _ in range(4):
             await self.fleet.add_server(
                 "reg-api", parts.HERE / "server.py", "--spoil", "unsealed",
                 "--share", str(SPOILED_SHARE))
