wire: Drop trailer fields instead of adding them to the head

Cause: Beast reports the fields of a trailer like those of the head. If a chunked message came in one piece, its trailer was parsed before the head was taken, so a response could be signed, or a request name its key, in a trailer. Change: fields after the head are dropped (RFC 9110, section 6.5.1). Result: request_parser and response_parser.a_trailer_adds_nothing_to_the_head failed before (the field was counted once) and pass.

--- a/libraries/wire/message_parser.cpp
+++ b/libraries/wire/message_parser.cpp
@@ -110,6 +110,12 @@
     boost::beast::http::field /*known*/, text name, text value,
     error_code& /*error*/)
 {
+    // Fields of a trailer must not be merged into those of the head (RFC 9110,
+    // section 6.5.1).
+    if (this->is_header_done())
+    {
+        return;
+    }
     m_fields.fields.push_back({std::string(name.data(), name.size()),
                                std::string(value.data(), value.size())});
 }
--- a/libraries/wire/message_parser.hpp
+++ b/libraries/wire/message_parser.hpp
@@ -48,7 +48,7 @@
     parse_fault m_fault;
 };
 
-/// What both parsers have in common.
+/// What both parsers have in common. Trailer fields are checked and dropped.
 /// @tparam IsRequest whether requests are parsed
 template <bool IsRequest>
 class message_parser : protected boost::beast::http::basic_parser<IsRequest>
--- a/tests/wire/message_parser_test.cpp
+++ b/tests/wire/message_parser_test.cpp
@@ -47,6 +47,17 @@
     EXPECT_EQ(head.target, "/a/b?c");
 }
 
+// Guards against a client that sets in a trailer what only the head may state,
+// depending on how its bytes are divided.
+TEST(request_parser, a_trailer_adds_nothing_to_the_head)
+{
+    auto parser = make_request_parser();
+    parser.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "0\r\nX-Credential: key\r\n\r\n");
+    EXPECT_TRUE(parser.is_complete());
+    EXPECT_EQ(parser.take_head().fields.count("X-Credential"), 0);
+}
+
 TEST(request_parser, leaves_the_next_request_untouched)
 {
     auto parser = make_request_parser();
@@ -137,6 +148,16 @@
     }
 }
 
+// Guards against a response that is signed only after its body.
+TEST(response_parser, a_trailer_adds_nothing_to_the_head)
+{
+    response_parser parser(head_bytes);
+    parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nok\r\n0\r\nX-Server-Seal: seal\r\n\r\n");
+    EXPECT_TRUE(parser.is_complete());
+    EXPECT_EQ(parser.take_head().fields.count("X-Server-Seal"), 0);
+}
+
 TEST(response_parser, an_end_that_never_comes_ends_nothing)
 {
     response_parser parser(4096);
