gateway: Accept only responses that are the upstream's answer

What callers saw: a 200 without a signature and an id, sent by a faulty upstream in place of its answer, as the success of their request. Cause: a response head was only checked for the id of another request. Neither a missing id nor a missing signature kept it from the client. The same held for encoded bodies, for heads of streams and for notices in such heads. Change: check_response decides in one place. A response that fails it ends the attempt as one that may have run, so its connection is reset, requests that can be repeated go to another upstream within attempts and budget, and others get 502. Event 501 names the fault. Three tests of incomplete responses lacked a signature and would now pass without testing anything; their responses are signed.

--- a/libraries/base/http_status.hpp
+++ b/libraries/base/http_status.hpp
@@ -9,6 +9,7 @@
 inline constexpr int ok = 200;
 inline constexpr int created = 201;
 inline constexpr int accepted = 202;
+inline constexpr int first_redirection = 300;
 inline constexpr int see_other = 303;
 inline constexpr int bad_request = 400;
 inline constexpr int first_client_error = 400;
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -163,8 +163,8 @@
     "demand."};
 inline constexpr log_event upstream_failed{
     501, log_severity::warning, "upstream_failed",
-    "An attempt at an upstream failed; the fields say why a connect failed, if "
-    "one did."};
+    "An attempt at an upstream failed; the fields say why a connect failed, or "
+    "why a response was not accepted as the upstream's answer, if so."};
 inline constexpr log_event upstream_leaving{
     502, log_severity::info, "upstream_leaving",
     "An upstream is leaving and gets no new work."};
--- a/services/gateway/request_attempt.cpp
+++ b/services/gateway/request_attempt.cpp
@@ -58,6 +58,7 @@
         state = co_await exchange.start();
     }
     m_connect_error = exchange.failure();
+    m_response_fault = exchange.rejected_response();
     apply_notice(m_state, server, exchange.notice(),
                  gateway_state::to_time(sent_at));
     m_state.choice.end_prefill(server.incarnation(), m_work.expected_tokens);
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -182,6 +182,8 @@
     bool m_was_sent = false; ///< whether the last attempt sent anything
     connect_error m_connect_error =
         connect_error::none; ///< of the last attempt
+    response_fault m_response_fault =
+        response_fault::none; ///< of the last attempt
     std::string m_server_hall;
     bool m_is_cancelled = false;
     bool m_may_have_run = false;
--- a/services/gateway/request_log.cpp
+++ b/services/gateway/request_log.cpp
@@ -46,6 +46,7 @@
          {"version", server.version.value()},
          {"end", std::string(names.at(static_cast<std::size_t>(result)))},
          {"error", std::string(name_of(m_connect_error))},
+         {"fault", std::string(name_of(m_response_fault))},
          {"attempts", std::to_string(m_attempts)},
          {"ms", std::to_string(elapsed().count())}});
 }
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -1,7 +1,5 @@
 #include "server_exchange.hpp"
 
-#include <base/http_status.hpp>
-
 namespace daleshelf
 {
 
@@ -217,16 +215,10 @@
         {
             return true;
         }
-        // 1. A new head: check which request it responds to.
+        // 1. A new head.
         if (!m_is_unrelated)
         {
-            m_head = m_parser->take_head();
-            const auto answered = platform::find_request_id(m_head.fields);
-            m_is_unrelated =
-                (answered && *answered != m_request.id) ||
-                (m_head.status >= http_status::first_informational &&
-                 m_head.status < http_status::ok);
-            merge_notice(platform::read_notice(m_head), m_is_unrelated);
+            accept_head();
         }
         if (!m_is_unrelated)
         {
@@ -244,6 +236,27 @@
     }
 }
 
+// Checks a new head: whether it is genuine, and which request it responds to.
+// @throws parse_error if it responds to this request without being the
+// upstream's answer
+void server_exchange::accept_head()
+{
+    m_head = m_parser->take_head();
+    const auto check = check_response(m_head, m_request.id);
+    m_is_unrelated = check.relation != response_relation::own;
+    if (check.fault == response_fault::none)
+    {
+        merge_notice(platform::read_notice(m_head), m_is_unrelated);
+        return;
+    }
+    if (!m_is_unrelated)
+    {
+        m_response_fault = check.fault;
+        throw parse_error(parse_fault::malformed,
+                          "the response is not the upstream's answer");
+    }
+}
+
 // Takes the body that has arrived since the last call.
 // @throws parse_error if a body that ends with its connection is too long
 void server_exchange::take_body()
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -2,6 +2,7 @@
 /// One attempt of a request at one upstream.
 #pragma once
 
+#include "response_check.hpp"
 #include "send_permit.hpp"
 #include "upstream_connector.hpp"
 
@@ -45,7 +46,8 @@
 };
 
 /// Sends one request to one upstream and reads its response. Responses to other
-/// requests, which can arrive late on a reused connection, are skipped.
+/// requests, which can arrive late on a reused connection, are skipped. Bytes
+/// that are not the upstream's answer fail the exchange.
 class server_exchange
 {
 public:
@@ -98,6 +100,12 @@
         return m_connect_error;
     }
 
+    /// @return why the response was not accepted, if it was not
+    [[nodiscard]] response_fault rejected_response() const
+    {
+        return m_response_fault;
+    }
+
     /// Resets the connection at once, so that the upstream drops the request.
     void cancel();
 
@@ -113,6 +121,7 @@
     awaitable<exchange_state> read_head();
     void make_parser();
     bool parse_input();
+    void accept_head();
     void take_body();
     void count_skipped(std::size_t body_bytes);
     void merge_notice(const platform::server_notice& notice, bool is_unrelated);
@@ -127,6 +136,7 @@
     platform::server_notice m_notice;
     std::string m_piece;
     connect_error m_connect_error = connect_error::none;
+    response_fault m_response_fault = response_fault::none;
     verdict m_verdict = verdict::not_run;
     std::size_t m_body_bytes = 0;    ///< of the response to the request
     std::size_t m_skipped_bytes = 0; ///< of bodies of skipped responses
--- a/tests/fuzz/http_fuzz.cpp
+++ b/tests/fuzz/http_fuzz.cpp
@@ -87,6 +87,8 @@
         const auto head = whole.take_head();
         (void)platform::states_not_run(head);
         (void)platform::find_request_id(head.fields);
+        (void)platform::is_signed(head.fields);
+        (void)platform::is_encoded(head.fields);
         (void)platform::weights_version(head.fields);
         (void)platform::idle_time(head.fields);
     }
--- a/tests/gateway/request_path_test.cpp
+++ b/tests/gateway/request_path_test.cpp
@@ -229,6 +229,7 @@
     configure();
     const scripted_server server(
         send_and_close("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+                       "X-Server-Seal: seal\r\n"
                        "Transfer-Encoding: chunked\r\n\r\n5\r\nab"));
     add_server("a", server);
     EXPECT_TRUE(contains(fetch("/unsafe/x"), "HTTP/1.1 502 "));
@@ -243,7 +244,8 @@
         [](test_connection& connection)
         {
             connection.read_message();
-            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\nhalf");
+            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+                            "X-Server-Seal: seal\r\n\r\nhalf");
             connection.reset();
         });
     add_server("a", server);
--- a/tests/gateway/upstream_partition_test.cpp
+++ b/tests/gateway/upstream_partition_test.cpp
@@ -230,7 +230,8 @@
         [](test_connection& connection)
         {
             connection.read_message();
-            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\nhalf");
+            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+                            "X-Server-Seal: seal\r\n\r\nhalf");
         });
     add_cut_servers(server);
     EXPECT_TRUE(contains(fetch("/unsafe/x"), "HTTP/1.1 502 "));
