tests/soak: Kill all gateways and judge which streams are resumed

Cause: the soak judged resumptions only where nothing had been harmed for three seconds, so a fleet that resumes nothing after a kill of all passed.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -5,6 +5,7 @@
 import uuid
 
 import http_wire
+from herd_kills import RETURN
 from promises import Attempt
 
 PATHS = {"safe": "/safe/", "unsafe": "/once/",
@@ -52,6 +53,8 @@
         promises.attempts[attempt.id] = attempt
         if self._soak.versions and attempt.kind == "stream":
             self._soak.versions.begins(attempt)
+            if self._soak.herd_kills:
+                self._soak.herd_kills.begins(attempt)
             if self._random.random() < SHARE_BREAKING:
                 attempt.breaks_after = self._random.randint(1, attempt.events)
         limit = attempt.deadline + PATIENCE
@@ -67,7 +70,7 @@
             promises.cut_off(attempt, self._soak.now())
             self._drop()
             if self._soak.versions and attempt.kind == "stream":
-                await self._take_up(attempt, start, fields)
+                await self._resume(attempt, start, fields)
             return 0.05
         except TimeoutError:
             if not leaves:
@@ -79,11 +82,25 @@
         retry = float(answer.fields.get("retry-after", "0"))
         return min(retry, 1.0)
 
-    async def _take_up(self, broken, start, fields):
-        """Takes a broken stream up at another gateway, once."""
+    async def _resume(self, broken, start, fields):
+        """Resumes a broken stream: once, or until the deadline of a client
+        whose gateway was killed with all others."""
         seen = broken.seen_events
         if not 0 < seen < broken.events or len(broken.versions) != 1:
             return
+        attempt = await self._take_up(broken, start, fields)
+        herd_kills = self._soak.herd_kills
+        if not herd_kills or not herd_kills.has_killed(broken):
+            return
+        deadline = broken.sent_at + broken.deadline
+        while not attempt.has_begun and self._soak.now() < deadline:
+            await asyncio.sleep(RETURN)
+            attempt = await self._take_up(broken, start, fields)
+        herd_kills.resumes(attempt)
+
+    async def _take_up(self, broken, start, fields):
+        """Takes a broken stream up at another gateway, once."""
+        seen = broken.seen_events
         others = [gateway for gateway in self._soak.fleet.gateways
                   if gateway is not self._gateway]
         gateway = self._random.choice(others)
@@ -110,6 +127,7 @@
             self._reader = own
             if writer is not None:
                 writer.transport.abort()
+        return attempt
 
     def _draw(self):
         kind = self._random.choice(("safe", "unsafe", "stream", "fixed"))
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -7,6 +7,7 @@
 from deadly_parts import DeadlyParts
 from endless import GROSS, Endless, memory_bound_kib
 from fleet import SPEEDS, Fleet
+from herd_kills import HerdKills
 from http_wire import Message
 from limits import Limits
 from partitions import judge, judge_unserved
@@ -75,6 +76,26 @@
         self.assertFalse(judge_taken_up(5, 12, 16, 20))
         self.assertFalse(judge_taken_up(0, 11, 20, 20))
 
+    def test_streams_go_on_after_a_kill_of_all_gateways(self):
+        for went_on, serving, is_broken in ((6, 2, False), (5, 2, True),
+                                            (0, 1, False)):
+            with self.subTest(went_on=went_on, serving=serving):
+                self.setUp()
+                versions = SimpleNamespace(serving=lambda _, n=serving: n)
+                kills = HerdKills(SimpleNamespace(
+                    versions=versions, promises=self.promises, counts={}), 1)
+                for number in range(12):
+                    new = self.send("stream", 2)
+                    new.seen_events = 1
+                    kills.begins(new)
+                    resumed = Attempt("b", "stream", "tenant", "gateway-2",
+                                      11.0, 1.5, 2, events_before=1,
+                                      versions={"v1"})
+                    resumed.seen_events = 2 if number < went_on else 1
+                    kills.resumes(resumed)
+                kills.check()
+                self.assertEqual(self.names(), ["RESUME"] if is_broken else [])
+
     @staticmethod
     def attempts_at(gateway, served, rejected, took=0.1):
         attempts = []
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,7 @@
 from deadly_parts import DeadlyParts
 from endless import Endless, EndlessSwitch
 from fleet import STOP_MS, ZONES, Fleet
+from herd_kills import HerdKills
 from limits import Limits, LimitSwitch
 from partitions import Partitions
 from promises import Disturbances, Promises
@@ -67,6 +68,8 @@
         self.fleet = Fleet(options, folder, self.on_line)
         self.versions = (Versions(self, options.seed) if options.versions
                          else None)
+        self.herd_kills = (HerdKills(self, options.seed)
+                           if options.herd_kills else None)
         self.is_over = False
         self.version = 0
         self.routes = list(EXTRA_ROUTES)
@@ -173,6 +176,8 @@
         self.spawn(self.watch_processes())
         if self.versions:
             self.spawn(self.versions.run())
+        if self.herd_kills:
+            self.spawn(self.herd_kills.run())
         if self.options.rollouts:
             self.spawn(Rollouts(self, self.options.seed).run())
         rebirths = Rebirths(self, self.options.seed)
@@ -215,6 +220,8 @@
             self.check_endless()
         if self.versions:
             self.versions.check()
+        if self.herd_kills:
+            self.herd_kills.check()
         if self.deadly_parts:
             self.deadly_parts.check()
 
@@ -592,6 +599,9 @@
     parser.add_argument("--versions", action="store_true",
                         help="let servers of several software versions serve "
                         "side by side, and clients take broken streams up")
+    parser.add_argument("--herd-kills", action="store_true",
+                        help="with --versions: kill all gateways at once now "
+                        "and then, and judge which streams are resumed")
     parser.add_argument("--rebirths", action="store_true",
                         help="let servers start again under their ids, and "
                         "others write entries, beside the troubles")
--- a/tests/soak/versions.py
+++ b/tests/soak/versions.py
@@ -56,7 +56,8 @@
                     await self._soak.leave(server)
                     await asyncio.sleep(self._random.uniform(0.1, 0.4))
 
-    def _serving(self, version):
+    def serving(self, version):
+        """Returns how many settled servers of a version serve."""
         now = self._soak.now()
         return sum(server.version == version and
                    now - self._since.get(server.name, 0.0) > SETTLED
@@ -70,14 +71,14 @@
         """Notes a stream that is taken up, if its version still serves."""
         self._soak.count("streams taken up")
         (version,) = attempt.versions
-        if self._serving(version) >= 2:
+        if self.serving(version) >= 2:
             self._taken_up.append((attempt, version))
 
     def check(self):
         """Checks the share of streams that went on, at gateways in touch."""
         taken_up = [attempt for attempt, version in self._taken_up
                     if self._is_judged(attempt) and
-                    self._serving(version) >= 2]
+                    self.serving(version) >= 2]
         new = [attempt for attempt in self._new if self._is_judged(attempt)]
         went_on = sum(attempt.has_begun for attempt in taken_up)
         begun = sum(attempt.has_begun for attempt in new)
