gateway: Continue streams only from successes

Cause: any response below 400 whose type is an event stream was forwarded as events, also after the signed head of another upstream. A redirection needs no signature, so its events were joined to the stream as if they were signed. Change: events are only taken from successes, which check_response requires to be signed; anything else fails the attempt that would continue the stream. Result: unsigned_failure.continues_no_stream failed before and passes. The tests of continued streams no longer depend on when an upstream is listed.

--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -28,8 +28,10 @@
 awaitable<request_flow::attempt_result>
 request_flow::relay(server_exchange& exchange)
 {
-    const bool is_good = exchange.head().status < http_status::bad_request;
-    if (is_good && is_event_stream(exchange.head()))
+    // Only successes are known to be signed.
+    const bool is_success =
+        exchange.head().status < http_status::first_redirection;
+    if (is_success && is_event_stream(exchange.head()))
     {
         co_return co_await relay_event_stream(exchange);
     }
--- a/tests/gateway/unsigned_response_test.cpp
+++ b/tests/gateway/unsigned_response_test.cpp
@@ -61,15 +61,48 @@
     return concat(to_hexadecimal(body.size()), "\r\n", body, "\r\n");
 }
 
-class unsigned_response : public gateway_fixture,
-                          public testing::WithParamInterface<spoiled_response>
+class response_fixture : public gateway_fixture
 {
 protected:
-    unsigned_response()
+    response_fixture()
     {
         configure();
     }
 
+    /// Begins a stream that breaks off after its first event, and answers the
+    /// attempt that continues it.
+    /// @param respond returns the response to a request with the id
+    void expect_broken_stream(
+        const std::function<std::string(const std::string& id)>& respond)
+    {
+        const auto serve = [&](test_connection& connection)
+        {
+            const auto request = connection.read_message();
+            const bool continues =
+                request.find("Last-Event-Id: ") != std::string::npos;
+            connection.send(continues ? respond(id_of(request))
+                                      : stream_head(id_of(request)) +
+                                            event_chunk(1, "first"));
+        };
+        const scripted_server one(serve);
+        const scripted_server other(serve);
+        add_server("a", one);
+        add_server("b", other);
+        const auto client = connect();
+        client->send(request_for("/stream/x"));
+        const auto response = client->read_until(last_chunk);
+        EXPECT_TRUE(contains(response, "first")) << response;
+        EXPECT_FALSE(contains(response, spoiled_body)) << response;
+        EXPECT_FALSE(response.ends_with(last_chunk))
+            << "it must not look complete";
+        EXPECT_EQ(one.requests() + other.requests(), 2);
+    }
+};
+
+class unsigned_response : public response_fixture,
+                          public testing::WithParamInterface<spoiled_response>
+{
+protected:
     /// Responds to each request on a connection with the spoiled response.
     static scripted_server::script spoil_all(const std::string& more = "")
     {
@@ -183,20 +216,12 @@
 
 TEST_P(unsigned_response, continues_no_stream)
 {
-    const scripted_server breaking(
-        [](test_connection& connection)
+    expect_broken_stream(
+        [](const std::string& id)
         {
-            const auto id = id_of(connection.read_message());
-            connection.send(stream_head(id) + event_chunk(1, "first"));
+            return spoil(GetParam(), id, "Content-Type: text/event-stream\r\n",
+                         event_chunk(2, spoiled_body));
         });
-    add_server("a", breaking);
-    const auto client = connect();
-    client->send(request_for("/stream/x"));
-    const scripted_server spoiling(spoil_streams());
-    add_server("b", spoiling);
-    const auto response = client->read_until(last_chunk);
-    EXPECT_FALSE(contains(response, spoiled_body)) << response;
-    EXPECT_FALSE(response.ends_with(last_chunk)) << "it must not look complete";
 }
 
 TEST_P(unsigned_response, answers_no_head_request)
@@ -265,7 +290,7 @@
         spoiled_response{"that_redirects_without_id", "", "", 302}),
     [](const auto& tested) { return tested.param.name; });
 
-using unsigned_failure = gateway_fixture;
+using unsigned_failure = response_fixture;
 
 scripted_server::script fail_with(const std::string& fields)
 {
@@ -279,7 +304,6 @@
 
 TEST_F(unsigned_failure, is_passed_on)
 {
-    configure();
     const scripted_server server(fail_with("X-Attempt-Id: 1\r\n"));
     add_server("a", server);
     const auto response = fetch("/unsafe/x");
@@ -290,7 +314,6 @@
 // An upstream may fail a request before it has read its id.
 TEST_F(unsigned_failure, without_an_id_is_passed_on)
 {
-    configure();
     const scripted_server server(fail_with(""));
     add_server("a", server);
     const auto response = fetch("/unsafe/x");
@@ -298,9 +321,22 @@
     EXPECT_TRUE(response.ends_with("what")) << response;
 }
 
+// Guards against a stream that goes on with events of a redirection, which
+// needs no signature.
+TEST_F(unsigned_failure, continues_no_stream)
+{
+    expect_broken_stream(
+        [](const std::string& id)
+        {
+            return concat("HTTP/1.1 302 Found\r\nX-Attempt-Id: ", id,
+                          "\r\nContent-Type: text/event-stream\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n",
+                          event_chunk(2, spoiled_body), last_chunk);
+        });
+}
+
 TEST_F(unsigned_failure, with_a_notice_is_heard)
 {
-    configure();
     const scripted_server server(
         [](test_connection& connection)
         {
@@ -317,7 +353,6 @@
 
 TEST_F(unsigned_failure, and_a_success_of_another_request_has_no_notices)
 {
-    configure();
     const scripted_server server(
         [](test_connection& connection)
         {
