gateway, streams: Read the log of origins again after the store lost records

Cause: a host that had read further than the log now reaches would read nothing more; and an exception within a read would have left all later ones waiting. Change: a log that ends before the known offset is read from its start, and a read ends by a cleanup. Comments say what a constant is for, not how it was chosen. Result: origin_log_test.a_store_that_has_lost_records_is_read_from_its_start.

--- a/benchmarks/stream_plays.cpp
+++ b/benchmarks/stream_plays.cpp
@@ -35,8 +35,7 @@
     bool is_logged = false; ///< origins are written to the log too
 };
 
-// Time for which a stream has run when its host dies, at most: a review of
-// 9,000 tokens in and 50 out.
+// Time for which a stream has run when its host dies, at most.
 constexpr absl::Duration stream_time = absl::Seconds(4);
 constexpr absl::Duration append_time = absl::Milliseconds(10);
 
--- a/libraries/streams/origin_batch.cpp
+++ b/libraries/streams/origin_batch.cpp
@@ -13,8 +13,7 @@
 // With one version, a stream's version is usually known without its origin.
 constexpr absl::Duration relaxed_interval = absl::Seconds(2);
 constexpr absl::Duration longest_interval = absl::Seconds(5);
-// Of all hosts together: half of what a partition of the log takes, at 4 ms
-// each.
+// Of all hosts together: a partition of the log takes one append at a time.
 constexpr double max_writes_per_second = 125;
 
 } // namespace
--- a/services/gateway/origin_log.cpp
+++ b/services/gateway/origin_log.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway_state.hpp"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <base/http_status.hpp>
 #include <base/json.hpp>
 #include <base/text.hpp>
@@ -17,8 +19,7 @@
 constexpr milliseconds check_interval{200};
 constexpr milliseconds write_timeout{700};
 constexpr milliseconds read_timeout{300};
-// A client waits meanwhile; a store that is 60 times slower than usual responds
-// in 240 ms.
+// The clients of resumed streams wait meanwhile.
 constexpr milliseconds max_read_time{500};
 constexpr milliseconds min_read_interval{200};
 // About 7 KB each.
@@ -26,8 +27,7 @@
 constexpr std::size_t records_per_write = 16;
 // Hosts that start at the same time would write at the same time.
 constexpr double interval_spread = 0.1;
-// Older records are skipped: at 200 writes a second, the largest fleet's, their
-// streams began 20 s ago.
+// Older records are skipped: few of their streams can still be resumed.
 constexpr std::int64_t max_records = 4096;
 
 std::vector<std::string> encode_records(const std::vector<timed_origin>& all)
@@ -138,16 +138,21 @@
     }
     m_is_reading = true;
     m_origins_read = 0;
+    const absl::Cleanup finish = [this] { finish_read(); };
     const bool has_succeeded = co_await read();
-    m_is_reading = false;
-    m_read_at = monotonic::now();
     log(events::stream_origins_read,
         {{"outcome", has_succeeded ? "complete" : "failed"},
          {"origins", std::to_string(m_origins_read)},
          {"next", std::to_string(m_next.value())},
          {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
-                                   m_read_at - started_at)
+                                   monotonic::now() - started_at)
                                    .count())}});
+}
+
+void origin_log::finish_read()
+{
+    m_is_reading = false;
+    m_read_at = monotonic::now();
     for (const auto& waiting : std::exchange(m_waiting, {}))
     {
         waiting->notify();
@@ -180,6 +185,12 @@
                 co_return false;
             }
             const auto page = platform::read_page(response->body);
+            if (page.end < m_next)
+            {
+                // The store has lost records.
+                m_next = page.first;
+                continue;
+            }
             apply(page);
             if (page.records.empty() || m_next >= page.end)
             {
--- a/services/gateway/origin_log.hpp
+++ b/services/gateway/origin_log.hpp
@@ -36,6 +36,7 @@
     awaitable<void> write_oldest();
     awaitable<bool> write(std::vector<timed_origin> origins);
     awaitable<bool> read();
+    void finish_read();
     void apply(const platform::log_page& page);
     [[nodiscard]] absl::Duration write_interval() const;
 
--- a/services/gateway/origin_service.hpp
+++ b/services/gateway/origin_service.hpp
@@ -41,7 +41,7 @@
     keeper,  ///< a keeper replied
     log,     ///< it was read from the platform's log
     sole,    ///< the service has had no other version for long enough
-    unknown, ///< neither
+    unknown, ///< none of these
 };
 
 /// @return the name of the source in the log
--- a/services/gateway/response_check.cpp
+++ b/services/gateway/response_check.cpp
@@ -15,7 +15,8 @@
            head.status < http_status::ok;
 }
 
-// A client takes these for a promise that its request has not run.
+// A client takes these for a promise that its request has not run; so is 421,
+// which an upstream only sends without running the request.
 bool promises_not_run(const response_head& head)
 {
     return head.status == http_status::request_timeout ||
--- a/tests/gateway/origin_log_test.cpp
+++ b/tests/gateway/origin_log_test.cpp
@@ -61,6 +61,14 @@
         return m_records.size();
     }
 
+    /// Loses everything.
+    void wipe()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_records.clear();
+        m_first = 0;
+    }
+
     /// Removes the oldest records.
     void trim(std::size_t count)
     {
@@ -164,6 +172,12 @@
         }
     }
 
+    void wait(monotonic::duration time)
+    {
+        const auto until = monotonic::now() + time;
+        run_until([&] { return monotonic::now() >= until; });
+    }
+
     found_origin find(const std::string& attempt)
     {
         std::optional<found_origin> found;
@@ -257,6 +271,18 @@
     EXPECT_EQ(host.find("first").source, origin_source::unknown);
 }
 
+TEST_F(origin_log_test, a_store_that_has_lost_records_is_read_from_its_start)
+{
+    begin_stream_at_dying_host("first");
+    begin_stream_at_dying_host("second");
+    lone_host host(m_store.address());
+    EXPECT_EQ(host.find("first").source, origin_source::log);
+    m_log.wipe();
+    begin_stream_at_dying_host("third");
+    host.wait(milliseconds(300));
+    EXPECT_EQ(host.find("third").source, origin_source::log);
+}
+
 TEST_F(origin_log_test, records_that_cannot_be_read_hide_no_other)
 {
     m_log.append("no origins");
