--- a/tests/streams/origin_batch_test.cpp
+++ b/tests/streams/origin_batch_test.cpp
@@ -20,6 +20,7 @@
 std::vector<std::string> names_of(const std::vector<timed_origin>& origins)
 {
     std::vector<std::string> names;
+    names.reserve(origins.size());
     for (const auto& origin : origins)
     {
         names.push_back(origin.origin.attempt.value());
