--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -88,31 +88,39 @@
         seen = broken.seen_events
         if not 0 < seen < broken.events or len(broken.versions) != 1:
             return
-        attempt = await self._take_up(broken, start, fields)
+        attempt = self._next_attempt(broken)
+        self._soak.versions.takes_up(attempt)
+        await self._take_up(attempt, start, fields)
         herd_kills = self._soak.herd_kills
         if not herd_kills or not herd_kills.has_killed(broken):
             return
         deadline = broken.sent_at + broken.deadline
         while not attempt.has_begun and self._soak.now() < deadline:
             await asyncio.sleep(RETURN)
-            attempt = await self._take_up(broken, start, fields)
+            attempt = self._next_attempt(broken)
+            await self._take_up(attempt, start, fields)
         herd_kills.resumes(attempt)
 
-    async def _take_up(self, broken, start, fields):
-        """Takes a broken stream up at another gateway, once."""
+    def _next_attempt(self, broken):
+        """Returns an attempt at another gateway that resumes a stream."""
         seen = broken.seen_events
         others = [gateway for gateway in self._soak.fleet.gateways
                   if gateway is not self._gateway]
         gateway = self._random.choice(others)
-        attempt = Attempt(
+        return Attempt(
             uuid.UUID(int=self._random.getrandbits(128)).hex[:16], broken.kind,
             broken.tenant, gateway.name, self._soak.now(), broken.deadline,
             broken.events, seen_events=seen, events_before=seen,
             resumes=broken.stream, versions=broken.versions)
+
+    async def _take_up(self, attempt, start, fields):
+        """Sends an attempt that resumes a stream."""
         self._soak.promises.attempts[attempt.id] = attempt
-        self._soak.versions.takes_up(attempt)
+        gateway = next(gateway for gateway in self._soak.fleet.gateways
+                       if gateway.name == attempt.gateway)
         fields = {**fields, "X-Attempt-Id": attempt.id,
-                  "Resumes": attempt.resumes, "Last-Event-Id": str(seen)}
+                  "Resumes": attempt.resumes,
+                  "Last-Event-Id": str(attempt.events_before)}
         own, writer = self._reader, None
         try:
             async with asyncio.timeout(attempt.deadline):
@@ -127,7 +135,6 @@
             self._reader = own
             if writer is not None:
                 writer.transport.abort()
-        return attempt
 
     def _draw(self):
         kind = self._random.choice(("safe", "unsafe", "stream", "fixed"))
