streams, gateway: Write origins to the log only while versions differ

Change: origins wait until a second version is listed, then every 0.2 s at 8 hosts; all hosts together write 40 times a second, up to 200 hosts. A read logs how many records it skipped. The tests list a second version where they expect a write; the one on two intervals goes with the second interval, and a test shows that nothing is written with one version.

--- a/benchmarks/stream_plays.cpp
+++ b/benchmarks/stream_plays.cpp
@@ -108,7 +108,7 @@
     // @return whether the origin was in the log before its host died
     bool draw_is_written()
     {
-        const auto interval = origin_write_interval(m_hosts.size(), true);
+        const auto interval = origin_write_interval(m_hosts.size());
         return absl::Uniform(m_random, 0.0, 1.0) * interval + append_time <
                absl::Uniform(m_random, 0.0, 1.0) * stream_time;
     }
--- a/libraries/streams/origin_batch.cpp
+++ b/libraries/streams/origin_batch.cpp
@@ -9,23 +9,19 @@
 {
 
 // What is not yet written is lost with its host.
-constexpr absl::Duration shortest_interval = absl::Milliseconds(400);
-// With one version, a stream's version is usually known without its origin.
-constexpr absl::Duration relaxed_interval = absl::Seconds(2);
+constexpr absl::Duration shortest_interval = absl::Milliseconds(200);
 constexpr absl::Duration longest_interval = absl::Seconds(5);
-// Of all hosts together: a partition of the log takes one append at a time.
-constexpr double max_writes_per_second = 125;
+// Of all hosts together, as far as the longest interval allows: each write has
+// a price.
+constexpr double max_writes_per_second = 40;
 
 } // namespace
 
-absl::Duration origin_write_interval(std::size_t fleet_size,
-                                     bool has_several_versions)
+absl::Duration origin_write_interval(std::size_t fleet_size)
 {
     const auto shared =
         absl::Seconds(static_cast<double>(fleet_size) / max_writes_per_second);
-    return std::clamp(
-        shared, has_several_versions ? shortest_interval : relaxed_interval,
-        longest_interval);
+    return std::clamp(shared, shortest_interval, longest_interval);
 }
 
 void origin_batch::add(const stream_origin& origin, absl::Duration keep_time,
--- a/libraries/streams/origin_batch.hpp
+++ b/libraries/streams/origin_batch.hpp
@@ -14,11 +14,8 @@
 
 /// How often a host writes origins to the log.
 /// @param fleet_size number of hosts that write
-/// @param has_several_versions whether a service has had several software
-/// versions lately, so that nothing but its origin shows a stream's version
 /// @return time between two writes of one host
-[[nodiscard]] absl::Duration origin_write_interval(std::size_t fleet_size,
-                                                   bool has_several_versions);
+[[nodiscard]] absl::Duration origin_write_interval(std::size_t fleet_size);
 
 /// Collects origins until they are written, bounded in number: the oldest ones
 /// are dropped first.
--- a/services/gateway/origin_log.cpp
+++ b/services/gateway/origin_log.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-// Versions can change meanwhile, which shortens the interval between writes.
 constexpr milliseconds check_interval{200};
 constexpr milliseconds write_timeout{700};
 constexpr milliseconds read_timeout{300};
@@ -60,6 +59,8 @@
         m_state.context, [this] { return write_all(); }, asio::detached);
 }
 
+// With a single version, its streams need no origin. They are written once a
+// second version is listed.
 awaitable<void> origin_log::write_all()
 {
     boot_timer timer(m_state.context);
@@ -69,7 +70,8 @@
         timer.expires_after(check_interval);
         co_await timer.async_wait(use_result);
         const auto now = gateway_state::now();
-        if (now - written_at < write_interval())
+        const bool is_due = now - written_at >= write_interval();
+        if (!is_due || !m_state.origins.has_several_versions())
         {
             continue;
         }
@@ -116,8 +118,7 @@
 absl::Duration origin_log::write_interval() const
 {
     const auto interval =
-        origin_write_interval(m_state.quota.shared().fleet_size(),
-                              m_state.origins.has_several_versions());
+        origin_write_interval(m_state.quota.shared().fleet_size());
     return interval * absl::Uniform(m_state.random, 1 - interval_spread, 1.0);
 }
 
@@ -138,11 +139,13 @@
     }
     m_is_reading = true;
     m_origins_read = 0;
+    m_records_skipped = 0;
     const absl::Cleanup finish = [this] { finish_read(); };
     const bool has_succeeded = co_await read();
     log(events::stream_origins_read,
         {{"outcome", has_succeeded ? "complete" : "failed"},
          {"origins", std::to_string(m_origins_read)},
+         {"skipped", std::to_string(m_records_skipped)},
          {"next", std::to_string(m_next.value())},
          {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
                                    monotonic::now() - started_at)
@@ -213,6 +216,7 @@
         const auto message = decode_origins(record);
         if (!message)
         {
+            ++m_records_skipped;
             continue;
         }
         m_state.origins.keep(message->origins);
--- a/services/gateway/origin_log.hpp
+++ b/services/gateway/origin_log.hpp
@@ -47,7 +47,8 @@
     bool m_is_reading = false;
     monotonic::time_point m_read_at{}; ///< when the last read ended
     std::vector<std::shared_ptr<async_event>> m_waiting;
-    std::size_t m_origins_read = 0; ///< by the current read
+    std::size_t m_origins_read = 0;    ///< by the current read
+    std::size_t m_records_skipped = 0; ///< by it, as they cannot be decoded
     bool m_is_writable = true;
 };
 
--- a/tests/gateway/origin_log_test.cpp
+++ b/tests/gateway/origin_log_test.cpp
@@ -16,6 +16,7 @@
 
 const service_name engines("engines");
 const version_name version("v1");
+const version_name other_version("v2");
 constexpr absl::Duration keep_time = absl::Seconds(15);
 
 /// One partition of the platform's log.
@@ -155,6 +156,17 @@
         : m_state(m_context, make_settings(store)), m_log(m_state)
     {
         m_log.start();
+        list("a", version);
+    }
+
+    void list(const std::string& id, const version_name& listed)
+    {
+        server_entry entry;
+        entry.id = upstream_id(id);
+        entry.service = engines;
+        entry.version = listed;
+        m_state.servers.set(entry);
+        m_state.origins.observe_versions();
     }
 
     void begin_stream(const std::string& attempt)
@@ -222,6 +234,7 @@
     void begin_stream_at_dying_host(const std::string& attempt)
     {
         lone_host host(m_store.address());
+        host.list("b", other_version);
         host.begin_stream(attempt);
         const int before = m_log.appends;
         host.run_until([&] { return m_log.appends > before; });
@@ -242,6 +255,19 @@
     EXPECT_EQ(host.find("first").source, origin_source::own);
 }
 
+// Calls to the log have a price, and most of the time there is one version.
+TEST_F(origin_log_test, nothing_is_written_before_a_second_version_is_listed)
+{
+    lone_host host(m_store.address());
+    host.begin_stream("first");
+    host.wait(milliseconds(1000));
+    EXPECT_EQ(m_log.appends, 0);
+    host.list("b", other_version);
+    host.run_until([&] { return m_log.appends > 0; });
+    lone_host next(m_store.address());
+    EXPECT_EQ(next.find("first").source, origin_source::log);
+}
+
 TEST_F(origin_log_test, a_stream_that_the_log_lacks_is_unknown)
 {
     begin_stream_at_dying_host("first");
@@ -320,6 +346,7 @@
 {
     m_log.append_status = 503;
     lone_host host(m_store.address());
+    host.list("b", other_version);
     host.begin_stream("first");
     host.run_until([&] { return m_log.appends >= 2; });
     m_log.append_status = 200;
