tests/gateway: Let the upstream of a test serve both requests

Cause: unsigned_failure.and_a_success_of_another_request_has_no_notices failed once. Its upstream closed each connection after one response, so the second unsafe request could be sent on a connection that was being closed, and got a truthful 502 (may_have_run). Change: the upstream answers every request of a connection. Both expectations stand as they were; the first comment on redirections is in usual terms.

--- a/tests/gateway/unsigned_response_test.cpp
+++ b/tests/gateway/unsigned_response_test.cpp
@@ -321,8 +321,8 @@
     EXPECT_TRUE(response.ends_with("what")) << response;
 }
 
-// Guards against a stream that goes on with events of a redirection, which
-// needs no signature.
+// Guards against continuing a stream with the events of a redirection, which
+// carries no signature.
 TEST_F(unsigned_failure, continues_no_stream)
 {
     expect_broken_stream(
@@ -356,11 +356,18 @@
     const scripted_server server(
         [](test_connection& connection)
         {
-            const auto id = id_of(connection.read_message());
-            connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
-                            "Server-Leaving: 1\r\n"
-                            "Content-Length: 4\r\n\r\nlate" +
-                            make_response(id, "good"));
+            while (true)
+            {
+                const auto request = connection.read_message();
+                if (request.empty())
+                {
+                    return;
+                }
+                connection.send("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
+                                "Server-Leaving: 1\r\n"
+                                "Content-Length: 4\r\n\r\nlate" +
+                                make_response(id_of(request), "good"));
+            }
         });
     add_server("a", server);
     EXPECT_TRUE(fetch("/unsafe/x").ends_with("good"));
