daleshelfd: Start a drain once its response was sent

Cause: the operator's interface began the drain before its response was handed to the socket. An idle host ends at once, and so could close that connection first. The drain waits for exchanges of callers only. Change: the drain begins once the response was sent, or the operator has gone.

--- a/services/daleshelfd/operator_api.cpp
+++ b/services/daleshelfd/operator_api.cpp
@@ -340,9 +340,10 @@
 
 void operator_api::drain(const exchange_ptr& exchange)
 {
+    // An idle process ends at once when it drains, with its connections.
+    exchange->set_close_handler(m_on_drain);
     exchange->respond(json_response(http_status::accepted,
                                     boost::json::object{{"draining", true}}));
-    m_on_drain();
 }
 
 } // namespace daleshelf
--- a/services/daleshelfd/operator_api.hpp
+++ b/services/daleshelfd/operator_api.hpp
@@ -29,7 +29,8 @@
     /// @param follower settles changes; must outlive this object
     /// @param peers the fleet; must outlive this object
     /// @param options what is allowed
-    /// @param on_drain starts a planned stop
+    /// @param on_drain starts a planned stop; called once the response to the
+    /// operator was sent
     operator_api(node_state& node, configuration_follower& follower,
                  peer_service& peers, operator_api_options options,
                  std::function<void()> on_drain);
