tests/support: Give each host of a fleet ports of its own

Cause: found beside the test of a drain: 4 of 6,480 runs, 24 side by side, failed since daleshelfd could not listen ("Address already in use"). A fleet asks the system for a free port and closes it again, so it could get the same port for two listeners of a host. The error did not say so, as the host's log was read before the host ended. Change: a fleet picks no port twice; the error includes the host's log.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -84,7 +84,7 @@
     ::close(pipe_ends[1]);
     std::unique_ptr<child_process> started(
         new child_process(pid, pipe_ends[0]));
-    started->read_ready_line(program + " (" + read_file(log_file) + ")");
+    started->read_ready_line(program, log_file);
     return started;
 }
 
@@ -103,7 +103,8 @@
     ::close(m_output);
 }
 
-void child_process::read_ready_line(const std::string& program)
+void child_process::read_ready_line(const std::string& program,
+                                    const std::string& log_file)
 {
     std::string line;
     char letter = 0;
@@ -121,7 +122,8 @@
         }
         line.clear();
     }
-    throw std::runtime_error(program + " ended before it was ready");
+    throw std::runtime_error(program + " ended before it was ready: " +
+                             read_file(log_file));
 }
 
 void child_process::send(int signal) const
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -51,7 +51,8 @@
 private:
     child_process(pid_t pid, int output);
 
-    void read_ready_line(const std::string& program);
+    void read_ready_line(const std::string& program,
+                         const std::string& log_file);
 
     pid_t m_pid;
     int m_output;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -78,7 +78,19 @@
     return m_folder.path() + "/" + name + ".log";
 }
 
-std::uint16_t fleet::free_port() const
+// The system may pick a port again before the host that it is meant for
+// listens.
+std::uint16_t fleet::free_port()
+{
+    auto port = pick_port();
+    while (!m_picked_ports.insert(port).second)
+    {
+        port = pick_port();
+    }
+    return port;
+}
+
+std::uint16_t fleet::pick_port() const
 {
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -10,6 +10,7 @@
 #include <http/http_client.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -131,17 +132,20 @@
         return m_address;
     }
 
-    /// @return a port that is free at this fleet's address
-    [[nodiscard]] std::uint16_t free_port() const;
+    /// @return a port that is free at this fleet's address, a different one
+    /// each time
+    [[nodiscard]] std::uint16_t free_port();
 
 private:
     std::string log_file(const std::string& name) const;
+    std::uint16_t pick_port() const;
     std::string start_standin(const std::string& name,
                               const std::string& program,
                               std::vector<std::string> arguments);
 
     temporary_folder m_folder;
     std::string m_address;
+    std::set<std::uint16_t> m_picked_ports;
     std::string m_platform_url;
     std::map<std::string, fleet_standin> m_standins;
     std::map<std::string, fleet_host> m_hosts;
