streams, gateway: Drop expired origins that were never written

Cause: while a service has one version, origins are collected and not written, and expired ones were dropped by a write alone: each host kept its newest 16,384. The time to the next write was drawn anew at each check, so that it tended to the short end of its spread. Change: each addition drops the expired origins at the front; the time of the next write is drawn once. The test of what is left asks for the size in place of `is_empty`, which nothing else used.

--- a/libraries/streams/origin_batch.cpp
+++ b/libraries/streams/origin_batch.cpp
@@ -27,6 +27,7 @@
 void origin_batch::add(const stream_origin& origin, absl::Duration keep_time,
                        absl::Time now)
 {
+    drop_expired(now);
     if (m_origins.size() >= m_capacity)
     {
         m_origins.pop_front();
@@ -50,6 +51,15 @@
     return taken;
 }
 
+// Keep times differ: expired origins behind one that is kept stay for now.
+void origin_batch::drop_expired(absl::Time now)
+{
+    while (!m_origins.empty() && m_origins.front().expires_at <= now)
+    {
+        m_origins.pop_front();
+    }
+}
+
 void origin_batch::put_back(const std::vector<timed_origin>& origins,
                             absl::Time taken_at)
 {
--- a/libraries/streams/origin_batch.hpp
+++ b/libraries/streams/origin_batch.hpp
@@ -18,7 +18,8 @@
 [[nodiscard]] absl::Duration origin_write_interval(std::size_t fleet_size);
 
 /// Collects origins until they are written, bounded in number: the oldest ones
-/// are dropped first.
+/// are dropped first. Origins that have expired are dropped with the next
+/// addition.
 class origin_batch
 {
 public:
@@ -40,12 +41,14 @@
     void put_back(const std::vector<timed_origin>& origins,
                   absl::Time taken_at);
 
-    [[nodiscard]] bool is_empty() const
+    [[nodiscard]] std::size_t size() const
     {
-        return m_origins.empty();
+        return m_origins.size();
     }
 
 private:
+    void drop_expired(absl::Time now);
+
     std::size_t m_capacity;
     std::deque<kept_origin> m_origins; ///< oldest first
 };
--- a/services/gateway/origin_log.cpp
+++ b/services/gateway/origin_log.cpp
@@ -64,18 +64,17 @@
 awaitable<void> origin_log::write_all()
 {
     boot_timer timer(m_state.context);
-    auto written_at = gateway_state::now();
+    auto next_write = gateway_state::now() + write_interval();
     while (true)
     {
         timer.expires_after(check_interval);
         co_await timer.async_wait(use_result);
         const auto now = gateway_state::now();
-        const bool is_due = now - written_at >= write_interval();
-        if (!is_due || !m_state.origins.has_several_versions())
+        if (now < next_write || !m_state.origins.has_several_versions())
         {
             continue;
         }
-        written_at = now;
+        next_write = now + write_interval();
         co_await write_oldest();
     }
 }
--- a/tests/streams/origin_batch_test.cpp
+++ b/tests/streams/origin_batch_test.cpp
@@ -39,7 +39,7 @@
               (std::vector<std::string>{"attempt-0", "attempt-1"}));
     EXPECT_EQ(names_of(batch.take(2, start)),
               std::vector<std::string>{"attempt-2"});
-    EXPECT_TRUE(batch.is_empty());
+    EXPECT_EQ(batch.size(), 0U);
 }
 
 TEST(origin_batch, drops_what_can_no_longer_be_resumed)
@@ -52,6 +52,17 @@
     EXPECT_EQ(taken.front().keep_time, keep_time);
 }
 
+// While a service has one version only, nothing is taken.
+TEST(origin_batch, keeps_no_expired_origins_without_being_taken)
+{
+    origin_batch batch(1024);
+    for (int number = 0; number < 100; ++number)
+    {
+        batch.add(origin_of(number), keep_time, start + number * keep_time / 5);
+    }
+    EXPECT_EQ(batch.size(), 5U);
+}
+
 TEST(origin_batch, what_is_put_back_comes_first_again)
 {
     origin_batch batch(8);
