--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -122,8 +122,8 @@
         }
         line.clear();
     }
-    throw std::runtime_error(program + " ended before it was ready: " +
-                             read_file(log_file));
+    throw std::runtime_error(
+        program + " ended before it was ready: " + read_file(log_file));
 }
 
 void child_process::send(int signal) const
