gateway: Reserve a resumption before a silent stream is aborted

Cause: the silent attempt was ended first; whether the retry budget and another upstream allowed a resumption was asked afterwards. Change: a retry and an upstream are reserved while the attempt is still open. If there are none the stream waits, and the search is repeated every 250 ms. A retry that was not made is put back into the budget.

--- a/libraries/ingress/retry_budget_share.cpp
+++ b/libraries/ingress/retry_budget_share.cpp
@@ -52,6 +52,12 @@
     return true;
 }
 
+void retry_budget_share::refund(const service_name& service)
+{
+    auto& remaining = balance(service);
+    remaining = std::min(m_max_balance, remaining + 1);
+}
+
 double& retry_budget_share::balance(const service_name& service)
 {
     return m_balances.try_emplace(service, min_share).first->second;
--- a/libraries/ingress/retry_budget_share.hpp
+++ b/libraries/ingress/retry_budget_share.hpp
@@ -40,6 +40,9 @@
     /// @return whether the share allowed it
     [[nodiscard]] bool try_take(const service_name& service);
 
+    /// Puts back a retry that was taken and not made.
+    void refund(const service_name& service);
+
 private:
     double& balance(const service_name& service);
 
--- a/services/gateway/request_choice.cpp
+++ b/services/gateway/request_choice.cpp
@@ -74,6 +74,34 @@
     }
 }
 
+// @return the upstream of the next attempt: the reserved one, or the best one
+awaitable<std::optional<request_flow::permitted_server>>
+request_flow::take_target(choice_request& wanted)
+{
+    if (m_reserved)
+    {
+        co_return std::exchange(m_reserved, std::nullopt);
+    }
+    co_return co_await choose_permitted_server(wanted);
+}
+
+// Reserves a retry and an upstream for it while an attempt is in flight.
+// @return whether both were available
+awaitable<bool> request_flow::reserve_retry()
+{
+    if (!can_run_again() || !m_state.retries.try_take(m_service->name))
+    {
+        co_return false;
+    }
+    auto wanted = make_choice_request();
+    m_reserved = co_await choose_permitted_server(wanted);
+    if (!m_reserved)
+    {
+        m_state.retries.refund(m_service->name);
+    }
+    co_return m_reserved.has_value();
+}
+
 // Rejects a request that no upstream has accepted. Retry-After names the time
 // at which the first of them accepts requests again.
 awaitable<void> request_flow::reject_unserved(attempt_result result)
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -178,7 +178,7 @@
             co_return;
         }
         auto wanted = make_choice_request();
-        auto target = co_await choose_permitted_server(wanted);
+        auto target = co_await take_target(wanted);
         if (!target)
         {
             co_await finish_failed(attempt_result::not_run);
@@ -236,15 +236,25 @@
     {
         return false;
     }
+    if (m_reserved)
+    {
+        return true;
+    }
     if (result == attempt_result::not_reached)
     {
         // Nothing was delivered, so this does not consume the retry budget.
         return ++m_failed_connects < max_failed_connects;
     }
-    const bool can_run_again =
+    return can_run_again() && m_state.retries.try_take(m_service->name);
+}
+
+// @return whether a further attempt is allowed, the retry budget aside
+bool request_flow::can_run_again() const
+{
+    const bool is_repeatable =
         !m_may_have_run ||
         (allows_repeats(*m_route) && m_attempts < m_route->max_attempts);
-    if (!can_run_again || m_attempts > m_route->max_attempts)
+    if (!is_repeatable || m_attempts > m_route->max_attempts)
     {
         return false;
     }
@@ -253,8 +263,7 @@
     {
         return false;
     }
-    return m_state.settings.retries_failures &&
-           m_state.retries.try_take(m_service->name);
+    return m_state.settings.retries_failures;
 }
 
 // Step 9: sends the final response of a request that no attempt has answered.
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -98,7 +98,11 @@
     retry_delay_if_too_late(const server_entry& server,
                             const choice_request& wanted) const;
     void refund_quota();
+    [[nodiscard]] bool can_run_again() const;
     bool can_retry(attempt_result result);
+    awaitable<bool> reserve_retry();
+    awaitable<std::optional<permitted_server>>
+    take_target(choice_request& wanted);
     awaitable<void> finish_failed(attempt_result result);
     awaitable<void> reject_unserved(attempt_result result);
     awaitable<void> reject(int status, std::string_view reason,
@@ -193,6 +197,8 @@
     response_sample m_seen;         ///< of the last attempt
     int m_failed_connects = 0;
     absl::flat_hash_set<upstream_id> m_tried;
+    /// The upstream of the next attempt, whose retry was already taken.
+    std::optional<permitted_server> m_reserved;
     /// Upstreams passed over because their limits are used up, for the log.
     name_batch m_passed_over{max_named};
     absl::flat_hash_set<hall_id> m_broken_halls;
--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -12,8 +12,10 @@
 {
 
 // Longest silence within an event stream before it is resumed at another
-// upstream.
+// upstream, if one can take it.
 constexpr milliseconds max_event_gap{2500};
+// Time between two searches for an upstream that can resume a silent stream.
+constexpr milliseconds search_interval{250};
 // Longer responses are streamed to the client instead of buffered.
 constexpr std::size_t max_buffered_bytes = 262144;
 
@@ -108,10 +110,10 @@
     event_splitter splitter;
     const auto first_at = monotonic::now();
     const auto before = m_last_event.value_or(m_facts.last_event.value_or(0));
+    auto patience = max_event_gap;
     while (true)
     {
-        const auto until =
-            std::min(m_deadline, monotonic::now() + max_event_gap);
+        const auto until = std::min(m_deadline, monotonic::now() + patience);
         const auto state = co_await exchange.read_piece(until);
         if (m_is_cancelled)
         {
@@ -119,6 +121,7 @@
         }
         if (state == exchange_state::piece)
         {
+            patience = max_event_gap;
             splitter.add(exchange.take_piece());
             bool is_in_order = true;
             const auto last_before = m_last_event;
@@ -146,11 +149,15 @@
             {
                 co_return attempt_result::late;
             }
-            // Silence aborts only streams that can be resumed elsewhere.
-            if (m_route->is_resumable && m_attempts < m_route->max_attempts)
+            // Silence alone proves no failure: an engine may have preempted the
+            // request. It is only aborted once its resumption is reserved.
+            const bool is_reserved =
+                m_route->is_resumable && co_await reserve_retry();
+            if (is_reserved)
             {
                 co_return attempt_result::broken;
             }
+            patience = search_interval;
             continue;
         }
         if (state == exchange_state::failed || splitter.has_partial() ||
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -301,6 +301,33 @@
     on_loop([&] { m_state.servers.set(entry); });
 }
 
+void gateway_fixture::refill_retry_budget()
+{
+    on_loop(
+        [&]
+        {
+            constexpr int requests_per_retry = 10;
+            for (int number = 0; number < requests_per_retry; ++number)
+            {
+                m_state.retries.count_request(service);
+            }
+        });
+}
+
+void gateway_fixture::drain_retry_budget()
+{
+    while (take_retry())
+    {
+    }
+}
+
+bool gateway_fixture::take_retry()
+{
+    bool is_taken = false;
+    on_loop([&] { is_taken = m_state.retries.try_take(service); });
+    return is_taken;
+}
+
 void gateway_fixture::on_loop(const std::function<void()>& run)
 {
     std::promise<void> done;
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -139,6 +139,16 @@
     /// Adds an upstream to the list.
     void add_server(const std::string& id, const scripted_server& server);
 
+    /// Gives the service a retry budget of at least one attempt.
+    void refill_retry_budget();
+
+    /// Takes all retries of the service's budget.
+    void drain_retry_budget();
+
+    /// Takes a retry.
+    /// @return whether the budget allowed it
+    bool take_retry();
+
     /// Stops the event loop, before objects that its handlers use are
     /// destroyed.
     void stop();
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -86,20 +86,6 @@
         on_loop([&] { m_state.servers.set(entry); });
     }
 
-    /// Gives the service a retry budget of at least one attempt.
-    void refill_retry_budget()
-    {
-        on_loop(
-            [&]
-            {
-                constexpr int requests_per_retry = 10;
-                for (int number = 0; number < requests_per_retry; ++number)
-                {
-                    m_state.retries.count_request(service_name("service"));
-                }
-            });
-    }
-
     void unlist(const std::string& id)
     {
         on_loop([&] { m_state.servers.remove(upstream_id(id)); });
--- a/tests/ingress/server_choice_test.cpp
+++ b/tests/ingress/server_choice_test.cpp
@@ -435,6 +435,16 @@
     EXPECT_GE(retries, 0.1 * requests * 12);
 }
 
+TEST(retry_budget_share, a_refunded_retry_can_be_taken_once)
+{
+    retry_budget_share share({0.2, 50, 12});
+    EXPECT_TRUE(share.try_take(calls));
+    EXPECT_FALSE(share.try_take(calls));
+    share.refund(calls);
+    EXPECT_TRUE(share.try_take(calls));
+    EXPECT_FALSE(share.try_take(calls));
+}
+
 TEST_F(server_choice_test, a_back_off_outlasts_responses_and_unlisting)
 {
     m_directory.set(make_server("a", calls));
