tests/soak: Signal a process that was reaped already

Cause: a process can have been reaped before its exit status is known to the soak. The signal that ends a run then raised, and the run had no verdict. Change: such a signal is ignored; exits are judged by their status as before. The new test failed before the change; the 67 tests of the promises pass.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,6 +1,7 @@
 """The processes of one run: gateways, servers, the store, and their links."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -67,7 +68,10 @@
                 self._on_line(self, event)
 
     def send(self, number):
-        if self.is_running:
+        if not self.is_running:
+            return
+        # A process can have been reaped before its exit status is known here.
+        with contextlib.suppress(ProcessLookupError):
             os.kill(self._child.pid, number)
 
     def kill(self):
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -1,12 +1,14 @@
 """Each promise is seen broken once: a check that cannot fail proves nothing."""
 
+import signal
+import subprocess
 import unittest
 from types import SimpleNamespace
 
 from deadly import Deadly
 from deadly_parts import DeadlyParts
 from endless import GROSS, Endless, memory_bound_kib
-from fleet import SPEEDS, Fleet
+from fleet import SPEEDS, Fleet, Process
 from herd_kills import HerdKills
 from http_wire import Message
 from limits import Limits
@@ -543,6 +545,18 @@
         self.assertEqual(self.names(), [["MEMORY", "MEMORY"], []])
 
 
+class ProcessTest(unittest.TestCase):
+    """Guards against a run without a verdict: a process was reaped before its
+    exit status was known, and the signal that ends the run raised."""
+
+    def test_a_reaped_process_can_be_signalled(self):
+        child = subprocess.Popen(["true"])
+        child.wait()
+        process = Process("server-1", [], "", None)
+        process._child = SimpleNamespace(pid=child.pid, returncode=None)
+        process.send(signal.SIGTERM)
+
+
 class UnevenTest(unittest.TestCase):
     """Guards against servers of a service that all have one speed."""
 
