gateway: Bound the records that are kept for peers in bytes

Cause: the newest 4,096 records of each topic were kept whole, whatever their size, and a response to a peer copied all that it lacked. Change: record_window bounds them to 1 MB as well. A peer that lacks more gets the newest record of each key, as one that lacked more than 4,096 did before.

--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -21,8 +21,9 @@
 // same records, each of them twice a second per topic. A follower waits this
 // long for missing records before it fetches them.
 constexpr milliseconds gap_timeout{300};
-// Records that a peer may lack after lost datagrams; 1 MB.
+// Records that a peer may lack after lost datagrams.
 constexpr std::size_t max_kept_records = 4096;
+constexpr std::size_t max_kept_bytes = 1U << 20U;
 
 } // namespace
 
@@ -48,6 +49,7 @@
     , m_callbacks(std::move(callbacks))
     , m_caller(state.context, state.settings.store_address)
     , m_wake(state.context.get_executor())
+    , m_newest(max_kept_records, max_kept_bytes)
 {
 }
 
@@ -116,13 +118,12 @@
 std::optional<std::vector<platform::keyed_record>>
 topic_follower::records_since(log_offset from) const
 {
-    const auto kept = static_cast<std::int64_t>(m_newest.size());
     const auto missing = m_next.value() - from.value();
-    if (missing < 0 || missing > kept)
+    if (missing < 0)
     {
         return std::nullopt;
     }
-    return std::vector(m_newest.end() - missing, m_newest.end());
+    return m_newest.newest(static_cast<std::size_t>(missing));
 }
 
 std::size_t
@@ -404,7 +405,7 @@
         if (offset >= m_next)
         {
             apply_record(record);
-            keep(record);
+            m_newest.push(record);
             m_next = offset.next();
         }
         offset = offset.next();
@@ -458,16 +459,6 @@
     m_callbacks.on_record(record);
 }
 
-// Keeps a record for peers that lack it.
-void topic_follower::keep(const platform::keyed_record& record)
-{
-    m_newest.push_back(record);
-    if (m_newest.size() > max_kept_records)
-    {
-        m_newest.pop_front();
-    }
-}
-
 void topic_follower::record_call_result(bool has_succeeded)
 {
     if (has_succeeded)
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -5,9 +5,9 @@
 #include "async_event.hpp"
 #include "gateway_state.hpp"
 #include "http_call.hpp"
+#include "record_window.hpp"
 #include "topic_list.hpp"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -165,7 +165,6 @@
     void apply_list(const std::map<std::string, platform::keyed_record>& listed,
                     log_offset next);
     void apply_record(const platform::keyed_record& record);
-    void keep(const platform::keyed_record& record);
     void record_call_result(bool has_succeeded);
     void log_wait_timeout() const;
     void report_skipped(log_offset offset);
@@ -178,7 +177,7 @@
     async_event m_wake;
     std::map<std::string, platform::keyed_record> m_records;
     /// The newest consecutive records, which end at `m_next`.
-    std::deque<platform::keyed_record> m_newest;
+    record_window m_newest;
     log_offset m_next;
     log_offset
         m_announced_end; ///< end of the records that readers have announced
--- a/tests/gateway/topic_sharing_test.cpp
+++ b/tests/gateway/topic_sharing_test.cpp
@@ -150,6 +150,28 @@
     EXPECT_EQ(m_sharing.respond("/other").status, 404);
 }
 
+// Guards against keeping thousands of whole configurations for peers, which
+// took all hosts over their memory limit at the same time.
+TEST_F(topic_sharing_test,
+       a_peer_that_lacks_many_large_records_gets_a_full_copy)
+{
+    constexpr int record_count = 100;
+    const std::string configuration(250000, 'x');
+    log_offset next(5);
+    m_servers.merge({}, next);
+    for (int number = 0; number < record_count; ++number)
+    {
+        m_servers.append(next, {{next, "a", configuration}});
+        next = next.next();
+    }
+    const auto read = decode_shared_records(
+        m_sharing.respond("/records/" + topic + "/6").body);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->from, log_offset(0));
+    EXPECT_EQ(read->next, next);
+    EXPECT_EQ(read->records.size(), 1U);
+}
+
 TEST_F(topic_sharing_test, forwards_a_part_of_a_root_once)
 {
     const shared_records part{topic,
