tests/soak: Notify stand-ins only once they handle signals

Cause: changes of limits and rewritten entries are told to stand-ins by SIGUSR2 and SIGUSR1, also to one that has just started: without a handler the signal ends it, and the run reports EXIT. Change: such signals go to stand-ins that have said that they are ready. EXIT names the exit status.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -35,6 +35,7 @@
         self._reading = None
         self.is_expected_to_end = False
         self.is_stopped = False
+        self.is_ready = False  # it has said so, and handles signals
 
     @property
     def pid(self):
@@ -50,6 +51,7 @@
         return self._child.returncode if self._child is not None else None
 
     async def start(self):
+        self.is_ready = False
         self._child = await asyncio.create_subprocess_exec(
             *self._command, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT, env=self._environment)
@@ -65,8 +67,14 @@
                     event = json.loads(line)
                 except ValueError:
                     event = {"text": line.decode(errors="replace")}
+                self.is_ready = self.is_ready or "ready" in event
                 self._on_line(self, event)
 
+    def notify(self, number):
+        """Sends a signal that would end a process without a handler for it."""
+        if self.is_ready:
+            self.send(number)
+
     def send(self, number):
         if not self.is_running:
             return
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -114,7 +114,8 @@
 
     def _sound(self):
         return [server for server in self._soak.fleet.servers
-                if server.is_running and not server.is_expected_to_end]
+                if server.is_running and server.is_ready and
+                not server.is_expected_to_end]
 
     def _is_limited(self, server):
         return self._soak.limits.limit_of(server.name) is not None
@@ -128,7 +129,7 @@
         limited = sum(self._is_limited(other) for other in service)
         if self._is_limited(server) or 2 * (limited + 1) <= len(service):
             self._soak.count("limits changed")
-            server.send(signal.SIGUSR2)
+            server.notify(signal.SIGUSR2)
 
     async def _end_all(self):
         while True:
@@ -137,5 +138,5 @@
             if not limited:
                 return
             for server in limited:
-                server.send(signal.SIGUSR2)
+                server.notify(signal.SIGUSR2)
             await asyncio.sleep(0.2)
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -546,8 +546,8 @@
 
 
 class ProcessTest(unittest.TestCase):
-    """Guards against a run without a verdict: a process was reaped before its
-    exit status was known, and the signal that ends the run raised."""
+    """Guards against signals of the soak's own that end the run, since their
+    process was reaped already, or a stand-in that has no handlers yet."""
 
     def test_a_reaped_process_can_be_signalled(self):
         child = subprocess.Popen(["true"])
@@ -556,6 +556,16 @@
         process._child = SimpleNamespace(pid=child.pid, returncode=None)
         process.send(signal.SIGTERM)
 
+    def test_a_process_without_handlers_is_not_notified(self):
+        process = Process("server-1", [], "", None)
+        process.send = self.fail
+        process.notify(signal.SIGUSR1)
+        sent = []
+        process.send = sent.append
+        process.is_ready = True
+        process.notify(signal.SIGUSR1)
+        self.assertEqual(sent, [signal.SIGUSR1])
+
 
 class UnevenTest(unittest.TestCase):
     """Guards against servers of a service that all have one speed."""
--- a/tests/soak/rebirths.py
+++ b/tests/soak/rebirths.py
@@ -81,7 +81,7 @@
         await self._soak.write_server_record(
             bytes([len(key)]) + key + self._foreign_value())
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
-        server.send(signal.SIGUSR1)
+        server.notify(signal.SIGUSR1)
 
     def _foreign_value(self):
         values = (b"\xff\x00\x17", b"{", b"[]", b"17", b"{}",
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -498,7 +498,7 @@
                 # Its line of the crash may not have been read yet.
                 if has_ended and process.code != server_stand_in.CRASHED:
                     self.promises.breach("EXIT", f"{process.name} has ended "
-                                         "by itself")
+                                         f"by itself with {process.code}")
                     process.is_expected_to_end = True
             for gateway in self.fleet.gateways:
                 memory = gateway.memory_mb() if gateway.is_running else 0
