gateway: Await the reservation of a resumption in a statement of its own

Cause: GCC 12 destroys an awaitable that was never constructed if co_await is an operand of &&, which the reservation was on routes without resumption. Change: reserve_resumption, reserve_retry until now, asks for the route itself. That the process crashed before was not tried.

--- a/services/gateway/request_choice.cpp
+++ b/services/gateway/request_choice.cpp
@@ -85,11 +85,13 @@
     co_return co_await choose_permitted_server(wanted);
 }
 
-// Reserves a retry and an upstream for it while an attempt is in flight.
+// Reserves a retry and an upstream that can resume the stream, while an attempt
+// is in flight.
 // @return whether both were available
-awaitable<bool> request_flow::reserve_retry()
+awaitable<bool> request_flow::reserve_resumption()
 {
-    if (!can_run_again() || !m_state.retries.try_take(m_service->name))
+    if (!m_route->is_resumable || !can_run_again() ||
+        !m_state.retries.try_take(m_service->name))
     {
         co_return false;
     }
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -100,7 +100,7 @@
     void refund_quota();
     [[nodiscard]] bool can_run_again() const;
     bool can_retry(attempt_result result);
-    awaitable<bool> reserve_retry();
+    awaitable<bool> reserve_resumption();
     awaitable<std::optional<permitted_server>>
     take_target(choice_request& wanted);
     awaitable<void> finish_failed(attempt_result result);
--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -151,8 +151,7 @@
             }
             // Silence alone proves no failure: an engine may have preempted the
             // request. It is only aborted once its resumption is reserved.
-            const bool is_reserved =
-                m_route->is_resumable && co_await reserve_retry();
+            const bool is_reserved = co_await reserve_resumption();
             if (is_reserved)
             {
                 co_return attempt_result::broken;
--- a/tests/gateway/silent_stream_test.cpp
+++ b/tests/gateway/silent_stream_test.cpp
@@ -43,10 +43,11 @@
         connection.send(stream_head(id) + event_chunk(2, "two") + last_chunk);
     }
 
-    std::unique_ptr<test_connection> begin_stream()
+    std::unique_ptr<test_connection>
+    begin_stream(const std::string& path = "/stream/x")
     {
         auto client = connect();
-        client->send(request_for("/stream/x"));
+        client->send(request_for(path));
         client->read_until("data: one\n\n");
         return client;
     }
@@ -82,6 +83,17 @@
     EXPECT_TRUE(take_retry()) << "a retry that was not made is put back";
 }
 
+TEST_F(silent_stream, is_kept_on_a_route_without_resumption)
+{
+    const scripted_server engine(pause);
+    add_server("a", engine);
+    const auto client = begin_stream("/fixed/x");
+    add_server("b", m_other);
+    refill_retry_budget();
+    expect_rest(*client);
+    EXPECT_EQ(m_other.requests(), 0);
+}
+
 TEST_F(silent_stream, is_resumed_at_another_upstream)
 {
     const scripted_server engine(stay_silent);
