tests/gateway: State in standard terms what silent streams guard against

Cause: the comment used words that a reader of the field would not. Change: a comment only; the tests are as they were.

--- a/tests/gateway/silent_stream_test.cpp
+++ b/tests/gateway/silent_stream_test.cpp
@@ -1,6 +1,6 @@
-// Guards against breaking off a stream whose upstream is only silent: an engine
-// that preempts a request is silent until it goes on, and the gateway gave the
-// stream up after 2.5 s, though no retry or no other upstream was left.
+// Guards against aborting a stream whose upstream is only silent, as an engine
+// is while it has preempted the request: the gateway closed the connection
+// before it knew whether a retry and another upstream were available.
 #include "gateway_fixture.hpp"
 
 namespace daleshelf
