upstream_limits, gateway: Grant the slots of brittle upstreams by keepers

Callers saw failed requests in series: upstreams that advertise how many rejections they tolerate crashed, came back and crashed again. Cause: each host limited only what it sent itself, by loads up to 3 s old and its own rejections, and forgot the limit with the incarnation. The sum over 72 hosts is bounded by nothing. Change: limits of rejections are gossiped like rate limits, and presumed for upstreams of the service that have not responded yet. Each request to such an upstream takes a slot from one of two keepers in the upstream's hall, which know what all hosts have in flight there (docs/design/brittle-upstreams.md). The check for room in server_choice counts this host's requests only; keepers count the others. limit records have a kind on the wire.

--- a/libraries/ingress/server_choice.cpp
+++ b/libraries/ingress/server_choice.cpp
@@ -249,10 +249,11 @@
 }
 
 // Other upstreams queue requests beyond their slots, or reject them harmlessly.
+// The requests of other hosts are counted by the keepers of the slots.
 bool server_choice::has_room(const server_entry& server) const
 {
     return !m_brittle.contains(server.id) ||
-           total_load(server.id).active < server.slots;
+           m_loads.own_load(server.id).active < server.slots;
 }
 
 void server_choice::pass_over(const upstream_incarnation& server,
--- a/libraries/peers/datagram_format.hpp
+++ b/libraries/peers/datagram_format.hpp
@@ -21,6 +21,7 @@
     limits = 8,         ///< `limit_record`s
     origins = 9,        ///< `origin_message`
     loads = 10,         ///< loads of upstreams, by `load_exchange`
+    slots = 11,         ///< `slot_message`
 };
 
 /// Reads the format from the first field, so that each datagram is parsed only
@@ -46,6 +47,7 @@
     case datagram_format::limits:
     case datagram_format::origins:
     case datagram_format::loads:
+    case datagram_format::slots:
         return static_cast<datagram_format>(bytes[1]);
     case datagram_format::none:
         break;
--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -63,6 +63,8 @@
         events::upstream_limit_reached,
         events::upstream_links_cut,
         events::upstream_links_restored,
+        events::upstream_rejection_limit_changed,
+        events::upstream_slots_exhausted,
         events::slots_short,
     };
     return catalogue;
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -214,6 +214,17 @@
     "within their limits; the fields give how many times, and the first of "
     "them."};
 
+inline constexpr log_event upstream_rejection_limit_changed{
+    512, log_severity::info, "upstream_rejection_limit_changed",
+    "An upstream advertises that it crashes when it rejects more requests a "
+    "second than a limit, another limit, or none any more; the fields give "
+    "both, and whether a response or a peer has reported it."};
+inline constexpr log_event upstream_slots_exhausted{
+    513, log_severity::info, "upstream_slots_exhausted",
+    "Requests were sent elsewhere, or rejected, since all slots of upstreams "
+    "that must not reject requests were in use; the fields give how many "
+    "times, and the first upstreams."};
+
 inline constexpr log_event order_given{
     601, log_severity::info, "order_given",
     "The planner of the hall has given an order to an engine."};
--- a/libraries/upstream_limits/limit_message.cpp
+++ b/libraries/upstream_limits/limit_message.cpp
@@ -19,7 +19,9 @@
     const bool has_valid_limit =
         !item.has_per_second() ||
         (std::isfinite(item.per_second()) && item.per_second() >= 0);
-    return !item.server().empty() && has_valid_limit;
+    const bool has_valid_kind =
+        item.kind() <= static_cast<std::uint32_t>(limit_kind::rejections);
+    return !item.server().empty() && has_valid_limit && has_valid_kind;
 }
 
 } // namespace
@@ -34,6 +36,7 @@
         item.set_server(record.server.id.value());
         item.set_born(record.server.started_at.value());
         item.set_named_at_ms(absl::ToUnixMillis(record.advertised_at));
+        item.set_kind(static_cast<std::uint32_t>(record.kind));
         if (record.per_second)
         {
             item.set_per_second(*record.per_second);
@@ -64,6 +67,7 @@
         record.server = {upstream_id(item.server()),
                          upstream_birth(item.born())};
         record.advertised_at = absl::FromUnixMillis(item.named_at_ms());
+        record.kind = static_cast<limit_kind>(item.kind());
         if (item.has_per_second())
         {
             record.per_second = item.per_second();
--- a/services/gateway/gateway_state.cpp
+++ b/services/gateway/gateway_state.cpp
@@ -75,6 +75,7 @@
     , upstreams(*this)
     , quota(loop, shared_quota(self, hall, own_incarnation,
                                make_quota_options(settings)))
+    , slots(loop, servers, shared_slots(self, hall, own_incarnation))
     , retries(make_retry_options(settings))
     , usage(absl::FromChrono(settings.usage_window))
     , poison(make_poison_options(settings))
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -10,6 +10,7 @@
 #include "quota_service.hpp"
 #include "server_connection.hpp"
 #include "skipped_records.hpp"
+#include "slot_service.hpp"
 #include "upstream_connector.hpp"
 #include "upstream_limiter.hpp"
 
@@ -101,6 +102,7 @@
     connection_pool pool;
     upstream_connector upstreams;
     quota_service quota;
+    slot_service slots;
     retry_budget_share retries;
     usage_counter usage;
     absl::BitGen random;
--- a/services/gateway/limit_service.cpp
+++ b/services/gateway/limit_service.cpp
@@ -1,5 +1,6 @@
 #include "limit_service.hpp"
 
+#include <array>
 #include <upstream_limits/limit_message.hpp>
 
 namespace daleshelf
@@ -16,6 +17,17 @@
 constexpr std::size_t records_per_repetition = 12;
 // 3 KB per message; further updates follow after the next delay.
 constexpr std::size_t records_per_message = 64;
+constexpr std::array limit_kinds{limit_kind::requests, limit_kind::rejections};
+
+std::vector<limit_record> with_kind(std::vector<limit_record> records,
+                                    limit_kind kind)
+{
+    for (auto& record : records)
+    {
+        record.kind = kind;
+    }
+    return records;
+}
 
 } // namespace
 
@@ -48,22 +60,33 @@
     }
 }
 
+// The limits of a kind.
+limit_table& limit_service::table(limit_kind kind)
+{
+    return kind == limit_kind::requests ? m_state.quota.shared().limits()
+                                        : m_state.slots.limits().table();
+}
+
 void limit_service::apply_updates()
 {
-    auto& limits = m_state.quota.shared().limits();
-    std::vector<limit_record> records;
-    for (const auto& update : limits.take_updates(records_per_message))
-    {
-        apply_limit_change(m_state, update);
-        records.push_back(update.record);
-    }
-    if (!records.empty())
+    for (const auto kind : limit_kinds)
     {
-        m_peers.send_to_sample(encode_limits(records));
-    }
-    if (limits.has_updates())
-    {
-        m_state.limit_updates.notify();
+        auto& limits = table(kind);
+        std::vector<limit_record> records;
+        for (auto& update : limits.take_updates(records_per_message))
+        {
+            update.record.kind = kind;
+            apply_limit_change(m_state, update);
+            records.push_back(update.record);
+        }
+        if (!records.empty())
+        {
+            m_peers.send_to_sample(encode_limits(records));
+        }
+        if (limits.has_updates())
+        {
+            m_state.limit_updates.notify();
+        }
     }
 }
 
@@ -74,11 +97,14 @@
     {
         timer.expires_after(repeat_interval);
         co_await timer.async_wait(use_result);
-        const auto records = m_state.quota.shared().limits().next_to_repeat(
-            records_per_repetition);
-        if (!records.empty())
+        for (const auto kind : limit_kinds)
         {
-            m_peers.send_to_random_peer(encode_limits(records));
+            const auto records = with_kind(
+                table(kind).next_to_repeat(records_per_repetition), kind);
+            if (!records.empty())
+            {
+                m_peers.send_to_random_peer(encode_limits(records));
+            }
         }
     }
 }
@@ -90,12 +116,25 @@
     {
         return;
     }
-    auto& quota = m_state.quota.shared();
+    bool has_rejection_limits = false;
     for (const auto& record : *records)
     {
-        quota.merge_limit(record, gateway_state::now());
+        if (record.kind == limit_kind::requests)
+        {
+            m_state.quota.shared().merge_limit(record, gateway_state::now());
+            continue;
+        }
+        has_rejection_limits =
+            table(record.kind).merge(record, gateway_state::now()) ||
+            has_rejection_limits;
+    }
+    if (has_rejection_limits)
+    {
+        m_state.slots.apply_limits();
     }
-    if (quota.limits().has_updates())
+    const bool has_updates = table(limit_kind::requests).has_updates() ||
+                             table(limit_kind::rejections).has_updates();
+    if (has_updates)
     {
         m_state.limit_updates.notify();
     }
@@ -103,11 +142,14 @@
 
 void limit_service::send_known(const std::string& address)
 {
-    const auto known =
-        m_state.quota.shared().limits().newest(records_per_message);
-    if (!known.empty())
+    for (const auto kind : limit_kinds)
     {
-        m_peers.send_to_peer(address, encode_limits(known));
+        const auto known =
+            with_kind(table(kind).newest(records_per_message), kind);
+        if (!known.empty())
+        {
+            m_peers.send_to_peer(address, encode_limits(known));
+        }
     }
 }
 
--- a/services/gateway/limit_service.hpp
+++ b/services/gateway/limit_service.hpp
@@ -23,6 +23,7 @@
 private:
     awaitable<void> send_updates();
     awaitable<void> repeat_known();
+    [[nodiscard]] limit_table& table(limit_kind kind);
     void receive(std::string_view bytes);
     void apply_updates();
     void send_known(const std::string& address);
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -72,8 +72,10 @@
         [this](request_head head, std::shared_ptr<byte_channel> channel)
         { return m_tunnels.serve(std::move(head), std::move(channel)); });
     m_state.upstreams.set_peers([this] { return relay_peers(); });
-    m_state.quota.set_sender([this](const host_id& to, const std::string& bytes)
-                             { send_to_host(to, bytes); });
+    const auto send = [this](const host_id& to, const std::string& bytes)
+    { send_to_host(to, bytes); };
+    m_state.quota.set_sender(send);
+    m_state.slots.set_sender(send);
     origin_peers origin_access;
     origin_access.candidates = [this] { return keeper_candidates(); };
     origin_access.send = [this](const host_id& to, const std::string& bytes)
@@ -229,6 +231,7 @@
         m_state.quota.shared().set_join_delay(m_table.send_interval() +
                                               join_margin);
         m_state.quota.tick();
+        m_state.slots.tick(slot_hosts());
         m_state.engines.refresh();
         m_state.retries.set_hosts(m_state.quota.shared().fleet_size_bound(now));
         m_state.change_batch_delay =
@@ -379,6 +382,15 @@
         }
         return;
     }
+    case datagram_format::slots:
+    {
+        const auto reply = m_state.slots.receive(bytes);
+        if (!reply.empty())
+        {
+            send_datagram(sender, reply);
+        }
+        return;
+    }
     case datagram_format::none:
         return;
     }
@@ -414,6 +426,29 @@
     return candidates;
 }
 
+// Returns the other known hosts. Those that were listed and not heard yet may
+// run: this host has just started.
+std::vector<slot_host> peer_exchange::slot_hosts() const
+{
+    std::vector<slot_host> hosts;
+    if (!m_state.slots.needs_peers())
+    {
+        return hosts;
+    }
+    const auto now = gateway_state::now();
+    for (const auto& [name, peer] : m_table.peers())
+    {
+        if (peer.state.hall.value().empty())
+        {
+            continue;
+        }
+        const bool is_reachable = peer.heard_at == absl::InfinitePast() ||
+                                  m_table.is_reachable(name, now);
+        hosts.push_back({name, peer.state.hall, is_reachable});
+    }
+    return hosts;
+}
+
 bool peer_exchange::is_server_list_current() const
 {
     if (m_topics.servers.is_store_reachable())
--- a/services/gateway/request_choice.cpp
+++ b/services/gateway/request_choice.cpp
@@ -119,15 +119,17 @@
         co_return;
     }
     const auto passed_over = m_state.choice.passed_over(m_service->name, now);
-    if (!passed_over.empty())
+    for (const auto& server : passed_over)
+    {
+        m_passed_over.add(server.value());
+    }
+    const auto retry = passed_over.empty()
+                           ? std::nullopt
+                           : m_state.limits.reserve_retry(m_service->name);
+    if (retry)
     {
-        for (const auto& server : passed_over)
-        {
-            m_passed_over.add(server.value());
-        }
-        const auto wait = m_state.limits.reserve_retry(m_service->name);
         co_await reject(http_status::unavailable, "servers_limited",
-                        std::clamp(absl::ToChronoMilliseconds(wait),
+                        std::clamp(absl::ToChronoMilliseconds(*retry),
                                    retry_when_full, max_retry_after));
         co_return;
     }
--- a/services/gateway/send_permit.hpp
+++ b/services/gateway/send_permit.hpp
@@ -2,6 +2,8 @@
 /// Permit to send one request to one upstream.
 #pragma once
 
+#include "slot_hold.hpp"
+
 #include <base/identifiers.hpp>
 #include <utility>
 
@@ -9,7 +11,8 @@
 {
 
 /// Issued only by `upstream_limiter` and required to start an exchange, so that
-/// every request is counted against the upstream's limit.
+/// every request is counted against the upstream's limits. Its destruction ends
+/// the count of the request as one in flight.
 class send_permit
 {
 public:
@@ -22,9 +25,13 @@
 private:
     friend class upstream_limiter;
 
-    explicit send_permit(upstream_id counted) : m_counted(std::move(counted)) {}
+    send_permit(upstream_id counted, slot_hold slot)
+        : m_counted(std::move(counted)), m_slot(std::move(slot))
+    {
+    }
 
-    upstream_id m_counted; ///< empty if the upstream has no limit
+    upstream_id m_counted; ///< empty if the upstream has no rate limit
+    slot_hold m_slot;
 };
 
 } // namespace daleshelf
--- a/services/gateway/server_notices.cpp
+++ b/services/gateway/server_notices.cpp
@@ -24,14 +24,13 @@
          {"origin", "answer"}});
 }
 
-// Spreads the rejections of all hosts over time: each host backs off for as
-// long as the upstream may take to reject one request of every host.
-// FIXME: With more hosts than max_seconds times the limit, the sum can exceed
-// it; hosts would have to share the rejections that they have seen.
+// The keepers of the upstream's slots bound the rejections of the whole fleet.
+// A host backs off for the time in which its report reaches them, and for no
+// longer than the period in which the upstream counts.
 absl::Duration rejection_back_off(gateway_state& state, double limit)
 {
     constexpr double min_seconds = 0.25;
-    constexpr double max_seconds = 10;
+    constexpr double max_seconds = 1;
     const auto hosts = static_cast<double>(state.quota.shared().fleet_size());
     const auto seconds =
         std::clamp(hosts / std::max(limit, 1.0), min_seconds, max_seconds);
@@ -55,6 +54,7 @@
         return;
     }
     const auto now = gateway_state::now();
+    state.slots.record_rejection(server.id);
     const auto pause = rejection_back_off(state, *notice.rejection_limit);
     state.choice.set_back_off(server.incarnation(), now + pause, now);
     log(events::upstream_rests,
--- a/services/gateway/upstream_limiter.cpp
+++ b/services/gateway/upstream_limiter.cpp
@@ -13,6 +13,9 @@
 {
 
 constexpr std::size_t max_unreadable = 1024;
+// Bounds the requests for slots of an upstream without a free one.
+constexpr absl::Duration slot_back_off = absl::Milliseconds(4);
+
 std::string format_limit(const std::optional<double>& limit)
 {
     return limit ? std::to_string(*limit) : "none";
@@ -28,6 +31,7 @@
     {
         log_unreadable(server);
     }
+    record_rejection_limit(server, notice, sent_at);
     if (!notice.limit && !notice.withdraws_limit)
     {
         return;
@@ -41,6 +45,25 @@
     }
 }
 
+void upstream_limiter::record_rejection_limit(
+    const server_entry& server, const platform::server_notice& notice,
+    absl::Time sent_at)
+{
+    if (!notice.rejection_limit && !notice.withdraws_rejection_limit)
+    {
+        return;
+    }
+    auto& limits = m_state.slots.limits();
+    const bool has_changed = limits.record_response(
+        {server.incarnation(), server.service, notice.rejection_limit, sent_at},
+        gateway_state::now(), m_state.time_of_day());
+    if (has_changed)
+    {
+        m_state.slots.apply_limits();
+        m_state.limit_updates.notify();
+    }
+}
+
 std::optional<double>
 upstream_limiter::limit_of(const upstream_incarnation& server) const
 {
@@ -54,15 +77,31 @@
 awaitable<std::optional<send_permit>>
 upstream_limiter::acquire(server_entry server)
 {
+    // 1. A slot, if the upstream crashes when it rejects many requests.
+    if (m_state.slots.needs_slot(server, m_state.time_of_day()))
+    {
+        const bool is_granted = co_await m_state.slots.acquire(server);
+        if (!is_granted)
+        {
+            m_without_slot.add(server.id.value());
+            m_state.choice.pass_over(
+                server.incarnation(),
+                gateway_state::now() +
+                    slot_back_off * absl::Uniform(m_state.random, 0.5, 1.5));
+            co_return std::nullopt;
+        }
+    }
+    auto slot = m_state.slots.hold(server.id);
+    // 2. A request out of its rate limit, if it has one.
     const auto limit = limit_of(server.incarnation());
     if (!limit)
     {
-        co_return send_permit(upstream_id());
+        co_return send_permit(upstream_id(), std::move(slot));
     }
     const auto verdict = co_await m_state.quota.take(server.id, 1);
     if (verdict.is_within)
     {
-        co_return send_permit(server.id);
+        co_return send_permit(server.id, std::move(slot));
     }
     m_passed_over.add(server.id.value());
     const auto pause =
@@ -81,13 +120,18 @@
     }
 }
 
-absl::Duration upstream_limiter::reserve_retry(const service_name& service)
+std::optional<absl::Duration>
+upstream_limiter::reserve_retry(const service_name& service)
 {
     double per_second = 0;
     for (const auto& server : m_state.servers.usable(service))
     {
         per_second += limit_of(server.entry->incarnation()).value_or(0);
     }
+    if (per_second <= 0)
+    {
+        return std::nullopt;
+    }
     const auto hosts = static_cast<double>(m_state.quota.shared().fleet_size());
     return m_retries[service].reserve(per_second / hosts, gateway_state::now());
 }
@@ -101,14 +145,20 @@
              {"servers", m_passed_over.names()}});
         m_passed_over.clear();
     }
-    m_state.quota.shared().evict_limits(
-        [this](const upstream_incarnation& server)
-        {
-            const auto* listed = m_state.servers.find(server.id);
-            return listed == nullptr ||
-                   listed->incarnation().is_newer_than(server);
-        },
-        gateway_state::now());
+    if (!m_without_slot.is_empty())
+    {
+        log(events::upstream_slots_exhausted,
+            {{"count", std::to_string(m_without_slot.count())},
+             {"servers", m_without_slot.names()}});
+        m_without_slot.clear();
+    }
+    const auto is_gone = [this](const upstream_incarnation& server)
+    {
+        const auto* listed = m_state.servers.find(server.id);
+        return listed == nullptr || listed->incarnation().is_newer_than(server);
+    };
+    m_state.quota.shared().evict_limits(is_gone, gateway_state::now());
+    m_state.slots.limits().table().evict(is_gone, gateway_state::now());
 }
 
 void upstream_limiter::log_unreadable(const server_entry& server)
@@ -139,7 +189,9 @@
     }
     const bool is_local = update.origin == limit_origin::response;
     const auto age = state.time_of_day() - record.advertised_at;
-    log(events::upstream_limit_changed,
+    log(record.kind == limit_kind::requests
+            ? events::upstream_limit_changed
+            : events::upstream_rejection_limit_changed,
         {{"server", record.server.id.value()},
          {"born", std::to_string(record.server.started_at.value())},
          {"limit", format_limit(record.per_second)},
--- a/services/gateway/upstream_limiter.hpp
+++ b/services/gateway/upstream_limiter.hpp
@@ -20,9 +20,10 @@
 
 struct gateway_state;
 
-/// Keeps the fleet within the rate limits that upstreams name: before a request
-/// is sent to such an upstream, it takes its share of the limit from the shared
-/// quota. See docs/design/upstream-limits.md.
+/// Keeps the fleet within the limits that upstreams name: before a request is
+/// sent to such an upstream, it takes its share of a rate limit from the shared
+/// quota, and a slot if the upstream must not reject requests. See
+/// docs/design/upstream-limits.md and docs/design/brittle-upstreams.md.
 class upstream_limiter
 {
 public:
@@ -39,8 +40,8 @@
     [[nodiscard]] std::optional<double>
     limit_of(const upstream_incarnation& server) const;
 
-    /// Takes one request out of an upstream's limit.
-    /// @return nothing if the limit is used up; the upstream is then passed
+    /// Takes one request out of an upstream's limits.
+    /// @return nothing if a limit is used up; the upstream is then passed
     /// over for a while
     awaitable<std::optional<send_permit>> acquire(server_entry server);
 
@@ -49,8 +50,10 @@
 
     /// Reserves the time at which the client of a rejected request can retry:
     /// retries are spread over the rate that the service's limits allow.
-    /// @return the time until the retry
-    [[nodiscard]] absl::Duration reserve_retry(const service_name& service);
+    /// @return the time until the retry; nothing if no upstream of the service
+    /// has a rate limit
+    [[nodiscard]] std::optional<absl::Duration>
+    reserve_retry(const service_name& service);
 
     /// Logs the upstreams passed over since the last call, and evicts the
     /// limits of upstreams that are gone. Called about twice a second.
@@ -60,6 +63,9 @@
     static constexpr std::size_t max_named = 16;
 
     void log_unreadable(const server_entry& server);
+    void record_rejection_limit(const server_entry& server,
+                                const platform::server_notice& notice,
+                                absl::Time sent_at);
 
     gateway_state& m_state;
     /// Incarnations whose unreadable limit was logged.
@@ -67,6 +73,8 @@
     absl::flat_hash_map<service_name, retry_schedule> m_retries;
     /// Upstreams passed over since the last log line.
     name_batch m_passed_over{max_named};
+    /// Upstreams without a free slot since the last log line.
+    name_batch m_without_slot{max_named};
 };
 
 /// Logs the change of an upstream's limit, and makes the upstream eligible
--- a/tests/fuzz/make_corpus.cpp
+++ b/tests/fuzz/make_corpus.cpp
@@ -15,6 +15,7 @@
 #include <rollouts/rollout_message.hpp>
 #include <string>
 #include <upstream_limits/limit_message.hpp>
+#include <upstream_limits/slot_message.hpp>
 #include <vector>
 
 namespace
@@ -117,6 +118,14 @@
     ask.upstream = named.server.id;
     ask.limit = named;
     inputs.add(3, encode(ask));
+    constexpr int slots_reader = 10;
+    slot_message slot;
+    slot.kind = slot_message_kind::request;
+    slot.from = host_id("a");
+    slot.from_incarnation = incarnation(4);
+    slot.sequence = 3;
+    slot.uses = {{named.server, 6, 1.0, 2, 3, 1}};
+    inputs.add(slots_reader, encode(slot));
     constexpr int limits_reader = 7;
     inputs.add(limits_reader, encode_limits({named}));
     load_message loads;
