tests/soak: Play upstreams that crash by rejecting

Cause: no soak played upstreams that tolerate few rejections. BRITTLE judges crashes that undisturbed gateways cause.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -16,6 +16,8 @@
 ZONES = ("one", "two", "three")
 STOP_MS = 5000
 SPEEDS = (0.6, 1.0, 1.6)  # of the engines of docs/hard-load.md
+BRITTLE_SLOTS = 3
+BRITTLE_WORK = 0.06
 ROLLOUT_SHARE = 0.1
 ROLLOUT_SLACK = 50
 CLIENT_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 23101, 23102, 23103, 23104
@@ -229,7 +231,8 @@
             "--store", f"{fleet.store_address[0]}:{STORE_PORT}",
             "--version", version, "--failing", str(failing),
             "--resting", str(fleet.resting), "--speed", str(speed),
-            "--endless-seed", str(fleet.seed)],
+            "--endless-seed", str(fleet.seed),
+            *fleet.brittle_options(service)],
             fleet.folder / f"{name}.log", fleet.on_line)
 
 
@@ -244,6 +247,7 @@
         self.resting = options.resting
         self.seed = options.seed
         self.is_uneven = options.uneven
+        self.brittle = options.brittle
         self.clock_library = (Path(options.suspensions).resolve()
                               if options.suspensions else None)
         self.partition_library = (Path(options.partitions).resolve()
@@ -262,6 +266,13 @@
         self._next_server = 1
         self.versions = {}  # of services that have been rolled out
 
+    def brittle_options(self, service):
+        """Returns the options of a server of few slots, if asked for."""
+        if self.brittle is None or service != "plain":
+            return []
+        return ["--brittle", str(self.brittle), "--slots", str(BRITTLE_SLOTS),
+                "--work", str(BRITTLE_WORK)]
+
     def ip(self, group, number):
         return f"127.{self.lane + 1}.{group}.{number}"
 
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -31,6 +31,9 @@
 CRASH_TIME = 0.3
 CRASHED = 139
 NAMED_LIMITS = (2.0, 0.0, 10.0, 0.5, None)  # requests a second, in turn
+BRITTLE_AFTER = 4.0  # seconds, from which on rejections count
+BRITTLE_DOWN_TIME = 3.0
+LEFT_CHECK = 0.005  # how soon it drops a request whose caller has left
 ENDLESS_PHASE = 2.0
 ENDLESS_SHARE = 0.3  # of the requests of a phase
 # 2 MB/s: the limit of an event (256 KiB) is reached within 0.13 s, and the
@@ -96,6 +99,10 @@
         self.sequence = 0
         self.limit = None
         self.limits = itertools.cycle(NAMED_LIMITS)
+        self.begun = time.monotonic()
+        self.down_until = 0.0
+        self.rejections = []  # (time, attempt id), of the last second
+        self.writers = set()
         self.endless_until = 0.0
         self.endless_count = 0
         self.endless_draws = random.Random(
@@ -116,7 +123,7 @@
             "service": self.options.service,
             "address": self.options.listed or self.options.address,
             "zone": self.options.zone,
-            "version": self.options.version, "slots": SLOTS,
+            "version": self.options.version, "slots": self.options.slots,
             "state": state, "coldRemainingMs": 0}).encode())
 
     async def publish_again(self):
@@ -145,8 +152,37 @@
         fields = {"Server-Leaving": "1"} if self.is_draining else {}
         if self.limit is not None:
             fields["Server-Limit"] = str(self.limit)
+        if self.options.brittle is not None:
+            fields["Server-Brittle"] = str(self.options.brittle)
         return fields
 
+    @property
+    def is_down(self):
+        return time.monotonic() < self.down_until
+
+    def note_rejection(self, attempt):
+        """Crashes if it has rejected more requests than it tolerates."""
+        now = time.monotonic()
+        self.rejections = [(at, other) for at, other in self.rejections
+                           if now - at < 1.0] + [(now, attempt)]
+        if (self.options.brittle is None or
+                now - self.begun < BRITTLE_AFTER or
+                len(self.rejections) <= self.options.brittle):
+            return
+        tell({"crash_by_rejecting": [other for _, other in self.rejections],
+              "server": self.options.id})
+        self.rejections = []
+        self.down_until = now + BRITTLE_DOWN_TIME
+        for writer in self.writers:
+            writer.transport.abort()
+        asyncio.ensure_future(self.start_again())
+
+    async def start_again(self):
+        await asyncio.sleep(BRITTLE_DOWN_TIME)
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        await self.publish_again()
+
     async def serve(self, request, reader, writer):
         """Serves one request; returns whether the connection goes on."""
         fields = request.fields
@@ -167,8 +203,11 @@
                 "HTTP/1.1 503 Full", {**own, "X-Not-Executed": "1",
                                       "Retry-After": str(REST)}))
             return True
-        if self.active >= SLOTS:
+        if self.active >= self.options.slots:
             tell({"full": attempt, "server": self.options.id})
+            self.note_rejection(attempt)
+            if self.is_down:
+                raise http_wire.Broken("the server has crashed")
             writer.write(http_wire.write_message(
                 "HTTP/1.1 503 Full", {**own, "X-Not-Executed": "1"}))
             return True
@@ -207,12 +246,20 @@
             writer.write(http_wire.write_message(
                 "HTTP/1.1 500 Failed", head, b"failed"))
         else:
-            await asyncio.sleep(PLAIN_TIME / self.options.speed)
+            await self.work(reader, writer)
             writer.write(http_wire.write_message(
                 "HTTP/1.1 200 OK", head, plain_body(attempt, tenant)))
         await writer.drain()
         return not self.is_draining
 
+    async def work(self, reader, writer):
+        """Works on a plain request until it is done or its caller has left."""
+        end = time.monotonic() + self.options.work / self.options.speed
+        while time.monotonic() < end:
+            await asyncio.sleep(min(LEFT_CHECK, end - time.monotonic()))
+            if reader.at_eof() or writer.is_closing():
+                raise http_wire.Broken("the caller has left")
+
     async def send_endless(self, attempt, head, writer):
         """Sends until the caller closes the connection, then raises."""
         responses = endless_responses(head)
@@ -261,6 +308,10 @@
 
 
 async def serve_connection(server, reader, writer):
+    if server.is_down:
+        writer.transport.abort()
+        return
+    server.writers.add(writer)
     try:
         is_kept = True
         while is_kept:
@@ -273,6 +324,7 @@
     except (http_wire.Broken, OSError):
         pass
     finally:
+        server.writers.discard(writer)
         writer.close()
 
 
@@ -292,6 +344,12 @@
                         "rest asked for")
     parser.add_argument("--speed", type=float, default=1.0,
                         help="how many times as fast as usual it answers")
+    parser.add_argument("--slots", type=int, default=SLOTS,
+                        help="requests that it runs at once")
+    parser.add_argument("--work", type=float, default=PLAIN_TIME,
+                        help="seconds that a plain request takes")
+    parser.add_argument("--brittle", type=int, default=None,
+                        help="rejections a second that it survives")
     parser.add_argument("--endless-seed", type=int, default=0,
                         help="of the choice of endless responses")
     options = parser.parse_args()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,7 @@
 import faults
 import http_wire
 import server as server_stand_in
+from brittle import Brittle
 from clients import Client
 from deadly import Deadly
 from deadly_parts import DeadlyParts
@@ -62,6 +63,8 @@
         self.limits = Limits(self.promises, self.disturbances)
         self.endless = (Endless(self.promises, self.disturbances)
                         if options.endless else None)
+        self.brittle = (Brittle(self, options.seed)
+                        if options.brittle is not None else None)
         self.deadly = Deadly(self, options.seed)
         self.deadly_parts = (DeadlyParts(self, options.seed)
                              if options.deadly_parts else None)
@@ -112,6 +115,9 @@
             self.deadly.crashed(process, now)
             if self.deadly_parts:
                 self.deadly_parts.crashed(event["crash"], now)
+        elif "crash_by_rejecting" in event:
+            self.brittle.crashed(event["server"], event["crash_by_rejecting"],
+                                 now)
         elif "endless" in event:
             self.count("endless " + event["position"])
             self.endless.began(event["server"], event["number"],
@@ -187,6 +193,8 @@
             self.spawn(self.deadly.run(self.options.seconds))
         if self.deadly_parts:
             self.spawn(self.deadly_parts.run(self.options.seconds))
+        if self.brittle:
+            self.spawn(self.brittle.run(self.options.seconds))
         if self.options.limits:
             switch = LimitSwitch(self, self.options.seed)
             self.spawn(switch.run(self.options.seconds))
@@ -620,6 +628,9 @@
     parser.add_argument("--limits", action="store_true",
                         help="let servers name and change limits of requests "
                         "a second")
+    parser.add_argument("--brittle", type=int, metavar="N",
+                        help="plain servers of few slots that crash when they "
+                        "reject more than N requests in a second, under bursts")
     parser.add_argument("--endless", action="store_true",
                         help="let servers send responses without an end")
     parser.add_argument("--uneven", action="store_true",
