gateway: Let requests in flight outlive the slots that they hold

Cause: at the end of a process the event loop destroys the requests in flight after the state that counts them, so a hold used a destroyed object. Change: a hold refers to the service weakly.

--- a/services/gateway/slot_service.cpp
+++ b/services/gateway/slot_service.cpp
@@ -21,7 +21,7 @@
     if (this != &other)
     {
         release();
-        m_slots = std::exchange(other.m_slots, nullptr);
+        m_slots = std::move(other.m_slots);
         m_server = std::move(other.m_server);
     }
     return *this;
@@ -34,9 +34,10 @@
 
 void slot_hold::release()
 {
-    if (m_slots != nullptr)
+    if (const auto slots = m_slots.lock())
     {
-        std::exchange(m_slots, nullptr)->release(m_server);
+        m_slots.reset();
+        (*slots)->release(m_server);
     }
 }
 
@@ -86,7 +87,7 @@
 {
     m_slots.begin(server);
     report_changes();
-    return {*this, server};
+    return {m_self, server};
 }
 
 void slot_service::release(const upstream_id& server)
--- a/services/gateway/slot_service.hpp
+++ b/services/gateway/slot_service.hpp
@@ -34,6 +34,9 @@
     /// @param servers the listed upstreams; must outlive this object
     slot_service(asio::io_context& context, const server_directory& servers,
                  shared_slots slots);
+    slot_service(const slot_service&) = delete;
+    slot_service& operator=(const slot_service&) = delete;
+    ~slot_service() = default;
 
     /// Sets the function that sends datagrams; without one, none are sent.
     void set_sender(sender send)
@@ -90,6 +93,9 @@
     void send(const std::vector<addressed_slot_message>& messages) const;
 
     asio::io_context& m_context;
+    /// This object, for holds that outlive it.
+    std::shared_ptr<slot_service*> m_self =
+        std::make_shared<slot_service*>(this);
     const server_directory& m_servers;
     rejection_limits m_limits;
     shared_slots m_slots;
