gateway: Pass over informational responses of the store

Cause: a call took an informational response for the final one, and the final one, still unread, kept the connection from being used again. Change: informational responses are skipped, at most eight a call. Evidence: stopped_head.of_the_store_is_no_response failed for each stop after a 103 before (88 cases) and passes. stopped_head.at_any_byte_gives_no_success closes at each byte of four heads, in order and by reset, for GET, HEAD, POST, streams: the request path of the gateway passed it before the change, too.

--- a/services/gateway/http_call.cpp
+++ b/services/gateway/http_call.cpp
@@ -2,6 +2,8 @@
 
 #include "server_connection.hpp"
 
+#include <base/http_status.hpp>
+#include <memory>
 #include <wire/message_parser.hpp>
 #include <wire/message_writer.hpp>
 
@@ -13,6 +15,8 @@
 
 constexpr std::uint32_t max_head_bytes = 16384;
 constexpr milliseconds connect_timeout{1000};
+// Informational responses before the awaited one.
+constexpr int max_informational = 8;
 
 } // namespace
 
@@ -100,17 +104,24 @@
 http_caller::read(monotonic::time_point deadline)
 {
     const auto channel = m_channel;
-    response_parser parser(max_head_bytes);
+    auto parser = std::make_unique<response_parser>(max_head_bytes);
+    int informational = 0;
     call_response response;
     try
     {
         while (true)
         {
-            channel->consume(parser.feed(channel->input()));
-            response.body += parser.take_body();
-            if (parser.is_complete())
+            channel->consume(parser->feed(channel->input()));
+            response.body += parser->take_body();
+            if (parser->is_complete())
             {
-                const auto head = parser.take_head();
+                const auto head = parser->take_head();
+                if (head.status < http_status::ok &&
+                    ++informational <= max_informational)
+                {
+                    parser = std::make_unique<response_parser>(max_head_bytes);
+                    continue;
+                }
                 response.status = head.status;
                 if (!keeps_connection(head.fields, head.version))
                 {
