gateway: Skip hosts whose listed address is unreadable

Hosts that read one odd record in the list of hosts stopped sending their state to all peers: they were lost to quotas, duties and readers. Cause: the address was parsed as a datagram was sent, and the exception ended the coroutine that sends to all. Change: records without a readable address, or whose key or hall is not UTF-8, are skipped and reported; sending to an unreadable address does nothing. Evidence: odd_host_record.an_unreadable_address_leaves_the_exchange_running: no datagram to the sound peer in 2 s before, at least 3 after, for four records.

--- a/libraries/base/text.cpp
+++ b/libraries/base/text.cpp
@@ -1,5 +1,9 @@
 #include "text.hpp"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/escaping.h>
+#include <boost/locale/utf.hpp>
+
 #include <algorithm>
 #include <array>
 
@@ -71,6 +75,48 @@
     return value;
 }
 
+bool is_visible_ascii(std::string_view text)
+{
+    return !text.empty() &&
+           std::all_of(text.begin(), text.end(),
+                       [](char character)
+                       { return character > ' ' && character < '\x7f'; });
+}
+
+bool is_valid_utf8(std::string_view text)
+{
+    using traits = boost::locale::utf::utf_traits<char>;
+    for (const auto* next = text.begin(); next != text.end();)
+    {
+        const auto point = traits::decode(next, text.end());
+        if (point == boost::locale::utf::illegal ||
+            point == boost::locale::utf::incomplete)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string percent_encode(std::string_view text)
+{
+    constexpr std::string_view unreserved = "-._~";
+    std::string encoded;
+    for (const char character : text)
+    {
+        if (absl::ascii_isalnum(static_cast<unsigned char>(character)) ||
+            unreserved.find(character) != std::string_view::npos)
+        {
+            encoded += character;
+            continue;
+        }
+        encoded += '%';
+        encoded += absl::AsciiStrToUpper(
+            absl::BytesToHexString(absl::string_view(&character, 1)));
+    }
+    return encoded;
+}
+
 std::string to_hexadecimal(std::size_t value)
 {
     std::array<char, 2 * sizeof value> digits{};
--- a/libraries/base/text.hpp
+++ b/libraries/base/text.hpp
@@ -30,6 +30,16 @@
 /// @return the whole number that the whole text is, or nothing
 [[nodiscard]] std::optional<std::int64_t> parse_integer(std::string_view text);
 
+/// @return whether the text is not empty and consists of visible ASCII
+/// characters, so that it can be a word of a request's head or of a log line
+[[nodiscard]] bool is_visible_ascii(std::string_view text);
+
+/// @return whether the text is well-formed UTF-8
+[[nodiscard]] bool is_valid_utf8(std::string_view text);
+
+/// @return the text for a query: all but unreserved characters as %XX
+[[nodiscard]] std::string percent_encode(std::string_view text);
+
 /// @return the digits of a size, in base 16
 [[nodiscard]] std::string to_hexadecimal(std::size_t value);
 
--- a/services/gateway/host_list.cpp
+++ b/services/gateway/host_list.cpp
@@ -175,6 +175,15 @@
                           : value.substr(separator + 1);
     const host_address host{host_id(record.key), value.substr(0, separator),
                             hall_id(hall)};
+    const bool is_readable = !record.key.empty() && is_valid_utf8(record.key) &&
+                             is_valid_utf8(hall) &&
+                             parse_endpoint(host.address).has_value();
+    if (!is_readable)
+    {
+        m_state.skipped.report(platform::machine_topic, record.key,
+                               record.offset, "not a host's address and hall");
+        return;
+    }
     m_state.quota.shared().fleet().add_host(host.name, host.hall,
                                             gateway_state::now());
     m_on_host(host);
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -65,7 +65,7 @@
                { return m_sharing.respond(target); })
     , m_sharing(state, topics, m_table,
                 [this](const std::string& address, const std::string& bytes)
-                { send_datagram(udp_endpoint(address), bytes); })
+                { send_datagram(address, bytes); })
     , m_tunnels(state)
 {
     m_server.set_tunnel_handler(
@@ -138,7 +138,7 @@
         const auto peer = m_table.peers().find(host);
         if (peer != m_table.peers().end())
         {
-            send_datagram(udp_endpoint(peer->second.address), bytes);
+            send_datagram(peer->second.address, bytes);
         }
     }
 }
@@ -147,7 +147,7 @@
 {
     for (const auto& [name, peer] : m_table.peers())
     {
-        send_datagram(udp_endpoint(peer.address), bytes);
+        send_datagram(peer.address, bytes);
     }
 }
 
@@ -262,6 +262,18 @@
     m_joined.clear();
 }
 
+// Peers that state an unreadable address get nothing.
+void peer_exchange::send_datagram(const std::string& address,
+                                  const std::string& bytes)
+{
+    if (const auto endpoint = parse_endpoint(address))
+    {
+        send_datagram(
+            asio::ip::udp::endpoint(endpoint->address(), endpoint->port()),
+            bytes);
+    }
+}
+
 // A datagram that cannot be sent is treated as lost: later ones replace it.
 void peer_exchange::send_datagram(const asio::ip::udp::endpoint& to,
                                   const std::string& bytes)
@@ -277,7 +289,7 @@
 {
     for (const auto& address : m_table.next_targets())
     {
-        send_datagram(udp_endpoint(address), bytes);
+        send_datagram(address, bytes);
     }
 }
 
@@ -294,7 +306,7 @@
     }
     for (const auto& name : m_table.other_readers(gateway_state::now()))
     {
-        send_datagram(udp_endpoint(m_table.peers().at(name).address), bytes);
+        send_datagram(m_table.peers().at(name).address, bytes);
     }
 }
 
@@ -401,7 +413,7 @@
     const auto peer = m_table.peers().find(host);
     if (peer != m_table.peers().end())
     {
-        send_datagram(udp_endpoint(peer->second.address), bytes);
+        send_datagram(peer->second.address, bytes);
     }
 }
 
@@ -469,7 +481,7 @@
 void peer_exchange::send_to_peer(const std::string& address,
                                  const std::string& bytes)
 {
-    send_datagram(udp_endpoint(address), bytes);
+    send_datagram(address, bytes);
 }
 
 void peer_exchange::send_to_sample(const std::string& bytes)
@@ -494,7 +506,7 @@
                 count, m_state.random);
     for (const auto& address : some)
     {
-        send_datagram(udp_endpoint(address), bytes);
+        send_datagram(address, bytes);
     }
 }
 
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -166,6 +166,7 @@
     void receive_counts(std::string_view bytes,
                         const asio::ip::udp::endpoint& sender);
     void apply(const host_state& state);
+    void send_datagram(const std::string& address, const std::string& bytes);
     void send_datagram(const asio::ip::udp::endpoint& to,
                        const std::string& bytes);
     void send_to_next_targets(const std::string& bytes);
