--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -326,7 +326,8 @@
     EXPECT_EQ(format_of(""), datagram_format::none);
     EXPECT_EQ(format_of("\x08\x09"), datagram_format::origins);
     EXPECT_EQ(format_of("\x08\x0a"), datagram_format::loads);
-    EXPECT_EQ(format_of("\x08\x0b"), datagram_format::none);
+    EXPECT_EQ(format_of("\x08\x0b"), datagram_format::slots);
+    EXPECT_EQ(format_of("\x08\x0c"), datagram_format::none);
 }
 
 // With 580 hosts, the states of a peer are 18 s apart, and one can be lost.
--- a/tests/peers/topic_records_test.cpp
+++ b/tests/peers/topic_records_test.cpp
@@ -26,6 +26,24 @@
     EXPECT_EQ(read->root, host_id("reader"));
 }
 
+// Guards against a key of another writer that keeps followers from reading the
+// records beside it.
+TEST(topic_records, keys_may_be_any_bytes)
+{
+    const std::string key("\xff\xfe\x00\r\n", 5);
+    const shared_records records{
+        "topic",
+        log_offset(2),
+        log_offset(4),
+        {{log_offset(2), key, "v"}, {log_offset(3), "sound", "v"}},
+        host_id("reader")};
+    const auto read = decode_shared_records(encode(records));
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->records.size(), 2U);
+    EXPECT_EQ(read->records.front().key, key);
+    EXPECT_EQ(read->records.back().key, "sound");
+}
+
 /// @return one record per upstream, each with a unique id and address
 std::vector<shared_record> upstream_records(int count)
 {
