platform: Read a list on after any key

A host that listed a topic with an odd key never finished, and knew no upstreams. Cause: a page continues after the last key, which was put into the request line as it is, and only if its item was readable; a key that is not UTF-8 made the whole page malformed. Evidence: store_calls.a_list_continues_after_any_key and a_list_is_read_whatever_its_items_contain failed before and pass.

--- a/libraries/base/json.cpp
+++ b/libraries/base/json.cpp
@@ -21,10 +21,13 @@
 
 } // namespace
 
-boost::json::object parse_object(std::string_view text)
+boost::json::object parse_object(std::string_view text, json_strings strings)
 {
+    boost::json::parse_options options;
+    options.allow_invalid_utf8 = strings == json_strings::any_bytes;
     boost::json::error_code error;
-    auto value = boost::json::parse({text.data(), text.size()}, error);
+    auto value =
+        boost::json::parse({text.data(), text.size()}, error, {}, options);
     if (error)
     {
         throw json_error("malformed JSON: " + error.message());
--- a/libraries/base/json.hpp
+++ b/libraries/base/json.hpp
@@ -20,10 +20,18 @@
     using std::runtime_error::runtime_error;
 };
 
+/// Which strings a JSON text may contain.
+enum class json_strings
+{
+    utf8,      ///< well-formed UTF-8
+    any_bytes, ///< any bytes but control characters
+};
+
 /// @param text JSON text that must be an object
 /// @return the object
 /// @throws json_error if the text is not a JSON object
-[[nodiscard]] boost::json::object parse_object(std::string_view text);
+[[nodiscard]] boost::json::object
+parse_object(std::string_view text, json_strings strings = json_strings::utf8);
 
 /// @return the field's text, or nothing if the field is absent
 /// @throws json_error if the field is not a string
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -506,6 +506,37 @@
     EXPECT_EQ(page.last_key, "d");
 }
 
+// Guards against one odd item that keeps a whole list from being read.
+TEST(store_calls, a_list_is_read_whatever_its_items_contain)
+{
+    for (const std::string odd :
+         {concat(R"({"privateKey":")", "\xff\xfe",
+                 R"(","offset":1,"value":"dg=="})"),
+          std::string(R"({"privateKey":"odd","offset":1e999,"value":"dg=="})"),
+          std::string(R"({"privateKey":"odd","offset":1,"value":1e999})")})
+    {
+        const auto page = read_newest(
+            concat(R"({"end":5,"more":false,"items":[)", odd,
+                   R"(,{"privateKey":"sound","offset":2,"value":"dg=="}]})"));
+        ASSERT_FALSE(page.records.empty());
+        EXPECT_EQ(page.records.back().key, "sound");
+        EXPECT_EQ(page.records.back().value, "v");
+    }
+}
+
+// Guards against a key that ends the request line, so that the list stops.
+TEST(store_calls, a_list_continues_after_any_key)
+{
+    const auto call = list_call("topic", "a b&c=d%\r\n\xff");
+    EXPECT_EQ(call.target, "/log-newest?topic=topic&part=0&afterRevision="
+                           "a%20b%26c%3Dd%25%0D%0A%FF");
+    EXPECT_EQ(list_call("topic", "i-7f3a_91.c2~").target,
+              "/log-newest?topic=topic&part=0&afterRevision=i-7f3a_91.c2~");
+    const auto page = read_newest(
+        R"({"end":5,"more":true,"items":[{"privateKey":"last","offset":"x"}]})");
+    EXPECT_EQ(page.last_key, "last");
+}
+
 TEST(store_calls, only_an_acknowledged_append_is_certain)
 {
     using outcome = append_response::outcome;
