--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -438,29 +438,6 @@
     return candidates;
 }
 
-// Returns the other known hosts. Those that were listed and not heard yet may
-// run: this host has just started.
-std::vector<slot_host> peer_exchange::slot_hosts() const
-{
-    std::vector<slot_host> hosts;
-    if (!m_state.slots.needs_peers())
-    {
-        return hosts;
-    }
-    const auto now = gateway_state::now();
-    for (const auto& [name, peer] : m_table.peers())
-    {
-        if (peer.state.hall.value().empty())
-        {
-            continue;
-        }
-        const bool is_reachable = peer.heard_at == absl::InfinitePast() ||
-                                  m_table.is_reachable(name, now);
-        hosts.push_back({name, peer.state.hall, is_reachable});
-    }
-    return hosts;
-}
-
 bool peer_exchange::is_server_list_current() const
 {
     if (m_topics.servers.is_store_reachable())
