tests/soak: Write odd records into all topics

Cause: the soak wrote odd values only under keys of upstreams, and none to the topic of hosts. The stand-in of the store keeps keys of any bytes.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,7 @@
 from fleet import STOP_MS, ZONES, Fleet
 from herd_kills import HerdKills
 from limits import Limits, LimitSwitch
+from odd_records import OddRecords
 from partitions import Partitions
 from promises import Disturbances, Promises
 from rebirths import Rebirths
@@ -42,6 +43,8 @@
 RECOVERY = 12.0
 MEASURED = 4.0
 LEAST_SERVED = 0.9
+# Less is served only by gateways that have stopped following a topic.
+LEAST_FOLLOWED = 0.5
 MOST_MEMORY_MB = 260
 QUOTA_WINDOW = 8.0
 QUOTA_SLACK = 1.3
@@ -193,6 +196,9 @@
             self.spawn(self.deadly.run(self.options.seconds))
         if self.deadly_parts:
             self.spawn(self.deadly_parts.run(self.options.seconds))
+        if self.options.odd_records:
+            odd_records = OddRecords(self, self.options.seed)
+            self.spawn(odd_records.run(self.options.seconds))
         if self.brittle:
             self.spawn(self.brittle.run(self.options.seconds))
         if self.options.limits:
@@ -541,9 +547,11 @@
                   (attempt.status == 404 and removed)]
         share = len(served) / max(1, len(sent))
         self.counts["served after the troubles"] = round(share, 3)
+        what = f"{len(served)} of {len(sent)} served after the troubles"
         if share < LEAST_SERVED:
-            self.promises.bound("RECOVER", f"{len(served)} of {len(sent)} "
-                                "served after the troubles")
+            self.promises.bound("RECOVER", what)
+        if self.options.odd_records and share < LEAST_FOLLOWED:
+            self.promises.breach("FOLLOW", what)
 
     def check_quota(self):
         """Checks every span of the quota's length, from the servers' runs."""
@@ -631,6 +639,9 @@
     parser.add_argument("--brittle", type=int, metavar="N",
                         help="plain servers of few slots that crash when they "
                         "reject more than N requests in a second, under bursts")
+    parser.add_argument("--odd-records", action="store_true",
+                        help="let another writer write records that no "
+                        "gateway can use")
     parser.add_argument("--endless", action="store_true",
                         help="let servers send responses without an end")
     parser.add_argument("--uneven", action="store_true",
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -38,7 +38,8 @@
         for record in records:
             is_torn = not record or len(record) < 1 + record[0]
             if is_keyed and not is_torn:
-                key = record[1:1 + record[0]].decode()
+                # Keys are any bytes.
+                key = record[1:1 + record[0]].decode(errors="surrogateescape")
                 value = record[1 + record[0]:]
                 self.newest[key] = (self.end, value)
                 if not value:
@@ -73,7 +74,7 @@
         """Returns the status, the body and whether the answer gets lost."""
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in
-                 parse_qs(url.query).items()}
+                 parse_qs(url.query, errors="surrogateescape").items()}
         if url.path == "/fault":
             self.set_fault(query)
             return 200, b"{}", False
@@ -145,8 +146,9 @@
         items = [{"privateKey": key, "offset": topic.newest[key][0],
                   "value": base64.b64encode(topic.newest[key][1]).decode()}
                  for key in keys[:PAGE]]
-        return 200, json.dumps({"items": items, "more": len(keys) > PAGE,
-                                "end": topic.end}).encode()
+        page = json.dumps({"items": items, "more": len(keys) > PAGE,
+                           "end": topic.end}, ensure_ascii=False)
+        return 200, page.encode(errors="surrogateescape")
 
     @staticmethod
     def tell_duty(path, request):
