tests/upstream_limits: Weigh subsets of hosts for brittle upstreams

Cause: the keepers of slots had been compared with the former way only. Change: a third strategy in the model: as many hosts as an upstream has slots, one request each.

--- a/benchmarks/brittle_plays.cpp
+++ b/benchmarks/brittle_plays.cpp
@@ -13,7 +13,6 @@
 
 namespace options = boost::program_options;
 using daleshelf::brittle_fault;
-using daleshelf::brittle_result;
 using daleshelf::brittle_scenario;
 using daleshelf::brittle_strategy;
 
@@ -39,7 +38,7 @@
     add("trouble", options::value<std::string>()->default_value("none"),
         "at 12 s: none, kill, kill_long, kill_all, hall_cut, crash or loss");
     add("way", options::value<std::string>()->default_value("keepers"),
-        "keepers (the product's), reactive or none");
+        "keepers (the product's), reactive, subsets or none");
     add("first-seed", options::value<std::uint32_t>()->default_value(1),
         "seed of the first run");
     add("plays", options::value<std::uint32_t>()->default_value(20),
@@ -71,6 +70,7 @@
     static const std::map<std::string, brittle_strategy> strategies{
         {"none", brittle_strategy::none},
         {"reactive", brittle_strategy::reactive},
+        {"subsets", brittle_strategy::subsets},
         {"keepers", brittle_strategy::keepers}};
     const auto found = strategies.find(name);
     if (found == strategies.end())
--- a/libraries/upstream_limits/slot_keepers.cpp
+++ b/libraries/upstream_limits/slot_keepers.cpp
@@ -50,6 +50,7 @@
         ranked.end());
     ranked.resize(size);
     std::vector<host_id> keepers;
+    keepers.reserve(ranked.size());
     for (const auto& keeper : ranked)
     {
         keepers.push_back(*keeper.host);
--- a/tests/upstream_limits/brittle_fleet.cpp
+++ b/tests/upstream_limits/brittle_fleet.cpp
@@ -137,14 +137,14 @@
 void brittle_simulation::list_server(std::size_t index)
 {
     const auto entry = m_servers[index].entry;
-    for (std::size_t host = 0; host < m_hosts.size(); ++host)
+    for (auto& host : m_hosts)
     {
         schedule(absl::Seconds(random(0.05, 0.5)),
-                 [this, host, entry]
+                 [&host, entry]
                  {
-                     if (m_hosts[host].servers)
+                     if (host.servers)
                      {
-                         m_hosts[host].servers->set(entry);
+                         host.servers->set(entry);
                      }
                  });
     }
@@ -158,14 +158,14 @@
     server.is_running = false;
     server.waiting.clear();
     // The platform removes its record after a while.
-    for (std::size_t host = 0; host < m_hosts.size(); ++host)
+    for (auto& host : m_hosts)
     {
         schedule(absl::Seconds(random(1, 2)),
-                 [this, host, id]
+                 [&host, id]
                  {
-                     if (m_hosts[host].servers)
+                     if (host.servers)
                      {
-                         m_hosts[host].servers->remove(id);
+                         host.servers->remove(id);
                      }
                  });
     }
--- a/tests/upstream_limits/brittle_fleet.hpp
+++ b/tests/upstream_limits/brittle_fleet.hpp
@@ -31,6 +31,7 @@
 {
     none,     ///< nothing; the check must detect this
     reactive, ///< loads that peers report, and a pause after own rejections
+    subsets,  ///< as many hosts as an upstream has slots, one request each
     keepers,  ///< the product's: slots granted by keepers
 };
 
--- a/tests/upstream_limits/brittle_requests.cpp
+++ b/tests/upstream_limits/brittle_requests.cpp
@@ -56,13 +56,14 @@
     wanted.facts = &m_facts;
     wanted.excluded = attempt->excluded;
     const auto& host = m_hosts[attempt->host];
-    if (m_scenario.strategy != brittle_strategy::reactive)
-    {
-        return wanted;
-    }
     for (const auto& server : host.brittle)
     {
-        if (host.choice->total_load(server).active >= m_scenario.slots)
+        const bool is_full =
+            m_scenario.strategy == brittle_strategy::reactive
+                ? host.choice->total_load(server).active >= m_scenario.slots
+                : m_scenario.strategy == brittle_strategy::subsets &&
+                      !is_in_subset(host, server);
+        if (is_full)
         {
             wanted.excluded.insert(server);
         }
@@ -70,6 +71,22 @@
     return wanted;
 }
 
+// Whether the host may send the upstream one more request: it is one of as many
+// hosts as the upstream has slots, and has none in flight there.
+bool brittle_simulation::is_in_subset(const brittle_host& host,
+                                      const upstream_id& server) const
+{
+    std::vector<slot_host> hosts;
+    for (const auto& other : m_hosts)
+    {
+        hosts.push_back({other.name, other.hall, true});
+    }
+    const auto subset = slot_keepers(
+        server, hall_id(), hosts, static_cast<std::size_t>(m_scenario.slots));
+    return std::find(subset.begin(), subset.end(), host.name) != subset.end() &&
+           host.choice->loads().own_load(server).active == 0;
+}
+
 void brittle_simulation::try_servers(const attempt_pointer& attempt)
 {
     auto& host = m_hosts[attempt->host];
--- a/tests/upstream_limits/brittle_simulation.hpp
+++ b/tests/upstream_limits/brittle_simulation.hpp
@@ -159,6 +159,8 @@
     void reject(const attempt_pointer& attempt);
     void inject_fault(const brittle_fault& fault);
     void sample_use();
+    [[nodiscard]] bool is_in_subset(const brittle_host& host,
+                                    const upstream_id& server) const;
     [[nodiscard]] bool is_current(const attempt_pointer& attempt) const;
     [[nodiscard]] bool is_brittle_now() const;
     [[nodiscard]] bool is_connected(int one_hall, int other_hall) const;
