--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -85,8 +85,8 @@
     http_client m_client;
 };
 
-// Guards against a response that is taken for whole, with an empty body, when
-// the server closes within its head.
+// Guards against a truncated head that is reported as a complete response with
+// an empty body.
 TEST(http_client, a_head_that_stops_is_no_response)
 {
     closing_server server;
