gateway: Log how much a host knew when it resumed a stream

Cause: stream_resumed named the source of a version, but not the list of upstreams that a derived one rests on, and a rejection named nothing. Change: stream_resumed gives the offset and the age of the list and how many hosts replied; stream_version_unknown (413) does so for a rejection.

--- a/libraries/telemetry/log_event.cpp
+++ b/libraries/telemetry/log_event.cpp
@@ -39,6 +39,7 @@
         events::quota_view,
         events::stream_resumed,
         events::stream_origins_read,
+        events::stream_version_unknown,
         events::share_exceeded,
         events::upstream_failed,
         events::upstream_leaving,
--- a/libraries/telemetry/log_event.hpp
+++ b/libraries/telemetry/log_event.hpp
@@ -150,7 +150,13 @@
     410, log_severity::info, "stream_resumed",
     "A stream that has begun is sent to another upstream; the fields give the "
     "client's attempt that began it, the last event, the software version, "
-    "and how that is known."};
+    "how that is known, how much of the list of upstreams is known, and how "
+    "many hosts replied."};
+inline constexpr log_event stream_version_unknown{
+    413, log_severity::info, "stream_version_unknown",
+    "A resumed stream was rejected, since the software version that began it "
+    "is not certain; the fields give how much of the list of upstreams is "
+    "known, and how many hosts replied."};
 inline constexpr log_event stream_origins_read{
     412, log_severity::info, "stream_origins_read",
     "The origins of streams were read from the log, since a stream was resumed "
--- a/services/gateway/origin_service.cpp
+++ b/services/gateway/origin_service.cpp
@@ -74,12 +74,23 @@
     query.span = std::max(query.span, m_longest_wait);
     found_origin found;
     found.origin = {query.begun_by, query.service, {}};
+    co_await search(query, found);
+    if (m_peers.server_list)
+    {
+        found.list = m_peers.server_list();
+    }
+    co_return found;
+}
+
+awaitable<void> origin_service::search(const origin_query& query,
+                                       found_origin& found)
+{
     // 1. What this host knows itself.
     if (const auto own = m_origins.find(query.begun_by, now()))
     {
         found.origin = *own;
         found.source = origin_source::own;
-        co_return found;
+        co_return;
     }
     const bool is_named = !query.begun_by.value().empty();
     auto sole = sole_version(query.service, query.span);
@@ -88,11 +99,12 @@
     if (is_named || !sole)
     {
         const auto question = co_await ask_keepers(query);
+        found.replies = question->replies;
         if (question->origin)
         {
             found.origin = *question->origin;
             found.source = origin_source::keeper;
-            co_return found;
+            co_return;
         }
         sole = sole ? sole : uncontradicted(question->sole_version, query);
     }
@@ -102,7 +114,7 @@
     {
         found.origin.version = *sole;
         found.source = origin_source::sole;
-        co_return found;
+        co_return;
     }
     // 4. What the log holds: all hosts that knew may have died.
     if (is_named && m_read_log)
@@ -114,7 +126,6 @@
             found.source = origin_source::log;
         }
     }
-    co_return found;
 }
 
 // @return the version that a peer takes for the only one, unless this host has
@@ -268,6 +279,7 @@
     }
     auto& question = *pending->second;
     question.unanswered -= std::min<std::size_t>(question.unanswered, 1);
+    ++question.replies;
     if (!reply.origins.empty())
     {
         question.origin = reply.origins.front().origin;
--- a/services/gateway/origin_service.hpp
+++ b/services/gateway/origin_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "async_event.hpp"
+#include "known_server_list.hpp"
 
 #include <absl/time/time.h>
 
@@ -32,6 +33,8 @@
     std::function<void(const host_id& to, const std::string& bytes)> send;
     /// Returns whether this host knows all listed upstreams that peers know.
     std::function<bool()> is_server_list_current;
+    /// Returns how much of the list of upstreams this host knows.
+    std::function<known_server_list()> server_list;
 };
 
 /// How the origin of a stream became known, for the log.
@@ -52,6 +55,8 @@
 {
     stream_origin origin;
     origin_source source = origin_source::unknown;
+    known_server_list list;  ///< by which it was decided
+    std::size_t replies = 0; ///< of keepers and peers until then
 };
 
 /// A stream that is to be resumed.
@@ -151,10 +156,12 @@
 
         async_event replied;
         std::size_t unanswered = 0;
+        std::size_t replies = 0;
         std::optional<stream_origin> origin;
         std::optional<version_name> sole_version;
     };
 
+    awaitable<void> search(const origin_query& query, found_origin& found);
     awaitable<std::shared_ptr<pending_question>>
     ask_keepers(origin_query query);
     [[nodiscard]] std::vector<host_id>
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -82,6 +82,7 @@
     { send_to_host(to, bytes); };
     origin_access.is_server_list_current = [this]
     { return is_server_list_current(); };
+    origin_access.server_list = [this] { return server_list(); };
     m_state.origins.set_peers(std::move(origin_access));
     // All gateways use the same ports, so a seed's IP address is enough. Until
     // a seed has sent its state, its address is used as its name.
@@ -455,6 +456,13 @@
                         });
 }
 
+known_server_list peer_exchange::server_list() const
+{
+    return {
+        m_topics.servers.next(),
+        absl::FromChrono(monotonic::now() - m_topics.servers.complete_as_of())};
+}
+
 void peer_exchange::send_to_peer(const std::string& address,
                                  const std::string& bytes)
 {
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -167,6 +167,7 @@
     void count_usage();
     void log_attempt(const server_entry& server, attempt_result result) const;
     void log_resumption(const server_entry& server) const;
+    void log_unknown_version() const;
     void log_outcome(std::string_view outcome);
     void count_outcome(std::string_view outcome);
 
@@ -211,8 +212,8 @@
     /// The software version that has begun the stream; only that one may
     /// continue it.
     std::optional<version_name> m_stream_version;
-    /// How the version of a resumed stream is known.
-    origin_source m_origin_source = origin_source::own;
+    /// Of a stream that the client resumes; nothing: it began in this request.
+    std::optional<found_origin> m_origin;
     std::optional<std::int64_t> m_last_event;
     std::optional<std::int64_t> m_weights_version;
     server_exchange* m_exchange = nullptr;
--- a/services/gateway/request_log.cpp
+++ b/services/gateway/request_log.cpp
@@ -24,6 +24,15 @@
     return "streaming";
 }
 
+// Appends how much this host knew when it decided on a resumed stream.
+void add_evidence(std::vector<log_field>& fields, const found_origin& found)
+{
+    fields.emplace_back("list_offset", found.list.next.value());
+    fields.emplace_back("list_age_ms",
+                        absl::ToInt64Milliseconds(found.list.age));
+    fields.emplace_back("replies", static_cast<std::int64_t>(found.replies));
+}
+
 } // namespace
 
 void request_flow::log_attempt(const server_entry& server,
@@ -62,14 +71,29 @@
     const auto last_event = m_last_event ? m_last_event : m_facts.last_event;
     const auto begun_by =
         is_taken_up ? m_facts.resumed.value_or(request_id()) : m_facts.id;
-    log(events::stream_resumed,
-        {{"id", m_facts.id.value()},
-         {"begun_by", begun_by.value()},
-         {"source", std::string(name_of(m_origin_source))},
-         {"last_event", std::to_string(last_event.value_or(0))},
-         {"server", server.id.value()},
-         {"version", server.version.value()},
-         {"attempts", std::to_string(m_attempts)}});
+    const auto source = m_origin ? m_origin->source : origin_source::own;
+    std::vector<log_field> fields{{"id", m_facts.id.value()},
+                                  {"begun_by", begun_by.value()},
+                                  {"source", std::string(name_of(source))},
+                                  {"last_event", last_event.value_or(0)},
+                                  {"server", server.id.value()},
+                                  {"version", server.version.value()},
+                                  {"attempts", m_attempts}};
+    if (m_origin)
+    {
+        add_evidence(fields, *m_origin);
+    }
+    log(events::stream_resumed, fields);
+}
+
+void request_flow::log_unknown_version() const
+{
+    std::vector<log_field> fields{
+        {"id", m_facts.id.value()},
+        {"begun_by", m_facts.resumed.value_or(request_id()).value()},
+        {"service", m_service->name.value()}};
+    add_evidence(fields, *m_origin);
+    log(events::stream_version_unknown, fields);
 }
 
 void request_flow::count_outcome(std::string_view outcome)
--- a/services/gateway/request_streams.cpp
+++ b/services/gateway/request_streams.cpp
@@ -38,22 +38,22 @@
     query.resumed_by = m_facts.id;
     query.service = m_service->name;
     query.span = absl::FromChrono(m_route->timeout + resumption_margin);
-    const auto found = co_await m_state.origins.find(query);
+    m_origin = co_await m_state.origins.find(query);
     if (m_is_cancelled)
     {
         log_outcome("client_left");
         co_return false;
     }
-    m_origin_source = found.source;
-    const auto* service = service_of(found);
+    const auto* service = service_of(*m_origin);
     if (service == nullptr)
     {
+        log_unknown_version();
         co_await reject(http_status::unavailable, "unknown_stream_version",
                         retry_when_full);
         co_return false;
     }
     m_service = service;
-    m_stream_version = found.origin.version;
+    m_stream_version = m_origin->origin.version;
     co_return true;
 }
 
