tests/soak: Release versions while a gateway is out of step

Cause: no play of the soak had a service with a single version for long and then a first new one, so a version that is derived wrongly could not be seen. ORDER and LOST are judged together. The loop that reads events moved from clients.py to http_wire.py; its checks are the same.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -174,21 +174,15 @@
         if answer.fields.get("x-attempt-id") != attempt.id:
             self._soak.promises.breach("MIXED", f"{attempt.id} got the head "
                                        f"of {answer.fields}")
-        rest = b""
-        while chunk := await http_wire.read_chunk(self._reader):
-            rest += chunk
-            while b"\n\n" in rest:
-                event, _, rest = rest.partition(b"\n\n")
-                lines = dict(line.split(": ", 1) for line in
-                             event.decode().split("\n"))
-                self._soak.promises.saw_event(attempt, int(lines["id"]),
-                                              lines["data"],
-                                              lines["version"])
+        try:
+            async for event in http_wire.read_events(self._reader):
+                self._soak.promises.saw_event(attempt, int(event["id"]),
+                                              event["data"], event["version"])
                 if attempt.seen_events == attempt.breaks_after:
                     raise http_wire.Broken("the client loses its connection")
-        if rest:
+        except http_wire.HalfEvent as rest:
             self._soak.promises.breach("ORDER", f"{attempt.id}: half an event "
-                                       f"at the end: {rest[:60]!r}")
+                                       f"at the end: {rest}")
 
     def _leave_connection(self):
         """Some clients keep a connection open until the process is gone."""
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -150,6 +150,7 @@
             silent_ip, silent_port = fleet.silent.address
             environment |= {"SOAK_PARTITION": str(self.partition.path),
                             "SOAK_SERVER_PORT": str(SERVER_PORT),
+                            "SOAK_PEER_PORT": str(PEER_PORT),
                             "SOAK_SILENT_IP": silent_ip,
                             "SOAK_SILENT_PORT": str(silent_port)}
         if preloaded:
@@ -172,6 +173,7 @@
         self.send(signal.SIGCONT)
 
     def write_settings(self):
+        is_first_start = self._fleet.plays_releases and self._child is None
         seeds = [f"{self._fleet.ip(1, seed + 1)}:{PEER_PORT}"
                  for seed in range(min(3, self._fleet.gateway_count))]
         self.settings.write_text(f"""[host]
@@ -186,6 +188,7 @@
 [peers]
 address = "{self.ip}:{PEER_PORT}"
 seeds = {json.dumps(seeds)}
+first_start = {json.dumps(is_first_start)}
 [store]
 address = "{self.store_link.address[0]}:{STORE_PORT}"
 [duties]
@@ -248,10 +251,11 @@
         self.seed = options.seed
         self.is_uneven = options.uneven
         self.brittle = options.brittle
+        self.plays_releases = bool(options.releases)
         self.clock_library = (Path(options.suspensions).resolve()
                               if options.suspensions else None)
-        self.partition_library = (Path(options.partitions).resolve()
-                                  if options.partitions else None)
+        library = options.partitions or options.releases
+        self.partition_library = Path(library).resolve() if library else None
         if self.partition_library:
             self.silent = SilentAddress(self.ip(7, 1))
         self.on_line = on_line
--- a/tests/soak/http_wire.py
+++ b/tests/soak/http_wire.py
@@ -10,6 +10,10 @@
 LARGEST_HEAD = 65536
 
 
+class HalfEvent(Exception):
+    """A stream that ended as complete within an event."""
+
+
 class Broken(Exception):
     """The connection ended, or held bytes that are no message."""
 
@@ -66,6 +70,19 @@
     return data[:-2]
 
 
+async def read_events(reader):
+    """Yields the lines of each event of a chunked stream, by name."""
+    rest = b""
+    while chunk := await read_chunk(reader):
+        rest += chunk
+        while b"\n\n" in rest:
+            event, _, rest = rest.partition(b"\n\n")
+            yield dict(line.split(": ", 1)
+                       for line in event.decode().split("\n"))
+    if rest:
+        raise HalfEvent(repr(rest[:60]))
+
+
 async def read_body(reader, message):
     """Reads the whole body of a message into it."""
     if message.fields.get("transfer-encoding", "").lower() == "chunked":
--- a/tests/soak/partitions.py
+++ b/tests/soak/partitions.py
@@ -12,7 +12,7 @@
 import struct
 from pathlib import Path
 
-MODES = {"reset": 1, "refuse": 1, "silence": 2}
+MODES = {"reset": 1, "refuse": 1, "silence": 2, "peers": 3}
 GRACE = 3.0  # seconds, from the start of a partition until requests count
 LENGTH = 8.0
 PAUSE = 3.0
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -240,8 +240,11 @@
                 self.endless_draws.random() < ENDLESS_SHARE):
             await self.send_endless(attempt, head, writer)
         if "x-token-count" in fields:
-            await self.stream(fields.get("resumes", attempt), head, resumed,
-                              events_wanted(fields), writer)
+            # Not all clients name the stream that they resume.
+            stream = fields.get("x-soak-stream",
+                                fields.get("resumes", attempt))
+            await self.stream(stream, head, resumed, events_wanted(fields),
+                              writer)
         elif random.random() < self.options.failing:
             await asyncio.sleep(PLAIN_TIME / self.options.speed)
             writer.write(http_wire.write_message(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 
 import faults
 import http_wire
+import releases
 import server as server_stand_in
 from brittle import Brittle
 from clients import Client
@@ -36,6 +37,7 @@
 from partitions import Partitions
 from promises import Disturbances, Promises
 from rebirths import Rebirths
+from releases import Releases
 from rollouts import Rollouts
 from versions import Versions
 
@@ -74,6 +76,8 @@
         self.fleet = Fleet(options, folder, self.on_line)
         self.versions = (Versions(self, options.seed) if options.versions
                          else None)
+        self.releases = (Releases(self, options.seed) if options.releases
+                         else None)
         self.herd_kills = (HerdKills(self, options.seed)
                            if options.herd_kills else None)
         self.is_over = False
@@ -187,6 +191,8 @@
             self.spawn(self.versions.run())
         if self.herd_kills:
             self.spawn(self.herd_kills.run())
+        if self.releases:
+            self.spawn(self.releases.run(self.options.seconds))
         if self.options.rollouts:
             self.spawn(Rollouts(self, self.options.seed).run())
         rebirths = Rebirths(self, self.options.seed)
@@ -236,6 +242,8 @@
             self.versions.check()
         if self.herd_kills:
             self.herd_kills.check()
+        if self.releases:
+            self.releases.check()
         if self.deadly_parts:
             self.deadly_parts.check()
 
@@ -264,6 +272,8 @@
         for number in range(self.options.servers):
             await self.fleet.add_server("plain" if number % 3 == 0
                                         else "engine")
+        if self.releases:
+            await self.releases.start()
 
     async def wait_for_store(self):
         for _ in range(100):
@@ -287,6 +297,9 @@
                   ("/stream/", "streaming", "engine"),
                   ("/fixed/", "streaming", "engine")]
         routes += [(path, "safe", "plain") for path in self.routes]
+        released = releases.SERVICES if self.releases else []
+        routes += [(releases.path_of(service), "streaming", service)
+                   for service in released]
         configuration = {
             "version": self.version,
             "routes": [{
@@ -295,7 +308,7 @@
                 "timeoutMs": 6000 if kind == "streaming" else 1500,
                 "targetLatencyMs": 500, "priority": 1, "public": False,
                 "maxAttempts": 1 if kind == "unsafe" else 2,
-                "streamResume": path == "/stream/"}
+                "streamResume": path == "/stream/" or service in released}
                 for path, kind, service in routes],
             "services": [
                 {"name": "plain", "healthPath": "/health",
@@ -305,7 +318,9 @@
                  "engine": {"slots": 64, "kvCapacityTokens": 200000},
                  "scaling": {"min": 1, "max": 6, "bootTimeS": 4.0,
                              "spotPrice": 0.2,
-                             "zonePrices": {zone: 1.0 for zone in ZONES}}}],
+                             "zonePrices": {zone: 1.0 for zone in ZONES}}},
+                *({"name": service, "healthPath": "/health",
+                   "maxConnections": 600} for service in released)],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [
@@ -618,6 +633,10 @@
     parser.add_argument("--herd-kills", action="store_true",
                         help="with --versions: kill all gateways at once now "
                         "and then, and judge which streams are resumed")
+    parser.add_argument("--releases", metavar="LIBRARY",
+                        help="release a new version of one service after the "
+                        "other, each while a gateway is out of step, or is "
+                        "cut off from its peers with this library preloaded")
     parser.add_argument("--rebirths", action="store_true",
                         help="let servers start again under their ids, and "
                         "others write entries, beside the troubles")
