tests/soak: Draw the troubles of releases apart from the clients

Cause: streams and troubles shared one source of random numbers, so the troubles of a seed differed between plays.

--- a/tests/soak/partition_shim.cpp
+++ b/tests/soak/partition_shim.cpp
@@ -143,10 +143,9 @@
 {
     static const auto system_sendto =
         reinterpret_cast<sendto_function>(::dlsym(RTLD_NEXT, "sendto"));
-    return drops_datagrams(socket)
-               ? static_cast<ssize_t>(size)
-               : system_sendto(socket, data, size, flags, address,
-                               address_size);
+    return drops_datagrams(socket) ? static_cast<ssize_t>(size)
+                                   : system_sendto(socket, data, size, flags,
+                                                   address, address_size);
 }
 
 extern "C" ssize_t sendmsg(int socket, const msghdr* message, int flags)
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -41,7 +41,8 @@
 
     def __init__(self, soak, seed):
         self._soak = soak
-        self._random = random.Random(seed * 6121)
+        self._troubles = random.Random(seed * 6121)
+        self._random = random.Random(seed * 6133)
         self._released_at = {}  # service: when its second version was started
         self._resumed = []
         self._new = []
@@ -61,8 +62,8 @@
 
     async def _release(self, service):
         gateways = self._soak.fleet.gateways
-        disturbed = self._random.choice(gateways)
-        seconds = self._random.uniform(0.2, LONGEST_TROUBLE)
+        disturbed = self._troubles.choice(gateways)
+        seconds = self._troubles.uniform(0.2, LONGEST_TROUBLE)
         length = SETTLING + seconds + AFTERWARDS
         streams = [asyncio.create_task(
             self._play_streams(service, disturbed, length))
@@ -77,9 +78,9 @@
 
     async def _disturb(self, gateway, seconds):
         # A server lists itself about 0.4 s after it was started.
-        await asyncio.sleep(self._random.uniform(0.0, 0.5))
-        kind = self._random.choice(STORE_TROUBLES)
-        is_cut_off = self._random.random() < SHARE_CUT_FROM_PEERS
+        await asyncio.sleep(self._troubles.uniform(0.0, 0.5))
+        kind = self._troubles.choice(STORE_TROUBLES)
+        is_cut_off = self._troubles.random() < SHARE_CUT_FROM_PEERS
         self._soak.count(f"out of step: {kind}")
         self._soak.disturb(gateway.name, seconds + 0.5)
         if is_cut_off:
