gateway: Confirm the list of upstreams before deriving a version

Cause: a version that no host knows is derived from "no other is listed". What the list was as of did not count: it was taken for complete while a long poll hung, for 3 s after a response, or while no peer was heard to be ahead. Change: the host reads the list to its end, after the resumption has arrived, and compares versions after the last wait. Resumptions of a moment share a read; without a response within 0.3 s nothing is derived. Every version that a stream can have begun at was listed before the read began.

--- a/services/gateway/origin_service.cpp
+++ b/services/gateway/origin_service.cpp
@@ -85,6 +85,7 @@
 awaitable<void> origin_service::search(const origin_query& query,
                                        found_origin& found)
 {
+    const auto asked_at = now();
     // 1. What this host knows itself.
     if (const auto own = m_origins.find(query.begun_by, now()))
     {
@@ -92,13 +93,13 @@
         found.source = origin_source::own;
         co_return;
     }
+    // 2. What others know. An origin that is kept goes before a version that is
+    // derived.
     const bool is_named = !query.begun_by.value().empty();
-    auto sole = sole_version(query.service, query.span);
-    // 2. What others know. An origin that is kept goes before a version
-    // that is derived: this host may not know the newest one yet.
-    if (is_named || !sole)
+    std::shared_ptr<pending_question> question;
+    if (is_named)
     {
-        const auto question = co_await ask_keepers(query);
+        question = co_await ask_keepers(query);
         found.replies = question->replies;
         if (question->origin)
         {
@@ -106,15 +107,31 @@
             found.source = origin_source::keeper;
             co_return;
         }
-        sole = sole ? sole : uncontradicted(question->sole_version, query);
     }
     // 3. The only version that the service has had, according to this host, or
-    // to a peer that has run for longer.
-    if (sole)
+    // to a peer that has run for longer. Another host may have begun the stream
+    // at a version that was listed just before the resumption arrived.
+    found.is_list_confirmed = co_await confirm_server_list();
+    if (found.is_list_confirmed)
     {
-        found.origin.version = *sole;
-        found.source = origin_source::sole;
-        co_return;
+        auto sole =
+            sole_version(query.service, query.span + (now() - asked_at));
+        if (!sole && !question)
+        {
+            question = co_await ask_keepers(query);
+            found.replies = question->replies;
+        }
+        if (!sole)
+        {
+            sole = reported_version(*question, query.service,
+                                    query.span + (now() - asked_at));
+        }
+        if (sole)
+        {
+            found.origin.version = *sole;
+            found.source = origin_source::sole;
+            co_return;
+        }
     }
     // 4. What the log holds: all hosts that knew may have died.
     if (is_named && m_read_log)
@@ -128,16 +145,26 @@
     }
 }
 
-// @return the version that a peer takes for the only one, unless this host has
+awaitable<bool> origin_service::confirm_server_list() const
+{
+    if (!m_peers.confirm_server_list)
+    {
+        co_return false;
+    }
+    co_return co_await m_peers.confirm_server_list();
+}
+
+// @return the version that peers take for the only one, unless this host has
 // seen another
 std::optional<version_name>
-origin_service::uncontradicted(const std::optional<version_name>& reported,
-                               const origin_query& query) const
+origin_service::reported_version(const pending_question& question,
+                                 const service_name& service,
+                                 absl::Duration span) const
 {
     const bool is_contradicted =
-        reported &&
-        m_versions.has_other(query.service, *reported, query.span, now());
-    return is_contradicted ? std::nullopt : reported;
+        !question.sole_version ||
+        m_versions.has_other(service, *question.sole_version, span, now());
+    return is_contradicted ? std::nullopt : question.sole_version;
 }
 
 awaitable<std::shared_ptr<origin_service::pending_question>>
@@ -148,7 +175,9 @@
         std::make_shared<pending_question>(m_context.get_executor());
     origin_message message;
     message.question = number;
-    message.origins = {{{query.begun_by, query.service, {}}, query.span}};
+    // A reply describes the time before it was sent.
+    message.origins = {{{query.begun_by, query.service, {}},
+                        query.span + absl::FromChrono(reply_timeout)}};
     const auto bytes = encode(message);
     const auto asked = hosts_to_ask(query);
     question->unanswered = asked.size();
@@ -207,15 +236,11 @@
     return asked;
 }
 
-// A list that lacks upstreams may lack a version too.
 std::optional<version_name>
 origin_service::sole_version(const service_name& service,
                              absl::Duration span) const
 {
-    const bool is_current =
-        !m_peers.is_server_list_current || m_peers.is_server_list_current();
-    return is_current ? m_versions.sole_version(service, span, now())
-                      : std::nullopt;
+    return m_versions.sole_version(service, span, now());
 }
 
 void origin_service::observe_versions()
--- a/services/gateway/origin_service.hpp
+++ b/services/gateway/origin_service.hpp
@@ -31,8 +31,9 @@
     /// Returns all known hosts, with this one.
     std::function<std::vector<keeper_candidate>()> candidates;
     std::function<void(const host_id& to, const std::string& bytes)> send;
-    /// Returns whether this host knows all listed upstreams that peers know.
-    std::function<bool()> is_server_list_current;
+    /// Returns whether all changes of the list of upstreams that were written
+    /// before the call are known.
+    std::function<awaitable<bool>()> confirm_server_list;
     /// Returns how much of the list of upstreams this host knows.
     std::function<known_server_list()> server_list;
 };
@@ -55,7 +56,8 @@
 {
     stream_origin origin;
     origin_source source = origin_source::unknown;
-    known_server_list list;  ///< by which it was decided
+    known_server_list list; ///< by which it was decided
+    bool is_list_confirmed = false;
     std::size_t replies = 0; ///< of keepers and peers until then
 };
 
@@ -171,8 +173,9 @@
     [[nodiscard]] std::optional<version_name>
     sole_version(const service_name& service, absl::Duration span) const;
     [[nodiscard]] std::optional<version_name>
-    uncontradicted(const std::optional<version_name>& reported,
-                   const origin_query& query) const;
+    reported_version(const pending_question& question,
+                     const service_name& service, absl::Duration span) const;
+    awaitable<bool> confirm_server_list() const;
     [[nodiscard]] std::string reply_to(const origin_message& question) const;
     void handle_reply(const origin_message& reply);
 
--- a/services/gateway/peer_exchange.cpp
+++ b/services/gateway/peer_exchange.cpp
@@ -80,8 +80,8 @@
     origin_access.candidates = [this] { return keeper_candidates(); };
     origin_access.send = [this](const host_id& to, const std::string& bytes)
     { send_to_host(to, bytes); };
-    origin_access.is_server_list_current = [this]
-    { return is_server_list_current(); };
+    origin_access.confirm_server_list = [this]
+    { return m_topics.servers.confirm(); };
     origin_access.server_list = [this] { return server_list(); };
     m_state.origins.set_peers(std::move(origin_access));
     // All gateways use the same ports, so a seed's IP address is enough. Until
@@ -439,23 +439,6 @@
     return candidates;
 }
 
-bool peer_exchange::is_server_list_current() const
-{
-    if (m_topics.servers.is_store_reachable())
-    {
-        return true;
-    }
-    const auto now = gateway_state::now();
-    return m_table.reachable_count(now) > 1 &&
-           std::none_of(m_table.peers().begin(), m_table.peers().end(),
-                        [&](const auto& peer)
-                        {
-                            return m_table.is_reachable(peer.first, now) &&
-                                   peer.second.state.servers_offset >
-                                       m_topics.servers.next();
-                        });
-}
-
 known_server_list peer_exchange::server_list() const
 {
     return {
--- a/services/gateway/peer_exchange.hpp
+++ b/services/gateway/peer_exchange.hpp
@@ -174,7 +174,6 @@
     void send_to_random(std::size_t count, const std::string& bytes);
     [[nodiscard]] std::vector<keeper_candidate> keeper_candidates() const;
     [[nodiscard]] std::vector<slot_host> slot_hosts() const;
-    [[nodiscard]] bool is_server_list_current() const;
     [[nodiscard]] known_server_list server_list() const;
     [[nodiscard]] host_state own_state();
     [[nodiscard]] std::int64_t store_answer_age_ms() const;
--- a/services/gateway/request_log.cpp
+++ b/services/gateway/request_log.cpp
@@ -30,6 +30,8 @@
     fields.emplace_back("list_offset", found.list.next.value());
     fields.emplace_back("list_age_ms",
                         absl::ToInt64Milliseconds(found.list.age));
+    fields.emplace_back("list_confirmed",
+                        found.is_list_confirmed ? "yes" : "no");
     fields.emplace_back("replies", static_cast<std::int64_t>(found.replies));
 }
 
--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -12,6 +12,8 @@
 
 constexpr milliseconds fresh_slack{300};
 constexpr milliseconds page_timeout{1500};
+// The clients of resumed streams wait meanwhile.
+constexpr milliseconds confirmation_timeout{300};
 constexpr milliseconds min_tail_duration{500};
 constexpr milliseconds initial_backoff{100};
 constexpr milliseconds max_backoff{1000};
@@ -25,6 +27,19 @@
 constexpr std::size_t max_kept_records = 4096;
 constexpr std::size_t max_kept_bytes = 1U << 20U;
 
+std::vector<platform::keyed_record>
+decode_records(const platform::log_page& page, log_offset from)
+{
+    std::vector<platform::keyed_record> records;
+    auto offset = from;
+    for (const auto& content : page.records)
+    {
+        records.push_back(platform::decode_keyed(content, offset));
+        offset = offset.next();
+    }
+    return records;
+}
+
 } // namespace
 
 std::string_view name_of(record_origin origin)
@@ -48,6 +63,8 @@
     , m_listing(m_topic)
     , m_callbacks(std::move(callbacks))
     , m_caller(state.context, state.settings.store_address)
+    , m_confirming_caller(state.context, state.settings.store_address)
+    , m_confirmations(state.context, [this] { return read_to_end(); })
     , m_wake(state.context.get_executor())
     , m_newest(max_kept_records, max_kept_bytes)
 {
@@ -337,13 +354,7 @@
             m_has_listed = false;
             co_return true;
         }
-        std::vector<platform::keyed_record> records;
-        auto offset = from;
-        for (const auto& content : page.records)
-        {
-            records.push_back(platform::decode_keyed(content, offset));
-            offset = offset.next();
-        }
+        const auto records = decode_records(page, from);
         if (!records.empty())
         {
             m_origin = record_origin::store;
@@ -374,6 +385,52 @@
     co_return true;
 }
 
+awaitable<bool> topic_follower::confirm()
+{
+    return m_confirmations.pass(confirmation_timeout);
+}
+
+awaitable<bool> topic_follower::read_to_end()
+{
+    const auto until = monotonic::now() + confirmation_timeout;
+    while (m_has_listed && monotonic::now() < until)
+    {
+        const auto from = m_next;
+        const auto requested_at = monotonic::now();
+        auto call = platform::read_call(m_topic, from, milliseconds(0));
+        const auto response = co_await m_confirming_caller.call(
+            std::move(call), confirmation_timeout);
+        if (!m_has_listed || !response || response->status != http_status::ok)
+        {
+            co_return false;
+        }
+        try
+        {
+            const auto page = platform::read_page(response->body);
+            const bool has_gap = page.first > from && !page.records.empty();
+            if (has_gap || page.end < from)
+            {
+                co_return false;
+            }
+            apply_page(from, decode_records(page, from));
+            if (m_next >= page.end)
+            {
+                m_complete_as_of = std::max(m_complete_as_of, requested_at);
+                co_return true;
+            }
+            if (page.records.empty())
+            {
+                co_return false;
+            }
+        }
+        catch (const json_error&)
+        {
+            co_return false;
+        }
+    }
+    co_return false;
+}
+
 void topic_follower::report_skipped(log_offset offset)
 {
     m_state.skipped.report(m_topic, "", offset, "no key");
--- a/services/gateway/topic_follower.hpp
+++ b/services/gateway/topic_follower.hpp
@@ -5,6 +5,7 @@
 #include "async_event.hpp"
 #include "gateway_state.hpp"
 #include "http_call.hpp"
+#include "read_barrier.hpp"
 #include "record_window.hpp"
 #include "topic_list.hpp"
 
@@ -66,6 +67,12 @@
     /// Follows the topic until the process exits.
     awaitable<void> run();
 
+    /// Reads the topic to its end. Long polls and reports of readers show less:
+    /// a response that is lost, or was queued while this host was suspended,
+    /// leaves it behind without any call having failed.
+    /// @return whether all records written before this call are known
+    awaitable<bool> confirm();
+
     /// Applies the complete list of records that a peer knows, unless the
     /// follower already knows all records before `next`.
     /// @param records the newest record of each key
@@ -157,6 +164,7 @@
     awaitable<bool> read();
     awaitable<bool> list();
     awaitable<bool> tail();
+    awaitable<bool> read_to_end();
     awaitable<void> wait_for_role();
     awaitable<void> wait_while_readers_report();
     bool has_persistent_gap(monotonic::time_point now);
@@ -174,6 +182,8 @@
     topic_listing m_listing;
     topic_callbacks m_callbacks;
     http_caller m_caller;
+    http_caller m_confirming_caller;
+    read_barrier m_confirmations;
     async_event m_wake;
     std::map<std::string, platform::keyed_record> m_records;
     /// The newest consecutive records, which end at `m_next`.
--- a/tests/gateway/origin_service_test.cpp
+++ b/tests/gateway/origin_service_test.cpp
@@ -53,7 +53,14 @@
         peers.candidates = [this] { return m_candidates; };
         peers.send = [this, host](const host_id& to, const std::string& bytes)
         { deliver(host, to, bytes); };
-        peers.is_server_list_current = [this] { return m_is_list_current; };
+        peers.confirm_server_list = [this]() -> awaitable<bool>
+        {
+            if (m_on_confirmation)
+            {
+                m_on_confirmation();
+            }
+            co_return m_is_list_current;
+        };
         service->set_peers(std::move(peers));
     }
 
@@ -131,6 +138,7 @@
     std::map<host_id, std::unique_ptr<origin_service>> m_services;
     std::set<host_id> m_cut;
     bool m_is_list_current = true;
+    std::function<void()> m_on_confirmation;
 };
 
 TEST_F(origin_service_test, every_host_finds_a_stream_after_its_host_was_killed)
@@ -218,6 +226,38 @@
         << "this host has seen another version";
 }
 
+// Guards against streams that went on at another version: servers of a new one
+// had been listed, and this host's list was behind.
+TEST_F(origin_service_test, a_version_listed_before_the_resumption_is_noticed)
+{
+    list("a", first);
+    start(1, true);
+    service(1).observe_versions();
+    m_on_confirmation = [this]
+    {
+        list("b", second);
+        service(1).observe_versions();
+    };
+    EXPECT_EQ(find(1, "").source, origin_source::unknown);
+}
+
+// Keepers that are cut off do not reply; meanwhile a version may be listed.
+TEST_F(origin_service_test, a_version_listed_while_keepers_are_asked_is_noticed)
+{
+    list("a", first);
+    start(1, true);
+    service(1).observe_versions();
+    m_cut.insert(name_of_host(1));
+    asio::steady_timer listing(m_context, milliseconds(50));
+    listing.async_wait(
+        [this](const error_code&)
+        {
+            list("b", second);
+            service(1).observe_versions();
+        });
+    EXPECT_EQ(find(1, "unseen").source, origin_source::unknown);
+}
+
 TEST_F(origin_service_test, hosts_that_run_for_long_enough_are_asked)
 {
     list("a", first);
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <base/text.hpp>
 #include <gateway/topic_follower.hpp>
 
 namespace daleshelf
@@ -226,6 +227,84 @@
     EXPECT_TRUE(calls_the_store());
 }
 
+/// A store whose long polls get no response, with one record at offset 4.
+class silent_poll_store
+{
+public:
+    scripted_server::script serve()
+    {
+        return [this](test_connection& connection)
+        {
+            while (true)
+            {
+                const auto request = connection.read_message();
+                const bool is_long_poll =
+                    request.find("waitMs=0") == std::string::npos;
+                if (request.empty() || is_long_poll || is_silent)
+                {
+                    connection.read_all();
+                    return;
+                }
+                connection.send(concat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                                       page().size(), "\r\n\r\n", page()));
+            }
+        };
+    }
+
+    std::atomic<bool> is_silent = false;
+
+private:
+    // The end and the first offset, then the length, key and value of a record.
+    static std::string page()
+    {
+        const std::string zeros(7, '\0');
+        return zeros + '\x05' + zeros + '\x04' + std::string(3, '\0') +
+               "\x03\x01" + "b2";
+    }
+};
+
+// Guards against a host that takes its list for complete while its long poll
+// hangs: it resumed streams at a version that had ceased to be the only one.
+TEST(topic_follower_confirmation, reads_what_a_silent_long_poll_lacks)
+{
+    silent_poll_store partition;
+    scripted_server store(partition.serve());
+    asio::io_context context{1};
+    auto settings = make_settings();
+    settings.store_address = store.address();
+    gateway_state state(context, settings);
+    state.role = list_role::alone;
+    topic_follower follower(state, "topic",
+                            {[](const auto&) {}, [](const auto&) {}});
+    follower.merge({record_at(3, "a", "1")}, log_offset(4));
+    asio::co_spawn(
+        context, [&] { return follower.run(); }, asio::detached);
+    context.run_for(milliseconds(50));
+    EXPECT_TRUE(follower.is_store_reachable());
+    EXPECT_FALSE(follower.records().contains("b"));
+    std::optional<bool> is_confirmed;
+    const auto confirm = [&]
+    {
+        is_confirmed.reset();
+        asio::co_spawn(
+            context, [&] { return follower.confirm(); },
+            [&](const std::exception_ptr&, bool result)
+            { is_confirmed = result; });
+        while (!is_confirmed)
+        {
+            context.run_one();
+        }
+    };
+    const auto before = monotonic::now();
+    confirm();
+    EXPECT_EQ(is_confirmed, true);
+    EXPECT_TRUE(follower.records().contains("b"));
+    EXPECT_GE(follower.complete_as_of(), before);
+    partition.is_silent = true;
+    confirm();
+    EXPECT_EQ(is_confirmed, false);
+}
+
 // Guards against hundreds of hosts that call the store because of a lost
 // datagram: the store became too slow for the readers as well.
 TEST(topic_follower_gap, is_filled_by_peers_before_the_store_is_called)
