gateway: Accept a peer's version only if its list reaches the own one

Cause: a host that has just started asks peers which version was the only one. A peer whose list ended before the host's first list could miss a version that came and went between them, and of two replies that named different versions the later one won. Change: a reply gives the offset up to which the peer's list is known; it counts if that is not below the offset of the own first list, and if no other reply names another version. Replies of earlier hosts lack the offset and are ignored, so a mixed fleet rejects more. Result: a_peer_whose_list_is_older_than_the_own_one_is_ignored and peers_that_name_different_versions_are_not_believed; both are new.

--- a/libraries/streams/origin_message.cpp
+++ b/libraries/streams/origin_message.cpp
@@ -24,6 +24,7 @@
     out.set_question(message.question);
     out.set_is_reply(message.is_reply);
     out.set_has_sole_version(message.sole_version.has_value());
+    out.set_list_offset(message.list_offset.value());
     if (message.sole_version)
     {
         out.set_sole_version(message.sole_version->value());
@@ -45,7 +46,7 @@
     const bool is_valid =
         in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) &&
         in.format() == origins_format && in.origins_size() <= max_origins &&
-        in.question() >= 0;
+        in.question() >= 0 && in.list_offset() >= 0;
     if (!is_valid)
     {
         return std::nullopt;
@@ -53,6 +54,7 @@
     origin_message message;
     message.question = in.question();
     message.is_reply = in.is_reply();
+    message.list_offset = log_offset(in.list_offset());
     if (in.has_sole_version())
     {
         message.sole_version = version_name(in.sole_version());
--- a/libraries/streams/origin_message.hpp
+++ b/libraries/streams/origin_message.hpp
@@ -39,6 +39,7 @@
     bool is_reply = false;
     /// The only version of the service within the time asked for.
     std::optional<version_name> sole_version;
+    log_offset list_offset; ///< up to which the list of upstreams is known
 };
 
 /// @return the serialized message
--- a/services/gateway/gateway_records.cpp
+++ b/services/gateway/gateway_records.cpp
@@ -195,6 +195,7 @@
     {
         listed.emplace(key);
     }
+    m_state.origins.record_list(m_servers.next());
     for (const auto& id : m_state.servers.keep_only(listed))
     {
         m_state.pool.drop(id);
--- a/services/gateway/origin_service.cpp
+++ b/services/gateway/origin_service.cpp
@@ -162,7 +162,7 @@
                                  absl::Duration span) const
 {
     const bool is_contradicted =
-        !question.sole_version ||
+        !question.sole_version || question.is_contradictory ||
         m_versions.has_other(service, *question.sole_version, span, now());
     return is_contradicted ? std::nullopt : question.sole_version;
 }
@@ -243,6 +243,11 @@
     return m_versions.sole_version(service, span, now());
 }
 
+void origin_service::record_list(log_offset next)
+{
+    m_observed_from = next;
+}
+
 void origin_service::observe_versions()
 {
     for (const auto& [service, versions] : m_servers.listed_versions())
@@ -284,6 +289,10 @@
     origin_message reply;
     reply.question = question.question;
     reply.is_reply = true;
+    if (m_peers.server_list)
+    {
+        reply.list_offset = m_peers.server_list().next;
+    }
     for (const auto& [asked, span] : question.origins)
     {
         if (const auto known = m_origins.find(asked.attempt, now()))
@@ -309,8 +318,15 @@
     {
         question.origin = reply.origins.front().origin;
     }
-    if (reply.sole_version)
+    // The peer's history has to reach to where the own one begins.
+    const bool is_joined =
+        m_observed_from && reply.list_offset >= *m_observed_from;
+    if (reply.sole_version && is_joined)
     {
+        question.is_contradictory =
+            question.is_contradictory ||
+            question.sole_version.value_or(*reply.sole_version) !=
+                *reply.sole_version;
         question.sole_version = reply.sole_version;
     }
     question.replied.notify();
--- a/services/gateway/origin_service.hpp
+++ b/services/gateway/origin_service.hpp
@@ -134,6 +134,10 @@
     /// Records the versions that are listed now.
     void observe_versions();
 
+    /// Records that a complete list was read.
+    /// @param next offset up to which the list is known
+    void record_list(log_offset next);
+
     /// Handles a datagram of a peer.
     /// @return the encoded reply to the sender; empty: none
     [[nodiscard]] std::string receive(std::string_view bytes);
@@ -161,6 +165,7 @@
         std::size_t replies = 0;
         std::optional<stream_origin> origin;
         std::optional<version_name> sole_version;
+        bool is_contradictory = false; ///< replies name different versions
     };
 
     awaitable<void> search(const origin_query& query, found_origin& found);
@@ -188,6 +193,8 @@
     origin_batch m_unwritten;
     std::function<awaitable<void>()> m_read_log;
     version_history m_versions;
+    /// Offset of the list from which on all changes were observed.
+    std::optional<log_offset> m_observed_from;
     absl::Duration m_longest_wait = absl::ZeroDuration();
     std::int64_t m_last_question = 0;
     std::map<std::int64_t, std::shared_ptr<pending_question>> m_pending;
--- a/tests/gateway/origin_service_test.cpp
+++ b/tests/gateway/origin_service_test.cpp
@@ -18,6 +18,7 @@
 {
 protected:
     static constexpr int host_count = 8;
+    static constexpr log_offset first_offset{5};
 
     origin_service_test()
     {
@@ -61,7 +62,14 @@
             }
             co_return m_is_list_current;
         };
+        peers.server_list = [this, number]
+        {
+            const auto next = m_list_offsets.find(number);
+            return known_server_list{
+                next == m_list_offsets.end() ? first_offset : next->second};
+        };
         service->set_peers(std::move(peers));
+        service->record_list(first_offset);
     }
 
     void kill(int number)
@@ -139,6 +147,7 @@
     std::set<host_id> m_cut;
     bool m_is_list_current = true;
     std::function<void()> m_on_confirmation;
+    std::map<int, log_offset> m_list_offsets; ///< that differ from the first
 };
 
 TEST_F(origin_service_test, every_host_finds_a_stream_after_its_host_was_killed)
@@ -258,6 +267,39 @@
     EXPECT_EQ(find(1, "unseen").source, origin_source::unknown);
 }
 
+// Between the end of the peer's list and the first list of this host, a version
+// may have come and gone.
+TEST_F(origin_service_test,
+       a_peer_whose_list_is_older_than_the_own_one_is_ignored)
+{
+    list("a", first);
+    m_candidates[6].uptime = absl::Minutes(1);
+    start(6, true);
+    service(6).observe_versions();
+    m_list_offsets[6] = log_offset(first_offset.value() - 1);
+    EXPECT_EQ(find(0, "").source, origin_source::unknown);
+    m_list_offsets.clear();
+    EXPECT_EQ(find(0, "").origin.version, first);
+}
+
+TEST_F(origin_service_test, peers_that_name_different_versions_are_not_believed)
+{
+    list("a", first);
+    for (const int number : {2, 4})
+    {
+        m_candidates[number].uptime = absl::Minutes(1);
+        start(number, true);
+    }
+    service(2).observe_versions();
+    m_servers.remove(upstream_id("a"));
+    list("b", second);
+    service(4).observe_versions();
+    m_servers.remove(upstream_id("b"));
+    EXPECT_EQ(find(0, "").source, origin_source::unknown);
+    kill(2);
+    EXPECT_EQ(find(0, "").origin.version, second);
+}
+
 TEST_F(origin_service_test, hosts_that_run_for_long_enough_are_asked)
 {
     list("a", first);
--- a/tests/streams/origin_store_test.cpp
+++ b/tests/streams/origin_store_test.cpp
@@ -73,12 +73,14 @@
     message.question = 7;
     message.is_reply = true;
     message.sole_version = version_name("");
+    message.list_offset = log_offset(91);
     message.origins = {{make_origin(1), absl::Seconds(3)}};
     const auto read = decode_origins(encode(message));
     ASSERT_TRUE(read);
     EXPECT_EQ(read->question, 7);
     EXPECT_TRUE(read->is_reply);
     EXPECT_EQ(read->sole_version, version_name(""));
+    EXPECT_EQ(read->list_offset, log_offset(91));
     EXPECT_EQ(read->origins, message.origins);
     EXPECT_FALSE(decode_origins(encode(origin_message()))->sole_version);
     EXPECT_FALSE(decode_origins("\x08\x07"));
