gateway: Restart the history of versions where changes were missed

Cause: a list that was read anew, after its records had been dropped, does not show versions that came and went meanwhile, yet the history went on. And peers.first_start, which lets a host claim that no stream is older than its process, stays in the settings file when the process starts again. Change: a second complete list restarts the history; first_start counts once the list of hosts is known, and only if the store had not listed this host before. Versions are observed before an upstream is removed or replaced too. Result: a_list_read_anew_ends_what_was_observed, a_host_that_was_listed_before_is_not_a_first_start and a_restart_ends_what_is_known; all are new.

--- a/libraries/streams/version_history.cpp
+++ b/libraries/streams/version_history.cpp
@@ -36,6 +36,15 @@
                   { return known.second < now - max_resumable_time; });
 }
 
+void version_history::restart(absl::Time now)
+{
+    m_is_first_start = false;
+    for (auto& [service, history] : m_services)
+    {
+        history.observed_since = now;
+    }
+}
+
 std::optional<version_name>
 version_history::sole_version(const service_name& service, absl::Duration span,
                               absl::Time now) const
--- a/libraries/streams/version_history.hpp
+++ b/libraries/streams/version_history.hpp
@@ -13,7 +13,9 @@
 {
 
 /// Tells whether a service has had a single software version for some time. If
-/// so, that version began every stream of this time. Free of I/O.
+/// so, that version began every stream of this time, provided that the list was
+/// complete at the end of it: what is observed is as old as the list. Free of
+/// I/O.
 class version_history
 {
 public:
@@ -30,6 +32,9 @@
     void observe(const service_name& service,
                  const std::set<version_name>& listed, absl::Time now);
 
+    /// Records that changes of the list may have been missed until now.
+    void restart(absl::Time now);
+
     /// @param span time before now
     /// @return the only version listed within the span; nothing if there were
     /// several or none, or if the span was not observed as a whole
--- a/services/gateway/gateway_records.cpp
+++ b/services/gateway/gateway_records.cpp
@@ -107,6 +107,8 @@
             // Removed without draining: it may still serve, or have crashed.
             m_state.crashes.start_probe(*listed, crash_sign::listed);
         }
+        // The version was listed until now.
+        m_state.origins.observe_versions();
         if (m_state.servers.remove(id))
         {
             m_state.pool.drop(id);
@@ -141,6 +143,10 @@
     const bool was_active = before != nullptr && !before->is_draining;
     const auto previous_start =
         was_active ? before->started_at : entry.started_at;
+    if (before != nullptr && before->version != entry.version)
+    {
+        m_state.origins.observe_versions();
+    }
     const auto change = m_state.servers.set(entry);
     if (change == entry_change::none)
     {
@@ -195,6 +201,7 @@
     {
         listed.emplace(key);
     }
+    m_state.origins.observe_versions();
     m_state.origins.record_list(m_servers.next());
     for (const auto& id : m_state.servers.keep_only(listed))
     {
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -47,7 +47,8 @@
          "IP:PORT of some other gateways; only the IP numbers count"},
         {"peers.first_start", &settings::is_first_start,
          "whether the whole fleet starts for the first time: no stream is "
-         "older than this process"},
+         "older than this process; ignored if the store has listed this host "
+         "before"},
         {"store.address", &settings::store_address,
          "IP:PORT of the platform's store", required},
         {"duties.address", &settings::duties_address,
--- a/services/gateway/host_list.cpp
+++ b/services/gateway/host_list.cpp
@@ -81,6 +81,7 @@
 {
     m_state.quota.shared().record_fleet_discovery(was_listed,
                                                   gateway_state::now());
+    m_state.origins.record_discovery(was_listed);
     m_state.knows_hosts = true;
 }
 
--- a/services/gateway/origin_service.cpp
+++ b/services/gateway/origin_service.cpp
@@ -240,14 +240,28 @@
 origin_service::sole_version(const service_name& service,
                              absl::Duration span) const
 {
-    return m_versions.sole_version(service, span, now());
+    return m_knows_hosts ? m_versions.sole_version(service, span, now())
+                         : std::nullopt;
 }
 
 void origin_service::record_list(log_offset next)
 {
+    if (m_observed_from)
+    {
+        m_versions.restart(now());
+    }
     m_observed_from = next;
 }
 
+void origin_service::record_discovery(bool was_listed)
+{
+    m_knows_hosts = true;
+    if (was_listed)
+    {
+        m_versions.restart(now());
+    }
+}
+
 void origin_service::observe_versions()
 {
     for (const auto& [service, versions] : m_servers.listed_versions())
--- a/services/gateway/origin_service.hpp
+++ b/services/gateway/origin_service.hpp
@@ -134,10 +134,16 @@
     /// Records the versions that are listed now.
     void observe_versions();
 
-    /// Records that a complete list was read.
+    /// Records that a complete list was read in place of its changes: versions
+    /// that were listed before may have been missed.
     /// @param next offset up to which the list is known
     void record_list(log_offset next);
 
+    /// Records that the hosts of the fleet are known. Until then, no version is
+    /// derived: `is_first_start` holds only if no earlier incarnation of this
+    /// host was listed.
+    void record_discovery(bool was_listed);
+
     /// Handles a datagram of a peer.
     /// @return the encoded reply to the sender; empty: none
     [[nodiscard]] std::string receive(std::string_view bytes);
@@ -195,6 +201,7 @@
     version_history m_versions;
     /// Offset of the list from which on all changes were observed.
     std::optional<log_offset> m_observed_from;
+    bool m_knows_hosts = false;
     absl::Duration m_longest_wait = absl::ZeroDuration();
     std::int64_t m_last_question = 0;
     std::map<std::int64_t, std::shared_ptr<pending_question>> m_pending;
--- a/tests/gateway/origin_service_test.cpp
+++ b/tests/gateway/origin_service_test.cpp
@@ -70,6 +70,7 @@
         };
         service->set_peers(std::move(peers));
         service->record_list(first_offset);
+        service->record_discovery(false);
     }
 
     void kill(int number)
@@ -300,6 +301,25 @@
     EXPECT_EQ(find(0, "").origin.version, second);
 }
 
+// The settings file may still say so when the process starts again.
+TEST_F(origin_service_test, a_host_that_was_listed_before_is_not_a_first_start)
+{
+    list("a", first);
+    start(1, true);
+    service(1).observe_versions();
+    service(1).record_discovery(true);
+    EXPECT_EQ(find(1, "").source, origin_source::unknown);
+}
+
+TEST_F(origin_service_test, a_list_read_anew_ends_what_was_observed)
+{
+    list("a", first);
+    start(1, true);
+    service(1).observe_versions();
+    service(1).record_list(log_offset(first_offset.value() + 2));
+    EXPECT_EQ(find(1, "").source, origin_source::unknown);
+}
+
 TEST_F(origin_service_test, hosts_that_run_for_long_enough_are_asked)
 {
     list("a", first);
--- a/tests/streams/version_history_test.cpp
+++ b/tests/streams/version_history_test.cpp
@@ -64,6 +64,15 @@
     EXPECT_EQ(m_history.sole_version(engines, span, at(53)), first);
 }
 
+TEST_F(version_history_test, a_restart_ends_what_is_known)
+{
+    observe({first}, 0, 30);
+    m_history.restart(at(30));
+    EXPECT_FALSE(m_history.sole_version(engines, span, at(30)));
+    observe({first}, 31, 50);
+    EXPECT_EQ(m_history.sole_version(engines, span, at(50)), first);
+}
+
 TEST(version_history, no_stream_is_older_than_the_fleet)
 {
     version_history history(true);
