gateway: Confirm no list while the store is known to be away

Cause: each resumption whose version has to be derived waited up to 0.3 s for a read, also while the follower's own calls had been failing. Change: without a read, the confirmation fails at once after two failed calls of the follower, until one succeeds. Result: running_follower_test.confirms_nothing_while_its_calls_time_out (new); 21 tests of followers and barriers pass.

--- a/services/gateway/topic_follower.cpp
+++ b/services/gateway/topic_follower.cpp
@@ -387,7 +387,13 @@
 
 awaitable<bool> topic_follower::confirm()
 {
-    return m_confirmations.pass(confirmation_timeout);
+    // The follower's own calls show when the store responds again.
+    const bool is_unreachable = m_failures > 1 && !is_served_by_readers();
+    if (is_unreachable)
+    {
+        co_return false;
+    }
+    co_return co_await m_confirmations.pass(confirmation_timeout);
 }
 
 awaitable<bool> topic_follower::read_to_end()
--- a/tests/gateway/topic_follower_test.cpp
+++ b/tests/gateway/topic_follower_test.cpp
@@ -216,6 +216,24 @@
     EXPECT_FALSE(m_follower.is_store_reachable());
 }
 
+// What cannot be confirmed is rejected at once, not after a timeout.
+TEST_F(running_follower_test, confirms_nothing_while_its_calls_time_out)
+{
+    m_state.role = list_role::alone;
+    for (int step = 0; step < 2000 && m_store.connections() < 3; ++step)
+    {
+        m_context.run_for(milliseconds(10));
+    }
+    ASSERT_GE(m_store.connections(), 3) << "two calls have failed";
+    std::optional<bool> is_confirmed;
+    asio::co_spawn(
+        m_context, [this] { return m_follower.confirm(); },
+        [&](const std::exception_ptr&, bool result) { is_confirmed = result; });
+    m_context.run_for(milliseconds(20));
+    EXPECT_EQ(is_confirmed, false);
+    EXPECT_EQ(m_store.connections(), 3);
+}
+
 TEST_F(running_follower_test, does_not_call_the_store_while_readers_report)
 {
     m_state.role = list_role::follower;
