tests/soak: Share the loop that judges the events of a stream

Cause: releases.py repeated the loop of clients.py. Change: one function, with the same checks; streams of releases now have the head's attempt checked too (MIXED), as those of other clients.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -17,6 +17,22 @@
 SHARE_BREAKING = 0.3  # of streams whose connection their client loses
 
 
+async def read_stream(promises, attempt, answer, reader):
+    """Judges the events of a stream until it ends or its client is to leave."""
+    if answer.fields.get("x-attempt-id") != attempt.id:
+        promises.breach("MIXED", f"{attempt.id} got the head of "
+                        f"{answer.fields}")
+    try:
+        async for event in http_wire.read_events(reader):
+            promises.saw_event(attempt, int(event["id"]), event["data"],
+                               event["version"])
+            if attempt.seen_events == attempt.breaks_after:
+                raise http_wire.Broken("the client loses its connection")
+    except http_wire.HalfEvent as rest:
+        promises.breach("ORDER", f"{attempt.id}: half an event at the end: "
+                        f"{rest}")
+
+
 class Client:
     """One client at one gateway."""
 
@@ -163,27 +179,14 @@
             raise http_wire.Broken("closed without an answer")
         is_stream = answer.fields.get("transfer-encoding") == "chunked"
         if is_stream:
-            await self._read_stream(attempt, answer)
+            await read_stream(self._soak.promises, attempt, answer,
+                              self._reader)
             self._soak.promises.streamed(attempt, self._soak.now())
         else:
             await http_wire.read_body(self._reader, answer)
             self._soak.promises.answered(attempt, answer, self._soak.now())
         return answer
 
-    async def _read_stream(self, attempt, answer):
-        if answer.fields.get("x-attempt-id") != attempt.id:
-            self._soak.promises.breach("MIXED", f"{attempt.id} got the head "
-                                       f"of {answer.fields}")
-        try:
-            async for event in http_wire.read_events(self._reader):
-                self._soak.promises.saw_event(attempt, int(event["id"]),
-                                              event["data"], event["version"])
-                if attempt.seen_events == attempt.breaks_after:
-                    raise http_wire.Broken("the client loses its connection")
-        except http_wire.HalfEvent as rest:
-            self._soak.promises.breach("ORDER", f"{attempt.id}: half an event "
-                                       f"at the end: {rest}")
-
     def _leave_connection(self):
         """Some clients keep a connection open until the process is gone."""
         if self._random.random() < SHARE_HOLDING:
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -2,11 +2,11 @@
 
 Each of several services has had a single version until servers of a second one
 join. Meanwhile one gateway is stopped, suspended, or cut off from the store, and in
-half of the cases from the other gateways too.
-Streams that begin at the other gateways are broken and resumed at that one; half
-of their clients name the attempt that began them. What is judged: a stream holds
-events of one version only, and streams go on at gateways in touch as often as new
-ones begin, where their version can be known.
+half of the cases from the other gateways too. Streams that begin at the other
+gateways are broken and resumed at that one; half of their clients name the attempt
+that began them. What is judged: a stream holds events of one version only, and
+streams go on at gateways in touch as often as new ones begin, where their version
+can be known.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 import uuid
 
 import http_wire
+from clients import read_stream
 from promises import Attempt
 from versions import judge
 
@@ -169,15 +170,7 @@
             await http_wire.read_body(reader, answer)
             self._soak.promises.answered(attempt, answer, self._soak.now())
             return
-        try:
-            async for event in http_wire.read_events(reader):
-                self._soak.promises.saw_event(attempt, int(event["id"]),
-                                              event["data"], event["version"])
-                if attempt.seen_events == attempt.breaks_after:
-                    raise http_wire.Broken("the client loses its connection")
-        except http_wire.HalfEvent as rest:
-            self._soak.promises.breach("ORDER", f"{attempt.id}: half an event "
-                                       f"at the end: {rest}")
+        await read_stream(self._soak.promises, attempt, answer, reader)
         self._soak.promises.streamed(attempt, self._soak.now())
 
     def check(self):
