--- a/review/5/case.py
+++ b/review/5/case.py
@@ -39,7 +39,7 @@
 
 
 async def case(record):
-    answers, runs = await load.play(record, Faulty)
+    answers, _, runs = await load.play(record, Faulty)
     return [f"REFUSED {attempt} ran at {runs[attempt][0][1]} "
             f"({runs[attempt][0][0]:.3f} s), answered {status}"
             for attempt, status in answers.items()
--- a/review/kit2/kit.py
+++ b/review/kit2/kit.py
@@ -24,6 +24,7 @@
 ZONES = ("hall-a", "hall-b", "hall-c")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+NO_MESSAGE = "no message: "
 
 
 class Gone(Exception):
@@ -105,7 +106,7 @@
         if colon:
             fields[name.strip().lower()] = value.strip()
     if not re.match(r"HTTP/1\.1 \d{3}|\S+ \S+ HTTP/1\.1$", lines[0]):
-        raise Gone("no message: " + repr(raw[:60]))
+        raise Gone(NO_MESSAGE + repr(raw[:60]))
     return Message(lines[0], fields)
 
 
@@ -557,6 +558,8 @@
 
 def play(folder, case):
     """Runs a case: `case(record)` returns what broke the rule, one a line."""
+    # A time-out of the script ends the processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder)
     code = NOT_RUN
     try:
@@ -568,7 +571,7 @@
         for line in broken[:5]:
             print("  " + line)
         code = BROKEN if broken else HELD
-    except (NotRun, OSError, TimeoutError) as error:
+    except (NotRun, OSError, KeyboardInterrupt) as error:
         record.add(f"NOT RUN {error!r}")
         print("not run:", repr(error))
     finally:
--- a/review/kit2/load.py
+++ b/review/kit2/load.py
@@ -1,4 +1,4 @@
-"""The small deployment of the cases 4 and 5, and its clients."""
+"""The small deployment of the cases 4, 5 and 8, and its clients."""
 
 import asyncio
 
@@ -21,7 +21,7 @@
     "tenants": [{"name": "t-1", "apiKeys": ["key-1"], "priority": 1}]}
 
 
-async def ask_until(fleet, index, ends, answers):
+async def ask_until(fleet, index, ends, answers, no_answers):
     """One client: unsafe requests on a kept connection, one at a time. It
     repeats none; each carries an id of its own."""
     gateway = fleet.gateways[index % len(fleet.gateways)]
@@ -41,6 +41,8 @@
         except (kit.Gone, OSError, TimeoutError) as error:
             record.add(f"client {index}: {attempt} ended: {error!r}")
             connection.close()
+            if str(error).startswith(kit.NO_MESSAGE):
+                no_answers[attempt] = str(error)
         await asyncio.sleep(PAUSE)
     connection.close()
 
@@ -48,7 +50,8 @@
 async def play(record, faulty):
     """Three gateways, three servers; the first server is a `faulty` one.
 
-    Returns the answers by attempt, and the runs by attempt."""
+    Returns, each by attempt: the statuses of answers, the bytes that clients
+    got in place of an answer, and the runs."""
     fleet = kit.Fleet(record)
     try:
         await fleet.start()
@@ -61,10 +64,11 @@
             await server.start()
         await fleet.start_gateways()
         await asyncio.sleep(2)
-        answers = {}
+        answers, no_answers = {}, {}
         ends = record.now() + CALM + TROUBLED + AFTER
-        clients = [asyncio.create_task(ask_until(fleet, index, ends, answers))
-                   for index in range(CLIENTS)]
+        clients = [asyncio.create_task(
+            ask_until(fleet, index, ends, answers, no_answers))
+            for index in range(CLIENTS)]
         await asyncio.sleep(CALM)
         servers[0].is_spoiling = kit.TROUBLE
         record.add("the disruption begins" if kit.TROUBLE else
@@ -86,6 +90,6 @@
         served = sum(200 <= status < 300 for status in answers.values())
         if served < 100:
             raise kit.NotRun(f"only {served} requests were served")
-        return answers, runs
+        return answers, no_answers, runs
     finally:
         await fleet.stop()
