wire: Refuse a response whose status HTTP does not have

Cause: Beast reads any three digits as a status. The gateway compared it with 300 and 400 alone, so that 0 to 99 counted as successes, and wrote it back as a number. Calls to the store and to peers took such a response for an informational one and put its body before that of the next response; libcurl accepted 600 to 999 for the role host.

Change: response_parser, which every reader of responses of the gateway uses, refuses statuses outside 100 to 599; http_client does the same. The attempt fails as one that may have run: 502, or another upstream for safe requests. upstream_failed names the fault `malformed`, which no log line showed before.

Evidence: seen failing before the fix: response_parser.a_status_outside_100_to_599_is_malformed, 17 of 20 cases of invalid_status.*, http_client.a_status_outside_100_to_599_is_no_response.

--- a/libraries/base/http_status.hpp
+++ b/libraries/base/http_status.hpp
@@ -6,6 +6,7 @@
 {
 
 inline constexpr int first_informational = 100;
+inline constexpr int last = 599;
 inline constexpr int ok = 200;
 inline constexpr int created = 201;
 inline constexpr int accepted = 202;
@@ -29,4 +30,10 @@
 inline constexpr int unavailable = 503;
 inline constexpr int gateway_timeout = 504;
 
+/// @return whether a response can have the status
+[[nodiscard]] constexpr bool is_valid(int status)
+{
+    return status >= first_informational && status <= last;
+}
+
 } // namespace daleshelf::http_status
--- a/libraries/http/http_client.cpp
+++ b/libraries/http/http_client.cpp
@@ -1,12 +1,13 @@
 #include "http_client.hpp"
 
-#include <absl/strings/ascii.h>
 #include <absl/synchronization/notification.h>
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <base/http_status.hpp>
+#include <base/text.hpp>
 #include <stdexcept>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -33,6 +34,12 @@
     }
 }
 
+std::string_view without_line_end(std::string_view line)
+{
+    const auto last = line.find_last_not_of("\r\n");
+    return line.substr(0, last == std::string_view::npos ? 0 : last + 1);
+}
+
 } // namespace
 
 /// One request on its way.
@@ -82,6 +89,10 @@
         {
             result.error = "cancelled";
         }
+        else if (!m_head_fault.empty())
+        {
+            result.error = m_head_fault;
+        }
         else if (code != CURLE_OK)
         {
             result.error = curl_easy_strerror(code);
@@ -178,39 +189,66 @@
 
     // Called with each line of each head, and of a trailer; the last line of a
     // head is empty.
+    // @return the number of bytes accepted; fewer than all fail the transfer
     static std::size_t on_header(char* data, std::size_t size,
                                  std::size_t count, void* cls)
     {
         auto& self = *static_cast<transfer*>(cls);
-        const std::string line(data, size * count);
+        const auto bytes = size * count;
         if (self.m_is_head_reported)
         {
-            return size * count;
+            return bytes;
         }
+        self.add_head_line({data, bytes});
+        return self.m_head_fault.empty() ? bytes : 0;
+    }
+
+    void add_head_line(std::string_view line)
+    {
+        line = without_line_end(line);
         if (line.starts_with("HTTP/"))
         {
             // The head before was informational.
-            self.m_head = {};
-            self.m_is_head_complete = false;
+            m_head = {};
+            m_is_head_complete = false;
+            return;
         }
-        if (absl::StripAsciiWhitespace(line).empty())
+        if (line.empty())
         {
-            self.m_is_head_complete = self.final_status() >= http_status::ok;
+            end_head();
+            return;
         }
-        const auto colon = line.find(':');
-        if (colon != std::string::npos)
+        add_field(line);
+    }
+
+    void end_head()
+    {
+        const auto status = final_status();
+        if (!http_status::is_valid(status))
         {
-            http_header header;
-            header.name = absl::AsciiStrToLower(line.substr(0, colon));
-            header.value =
-                std::string(absl::StripAsciiWhitespace(line.substr(colon + 1)));
-            if (header.name == "content-type")
-            {
-                self.m_head.content_type = header.value;
-            }
-            self.m_head.headers.push_back(std::move(header));
+            m_head_fault = "the response's status is invalid";
+            return;
         }
-        return size * count;
+        m_is_head_complete = status >= http_status::ok;
+    }
+
+    void add_field(std::string_view line)
+    {
+        const auto colon = std::min(line.find(':'), line.size());
+        const auto name = line.substr(0, colon);
+        const auto value = trim(line.substr(std::min(colon + 1, line.size())));
+        if (colon == line.size())
+        {
+            return;
+        }
+        http_header header;
+        header.name = to_lower(name);
+        header.value = std::string(value);
+        if (header.name == "content-type")
+        {
+            m_head.content_type = header.value;
+        }
+        m_head.headers.push_back(std::move(header));
     }
 
     static std::size_t on_write(char* data, std::size_t size, std::size_t count,
@@ -229,6 +267,7 @@
     http_client_request m_request;
     http_transfer_handlers m_handlers;
     http_response m_head;
+    std::string m_head_fault;        ///< why the head was refused, if it was
     bool m_is_head_complete = false; ///< of the final response
     bool m_is_head_reported = false;
     CURL* m_easy = nullptr;
--- a/libraries/wire/message_parser.cpp
+++ b/libraries/wire/message_parser.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <base/http_status.hpp>
+
 namespace daleshelf
 {
 
@@ -212,8 +214,13 @@
 }
 
 void response_parser::on_response_impl(int status, text reason, int version,
-                                       error_code& /*error*/)
+                                       error_code& error)
 {
+    if (!http_status::is_valid(status))
+    {
+        error = http_error::bad_status;
+        return;
+    }
     m_head.status = status;
     m_head.reason.assign(reason.data(), reason.size());
     m_head.version = version;
--- a/libraries/wire/message_parser.hpp
+++ b/libraries/wire/message_parser.hpp
@@ -160,7 +160,7 @@
     request_head m_head;
 };
 
-/// Parses one answer.
+/// Parses one answer. One whose status no answer can have is malformed.
 class response_parser final : public message_parser<false>
 {
 public:
--- a/services/gateway/request_attempt.cpp
+++ b/services/gateway/request_attempt.cpp
@@ -106,6 +106,7 @@
                             monotonic::now() - sent_at);
         record_first_event(exchange.head(), monotonic::now() - sent_at);
         result = co_await relay(exchange);
+        m_response_fault = exchange.rejected_response();
         if (result == attempt_result::broken)
         {
             outcome = attempt_outcome::unreachable;
--- a/services/gateway/response_check.cpp
+++ b/services/gateway/response_check.cpp
@@ -61,6 +61,8 @@
     {
     case response_fault::none:
         return "";
+    case response_fault::malformed:
+        return "malformed";
     case response_fault::ambiguous_id:
         return "ambiguous_id";
     case response_fault::missing_id:
--- a/services/gateway/response_check.hpp
+++ b/services/gateway/response_check.hpp
@@ -21,6 +21,7 @@
 enum class response_fault
 {
     none,
+    malformed,        ///< it is no HTTP response, or exceeds a limit
     ambiguous_id,     ///< it carries several request ids, or an empty one
     missing_id,       ///< it is no plain failure and carries no request id
     unsigned_success, ///< a success without exactly one signature
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -102,9 +102,9 @@
                 co_return fail();
             }
         }
-        catch (const parse_error&)
+        catch (const parse_error& error)
         {
-            co_return fail();
+            co_return fail(error);
         }
         const bool has_input =
             co_await m_connection->channel->wait_input(until);
@@ -169,9 +169,9 @@
                 co_return exchange_state::head;
             }
         }
-        catch (const parse_error&)
+        catch (const parse_error& error)
         {
-            co_return fail();
+            co_return fail(error);
         }
         if (m_connection->channel->connection_state() != channel_state::open)
         {
@@ -317,6 +317,16 @@
     return exchange_state::failed;
 }
 
+exchange_state server_exchange::fail(const parse_error& error)
+{
+    if (m_response_fault == response_fault::none &&
+        error.fault() != parse_fault::cut_off)
+    {
+        m_response_fault = response_fault::malformed;
+    }
+    return fail();
+}
+
 // Handles the complete response: returns the connection to the pool if it can
 // be reused.
 void server_exchange::release()
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -126,6 +126,7 @@
     void count_skipped(std::size_t body_bytes);
     void merge_notice(const platform::server_notice& notice, bool is_unrelated);
     exchange_state fail();
+    exchange_state fail(const parse_error& error);
     void release();
 
     upstream_connector& m_upstreams;
--- /dev/null
+++ b/tests/gateway/invalid_status_test.cpp
@@ -0,0 +1,125 @@
+// Guards against clients that get a response whose status is none of HTTP
+// (RFC 9110, section 15: 100 to 599), and against calls that read one.
+#include "gateway_fixture.hpp"
+
+#include <base/text.hpp>
+#include <future>
+#include <gateway/http_call.hpp>
+
+namespace daleshelf
+{
+namespace
+{
+
+std::string response_with(const std::string& status, const std::string& id,
+                          const std::string& fields = "")
+{
+    return concat("HTTP/1.1 ", status, " OK\r\nX-Attempt-Id: ", id,
+                  "\r\nX-Server-Seal: seal\r\n", fields,
+                  "Content-Length: 4\r\n\r\njunk");
+}
+
+class invalid_status : public gateway_fixture,
+                       public testing::WithParamInterface<std::string>
+{
+protected:
+    invalid_status()
+    {
+        configure();
+    }
+
+    /// Responds to each request on a connection with the invalid status.
+    static scripted_server::script respond_invalid(std::string fields = "")
+    {
+        return [=](test_connection& connection)
+        {
+            while (true)
+            {
+                const auto request = connection.read_message();
+                if (request.empty())
+                {
+                    return;
+                }
+                connection.send(
+                    response_with(GetParam(), id_of(request), fields));
+            }
+        };
+    }
+};
+
+TEST_P(invalid_status, is_a_502_to_an_unsafe_request)
+{
+    const scripted_server server(respond_invalid());
+    add_server("a", server);
+    const auto response = fetch("/unsafe/x");
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 502 ")) << response;
+    EXPECT_EQ(response.find("junk"), std::string::npos) << response;
+    EXPECT_EQ(server.requests(), 1);
+}
+
+TEST_P(invalid_status, leaves_a_safe_request_to_another_upstream)
+{
+    const scripted_server invalid(respond_invalid());
+    const scripted_server sound(
+        [](test_connection& connection) {
+            connection.send(
+                make_response(id_of(connection.read_message()), "good"));
+        });
+    add_server("a", invalid);
+    add_server("b", sound);
+    for (int round = 0; round < 8; ++round)
+    {
+        const auto response = fetch("/safe/x");
+        EXPECT_TRUE(response.ends_with("good")) << response;
+    }
+}
+
+TEST_P(invalid_status, begins_no_stream)
+{
+    const scripted_server server(
+        respond_invalid("Content-Type: text/event-stream\r\n"));
+    add_server("a", server);
+    for (const auto* path : {"/stream/x", "/fixed/x"})
+    {
+        const auto response = fetch(path);
+        EXPECT_TRUE(response.starts_with("HTTP/1.1 502 ")) << response;
+    }
+}
+
+// A call took such a response for an informational one and kept its body.
+TEST_P(invalid_status, ends_a_call_without_a_response)
+{
+    const scripted_server server(
+        [](test_connection& connection)
+        {
+            connection.read_message();
+            connection.send(response_with(GetParam(), "1") +
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+    std::unique_ptr<http_caller> caller;
+    std::promise<std::string> body;
+    on_loop(
+        [&]
+        {
+            caller = std::make_unique<http_caller>(m_context, server.address());
+            asio::co_spawn(
+                m_context,
+                [&]() -> awaitable<void>
+                {
+                    platform::store_call call{"GET", "/", "", ""};
+                    const auto response = co_await caller->call(
+                        std::move(call), milliseconds(5000));
+                    body.set_value(response ? response->body : "none");
+                },
+                asio::detached);
+        });
+    EXPECT_EQ(body.get_future().get(), "none");
+    on_loop([&] { caller.reset(); });
+}
+
+INSTANTIATE_TEST_SUITE_P(statuses, invalid_status,
+                         testing::Values("000", "001", "099", "600", "999"),
+                         [](const auto& tested) { return tested.param; });
+
+} // namespace
+} // namespace daleshelf
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -112,6 +112,23 @@
     }
 }
 
+// Guards against a response whose status is none of HTTP, and against one that
+// is taken for an informational one.
+TEST(http_client, a_status_outside_100_to_599_is_no_response)
+{
+    closing_server server;
+    for (const std::string status : {"000", "001", "099", "600", "999"})
+    {
+        EXPECT_THROW(
+            (void)server.fetch("GET",
+                               concat("HTTP/1.1 ", status,
+                                      " OK\r\nContent-Length: 4\r\n\r\nbody"),
+                               closing::in_order),
+            std::runtime_error)
+            << status;
+    }
+}
+
 TEST(http_client, a_whole_head_is_a_response)
 {
     closing_server server;
--- a/tests/wire/message_parser_test.cpp
+++ b/tests/wire/message_parser_test.cpp
@@ -190,6 +190,46 @@
     EXPECT_EQ(parser.take_body(), "abc");
 }
 
+bool is_refused(const std::string& bytes, std::size_t step)
+{
+    response_parser parser(head_bytes);
+    std::string held;
+    try
+    {
+        for (std::size_t next = 0; next < bytes.size(); next += step)
+        {
+            held += bytes.substr(next, step);
+            held.erase(0, parser.feed(held));
+        }
+    }
+    catch (const parse_error&)
+    {
+        return true;
+    }
+    return false;
+}
+
+bool is_refused(const std::string& bytes)
+{
+    const bool at_once = is_refused(bytes, bytes.size());
+    EXPECT_EQ(is_refused(bytes, 1), at_once) << bytes;
+    return at_once;
+}
+
+// Guards against a status that no HTTP response has (RFC 9110, section 15).
+TEST(response_parser, a_status_outside_100_to_599_is_malformed)
+{
+    constexpr int past_three_digits = 1000;
+    for (int status = 0; status < past_three_digits; ++status)
+    {
+        const auto digits = std::to_string(past_three_digits + status);
+        EXPECT_EQ(
+            is_refused(concat("HTTP/1.1 ", digits.substr(1), " Any\r\n\r\n")),
+            status < 100 || status > 599)
+            << status;
+    }
+}
+
 TEST(response_parser, an_answer_to_head_has_no_body)
 {
     response_parser parser(head_bytes);
