wire: Refuse a response with an ambiguous end of its body

A success with `Transfer-Encoding: gzip, chunked` or an unknown coding reached its client with the coding dropped.

Cause: requests with more than one reading of their end were refused, responses were not checked. A spoiled status of 204 or 1xx took the body away.

Change: has_ambiguous_length serves both; it also refuses a length that is a list. response_parser refuses such responses, and 1xx and 204 that state a body.

Evidence: response_parser.an_ambiguous_end_of_a_body_is_malformed and a_body_where_none_is_allowed_is_malformed failed before; the wire and gateway tests pass (24 and 393).

--- a/libraries/base/http_status.hpp
+++ b/libraries/base/http_status.hpp
@@ -10,6 +10,7 @@
 inline constexpr int ok = 200;
 inline constexpr int created = 201;
 inline constexpr int accepted = 202;
+inline constexpr int no_content = 204;
 inline constexpr int first_redirection = 300;
 inline constexpr int see_other = 303;
 inline constexpr int bad_request = 400;
--- a/libraries/wire/message_head.cpp
+++ b/libraries/wire/message_head.cpp
@@ -77,6 +77,25 @@
     return version >= http_1_1 || fields.has_token("Connection", "keep-alive");
 }
 
+bool has_ambiguous_length(const message_fields& fields, int version)
+{
+    const auto codings = fields.count("Transfer-Encoding");
+    const auto lengths = fields.count("Content-Length");
+    if (codings + lengths > 1)
+    {
+        return true;
+    }
+    if (lengths == 1)
+    {
+        const auto length = trim(*fields.find("Content-Length"));
+        return length.empty() ||
+               length.find_first_not_of("0123456789") != std::string_view::npos;
+    }
+    return codings == 1 &&
+           (version < http_1_1 ||
+            !same_name(*fields.find("Transfer-Encoding"), "chunked"));
+}
+
 bool same_name(std::string_view left, std::string_view right)
 {
     return equals_ignoring_case(left, right);
--- a/libraries/wire/message_head.hpp
+++ b/libraries/wire/message_head.hpp
@@ -62,6 +62,11 @@
 /// @return whether the sender lets the connection be used again
 [[nodiscard]] bool keeps_connection(const message_fields& fields, int version);
 
+/// @return whether more than one reading of the end of the message's body is
+/// possible (RFC 9112, section 6.3), as in a request smuggled inside another
+[[nodiscard]] bool has_ambiguous_length(const message_fields& fields,
+                                        int version);
+
 /// @return whether two field names are the same
 [[nodiscard]] bool same_name(std::string_view left, std::string_view right);
 
--- a/libraries/wire/message_parser.cpp
+++ b/libraries/wire/message_parser.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <base/http_status.hpp>
+#include <base/text.hpp>
 
 namespace daleshelf
 {
@@ -41,6 +42,19 @@
            lines.find("\n\t") != std::string_view::npos;
 }
 
+// @return whether a response of that status never has a body
+bool forbids_body(int status)
+{
+    return status < http_status::ok || status == http_status::no_content;
+}
+
+bool states_body(const message_fields& fields)
+{
+    const auto* length = fields.find("Content-Length");
+    return fields.find("Transfer-Encoding") != nullptr ||
+           (length != nullptr && parse_integer(trim(*length)) != 0);
+}
+
 } // namespace
 
 template <bool IsRequest>
@@ -190,16 +204,7 @@
 
 bool request_parser::is_ambiguous(const request_head& head)
 {
-    const auto& fields = head.fields;
-    const auto codings = fields.count("Transfer-Encoding");
-    const auto lengths = fields.count("Content-Length");
-    if (codings + lengths > 1)
-    {
-        return true;
-    }
-    return codings == 1 &&
-           (head.version < http_1_1 ||
-            !same_name(*fields.find("Transfer-Encoding"), "chunked"));
+    return has_ambiguous_length(head.fields, head.version);
 }
 
 void request_parser::on_request_impl(boost::beast::http::verb /*known*/,
@@ -222,6 +227,18 @@
     return std::move(m_head);
 }
 
+void response_parser::on_header_impl(error_code& error)
+{
+    if (has_ambiguous_length(m_fields, m_head.version))
+    {
+        error = http_error::bad_content_length;
+    }
+    else if (forbids_body(m_head.status) && states_body(m_fields))
+    {
+        error = http_error::unexpected_body;
+    }
+}
+
 void response_parser::on_request_impl(boost::beast::http::verb /*known*/,
                                       text /*method*/, text /*target*/,
                                       int /*version*/, error_code& /*error*/)
--- a/libraries/wire/message_parser.hpp
+++ b/libraries/wire/message_parser.hpp
@@ -116,7 +116,7 @@
 private:
     void on_field_impl(boost::beast::http::field /*known*/, text name,
                        text value, error_code& error) final;
-    void on_header_impl(error_code& error) final;
+    void on_header_impl(error_code& error) override;
     void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                            error_code& error) final;
     std::size_t on_body_impl(text body, error_code& error) final;
@@ -147,8 +147,7 @@
     /// @return the head; valid once `has_head` is true
     [[nodiscard]] request_head take_head();
 
-    /// @return whether more than one reading of the message's end is possible
-    /// (RFC 9112, section 6.3), as in a request smuggled inside another
+    /// @return whether `has_ambiguous_length` holds
     [[nodiscard]] static bool is_ambiguous(const request_head& head);
 
 private:
@@ -160,7 +159,8 @@
     request_head m_head;
 };
 
-/// Parses one answer. One whose status no answer can have is malformed.
+/// Parses one answer. One whose status no answer can have, or whose body has
+/// more than one possible end, is malformed.
 class response_parser final : public message_parser<false>
 {
 public:
@@ -185,6 +185,8 @@
     void on_response_impl(int status, text reason, int version,
                           error_code& error) override;
 
+    void on_header_impl(error_code& error) override;
+
     response_head m_head;
 };
 
--- a/tests/wire/message_parser_test.cpp
+++ b/tests/wire/message_parser_test.cpp
@@ -267,6 +267,43 @@
     }
 }
 
+// Guards against a body that is passed on with its coding dropped, or that ends
+// at another place than its sender meant (RFC 9112, section 6).
+TEST(response_parser, an_ambiguous_end_of_a_body_is_malformed)
+{
+    const std::string end = "\r\n0\r\n\r\n";
+    for (const std::string fields :
+         {"Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: gzip\r\n",
+          "Transfer-Encoding: xchunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+          "Content-Length: 3\r\nContent-Length: 3\r\n",
+          "Content-Length: 3, 3\r\n"})
+    {
+        EXPECT_TRUE(is_refused("HTTP/1.1 200 OK\r\n" + fields + end)) << fields;
+    }
+    EXPECT_TRUE(
+        is_refused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + end));
+    EXPECT_FALSE(
+        is_refused("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n" + end));
+}
+
+// A response that has no body states no length other than 0 (RFC 9110, section
+// 8.6): a spoiled status would drop the body.
+TEST(response_parser, a_body_where_none_is_allowed_is_malformed)
+{
+    for (const std::string status : {"204 No Content", "103 Early Hints"})
+    {
+        const auto start = "HTTP/1.1 " + status + "\r\n";
+        EXPECT_TRUE(is_refused(start + "Content-Length: 2\r\n\r\nab"));
+        EXPECT_TRUE(is_refused(start + "Transfer-Encoding: chunked\r\n\r\n"));
+        EXPECT_FALSE(is_refused(start + "Content-Length: 0\r\n\r\n"));
+        EXPECT_FALSE(is_refused(start + "\r\n"));
+    }
+    EXPECT_FALSE(
+        is_refused("HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n"));
+}
+
 TEST(response_parser, an_answer_to_head_has_no_body)
 {
     response_parser parser(head_bytes);
