gateway: Promise that a request has not run only if it is stated

Cause: whether a response states that its request has not run was asked for the decision on a retry alone. A response that carried the request's id and no such statement was relayed with its status. A 421 with the id counted as a statement and was sent to a second upstream, as was a signed success marked as not run.

Change: check_response refuses responses with 408, 421, 429 or 503 that do not state it, and marked ones that are no failure. states_not_run believes X-Not-Executed, and a 421 that names no request, which is what a server sends that has taken over an address. One assertion is added to formats_test, none changed.

Evidence: seen failing before: 20 cases of unproven_rejection*, and contradictory_rejection.

--- a/services/gateway/response_check.cpp
+++ b/services/gateway/response_check.cpp
@@ -15,22 +15,15 @@
            head.status < http_status::ok;
 }
 
-// A client takes these for a promise that its request has not run; so is 421,
-// which an upstream only sends without running the request.
+// A client takes these for a promise that its request has not run.
 bool promises_not_run(const response_head& head)
 {
     return head.status == http_status::request_timeout ||
+           head.status == http_status::misdirected ||
            head.status == http_status::too_many_requests ||
            head.status == http_status::unavailable;
 }
 
-// An upstream may fail a request before it has read its id.
-bool can_omit_id(const response_head& head)
-{
-    return head.status >= http_status::first_client_error &&
-           (platform::states_not_run(head) || !promises_not_run(head));
-}
-
 response_fault find_fault(const response_head& head)
 {
     const auto id_count = platform::request_id_count(head.fields);
@@ -39,7 +32,17 @@
     {
         return response_fault::ambiguous_id;
     }
-    if (!id && !can_omit_id(head))
+    const bool is_rejection = platform::states_not_run(head);
+    if (is_rejection && head.status < http_status::first_client_error)
+    {
+        return response_fault::contradictory_rejection;
+    }
+    if (promises_not_run(head) && !is_rejection)
+    {
+        return response_fault::unproven_rejection;
+    }
+    // An upstream may fail a request before it has read its id.
+    if (!id && head.status < http_status::first_client_error)
     {
         return response_fault::missing_id;
     }
@@ -67,6 +70,10 @@
         return "ambiguous_id";
     case response_fault::missing_id:
         return "missing_id";
+    case response_fault::unproven_rejection:
+        return "unproven_rejection";
+    case response_fault::contradictory_rejection:
+        return "contradictory_rejection";
     case response_fault::unsigned_success:
         return "unsigned_success";
     case response_fault::encoded_body:
--- a/services/gateway/response_check.hpp
+++ b/services/gateway/response_check.hpp
@@ -21,11 +21,16 @@
 enum class response_fault
 {
     none,
-    malformed,        ///< it is no HTTP response, or exceeds a limit
-    ambiguous_id,     ///< it carries several request ids, or an empty one
-    missing_id,       ///< it is no plain failure and carries no request id
-    unsigned_success, ///< a success without exactly one signature
-    encoded_body,     ///< requests ask for bodies without an encoding
+    malformed,          ///< it is no HTTP response, or exceeds a limit
+    ambiguous_id,       ///< it carries several request ids, or an empty one
+    missing_id,         ///< it is no failure and carries no request id
+    unproven_rejection, ///< its status promises that the request has not run,
+                        ///< and it does not state so
+    contradictory_rejection, ///< no failure, yet it states that the request
+                             ///< has not run
+    unsigned_success,        ///< a success without exactly one signature
+    event_out_of_sequence,   ///< an event does not follow the one before it
+    encoded_body,            ///< requests ask for bodies without an encoding
 };
 
 /// @return the name of the fault in the log; empty if there is none
--- a/tests/platform/formats_test.cpp
+++ b/tests/platform/formats_test.cpp
@@ -83,6 +83,8 @@
     head.fields = {};
     head.status = 421;
     EXPECT_TRUE(states_not_run(head));
+    head.fields = make_fields({{"X-Attempt-Id", "1"}});
+    EXPECT_FALSE(states_not_run(head)) << "the server has read the request";
 }
 
 TEST(request_format, reads_what_a_server_says_of_itself)
