ingress: Check that the events of a stream follow each other

Cause: forward_events compared an id with what the client has, not with the event before it. Within one response an id that did not rise was dropped as a repetition, any first id was accepted, and an event without a readable id was forwarded without being counted, so that a resumption repeated it.

Change: event_sequence holds the contract of ids. Within a response each id is the last one plus one, and the first is at most the next that the client lacks. event_splitter tells a missing id from a malformed one and from a comment. An event that does not follow is held back; the stream is resumed elsewhere or broken off, and upstream_failed names the fault event_out_of_sequence.

The stand-in of endless_response_test began a new stream at event 2, which no upstream may; it begins at 1 now unless it is asked to continue. Its assertions are unchanged.

--- a/libraries/ingress/event_splitter.cpp
+++ b/libraries/ingress/event_splitter.cpp
@@ -35,25 +35,43 @@
     return {};
 }
 
-std::optional<std::int64_t> find_id(std::string_view event)
+bool has_name(std::string_view line, std::string_view name)
 {
-    constexpr std::string_view name = "id:";
+    return line.starts_with(name) &&
+           (line.size() == name.size() || line[name.size()] == ':');
+}
+
+void add_line(stream_event& event, std::string_view line)
+{
+    constexpr std::string_view id_name = "id";
+    constexpr std::string_view data_name = "data";
+    event.has_data = event.has_data || has_name(line, data_name);
+    if (!has_name(line, id_name))
+    {
+        return;
+    }
+    const auto value = line.substr(std::min(line.size(), id_name.size() + 1));
+    event.id = event.has_id ? std::nullopt : parse_integer(trim(value));
+    event.has_id = true;
+}
+
+stream_event parse_event(std::string_view bytes)
+{
+    stream_event event;
+    event.bytes = bytes;
     std::size_t start = 0;
-    while (start < event.size())
+    while (start < bytes.size())
     {
-        const auto end = std::min(event.find('\n', start), event.size());
-        auto line = event.substr(start, end - start);
+        const auto end = std::min(bytes.find('\n', start), bytes.size());
+        auto line = bytes.substr(start, end - start);
         if (line.ends_with('\r'))
         {
             line.remove_suffix(1);
         }
-        if (line.starts_with(name))
-        {
-            return parse_integer(trim(line.substr(name.size())));
-        }
+        add_line(event, line);
         start = end + 1;
     }
-    return std::nullopt;
+    return event;
 }
 
 } // namespace
@@ -94,9 +112,8 @@
             m_start, m_buffer.size() > overlap ? m_buffer.size() - overlap : 0);
         return std::nullopt;
     }
-    stream_event event;
-    event.bytes = m_buffer.substr(m_start, end - m_start);
-    event.id = find_id(event.bytes);
+    auto event =
+        parse_event(std::string_view(m_buffer).substr(m_start, end - m_start));
     m_start = end;
     m_scanned = end;
     return event;
--- a/libraries/ingress/event_splitter.hpp
+++ b/libraries/ingress/event_splitter.hpp
@@ -21,7 +21,9 @@
 struct stream_event
 {
     std::string bytes;
-    std::optional<std::int64_t> id; ///< nothing without a numeric id
+    std::optional<std::int64_t> id; ///< nothing without exactly one numeric id
+    bool has_id = false;            ///< it has an id, of whatever form
+    bool has_data = false;          ///< it has data; without, it is a comment
 };
 
 /// Buffers the bytes of a stream and returns complete events only, so that a
--- a/libraries/ingress/forward.hpp
+++ b/libraries/ingress/forward.hpp
@@ -5,6 +5,8 @@
 namespace daleshelf
 {
 
+class completion_time;
+class event_sequence;
 class event_splitter;
 class link_monitor;
 class upstream_load_table;
--- a/services/gateway/request_attempt.cpp
+++ b/services/gateway/request_attempt.cpp
@@ -106,7 +106,10 @@
                             monotonic::now() - sent_at);
         record_first_event(exchange.head(), monotonic::now() - sent_at);
         result = co_await relay(exchange);
-        m_response_fault = exchange.rejected_response();
+        if (exchange.rejected_response() != response_fault::none)
+        {
+            m_response_fault = exchange.rejected_response();
+        }
         if (result == attempt_result::broken)
         {
             outcome = attempt_outcome::unreachable;
@@ -160,7 +163,7 @@
     for (const auto& field : fields.fields)
     {
         const bool is_length = same_name(field.name, "Content-Length");
-        const bool is_replaced = m_last_event && m_response.has_begun() &&
+        const bool is_replaced = last_event() && m_response.has_begun() &&
                                  same_name(field.name, "Last-Event-Id");
         if (is_length || is_replaced || is_hop_by_hop(fields, field.name) ||
             platform::is_stripped(field.name))
@@ -188,7 +191,7 @@
     }
     if (m_response.has_begun())
     {
-        own.last_event = m_last_event;
+        own.last_event = last_event();
         own.expected_weights = m_weights_version;
     }
     platform::write_server_fields(bytes, own);
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -259,7 +259,7 @@
         return false;
     }
     if (m_response.has_begun() &&
-        !(m_last_event && m_state.settings.resumes_streams))
+        !(last_event() && m_state.settings.resumes_streams))
     {
         return false;
     }
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -6,6 +6,7 @@
 #include "gateway_state.hpp"
 #include "server_exchange.hpp"
 
+#include <ingress/event_sequence.hpp>
 #include <ingress/event_splitter.hpp>
 #include <ingress/request_facts.hpp>
 #include <memory>
@@ -89,6 +90,8 @@
     awaitable<attempt_result> relay(server_exchange& exchange);
     awaitable<attempt_result> relay_body(server_exchange& exchange);
     awaitable<attempt_result> relay_event_stream(server_exchange& exchange);
+    void begin_events();
+    [[nodiscard]] std::optional<std::int64_t> last_event() const;
     awaitable<bool> forward_events(event_splitter& splitter,
                                    const response_head& head,
                                    bool& is_in_order);
@@ -214,7 +217,7 @@
     std::optional<version_name> m_stream_version;
     /// Of a stream that the client resumes; nothing: it began in this request.
     std::optional<found_origin> m_origin;
-    std::optional<std::int64_t> m_last_event;
+    std::optional<event_sequence> m_events; ///< of the stream, once it began
     std::optional<std::int64_t> m_weights_version;
     server_exchange* m_exchange = nullptr;
     std::optional<std::pair<response_head, std::string>> m_error_response;
--- a/services/gateway/request_log.cpp
+++ b/services/gateway/request_log.cpp
@@ -70,14 +70,14 @@
     {
         return;
     }
-    const auto last_event = m_last_event ? m_last_event : m_facts.last_event;
+    const auto after = last_event() ? last_event() : m_facts.last_event;
     const auto begun_by =
         is_taken_up ? m_facts.resumed.value_or(request_id()) : m_facts.id;
     const auto source = m_origin ? m_origin->source : origin_source::own;
     std::vector<log_field> fields{{"id", m_facts.id.value()},
                                   {"begun_by", begun_by.value()},
                                   {"source", std::string(name_of(source))},
-                                  {"last_event", last_event.value_or(0)},
+                                  {"last_event", after.value_or(0)},
                                   {"server", server.id.value()},
                                   {"version", server.version.value()},
                                   {"attempts", m_attempts}};
--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -109,7 +109,8 @@
     count_usage();
     event_splitter splitter;
     const auto first_at = monotonic::now();
-    const auto before = m_last_event.value_or(m_facts.last_event.value_or(0));
+    begin_events();
+    const auto before = last_event().value_or(m_facts.last_event.value_or(0));
     auto patience = max_event_gap;
     while (true)
     {
@@ -124,7 +125,7 @@
             patience = max_event_gap;
             splitter.add(exchange.take_piece());
             bool is_in_order = true;
-            const auto last_before = m_last_event;
+            const auto last_before = last_event();
             const auto arrived_at = monotonic::now();
             const bool is_taken =
                 co_await forward_events(splitter, exchange.head(), is_in_order);
@@ -136,9 +137,9 @@
             {
                 co_return attempt_result::broken;
             }
-            if (last_before && m_last_event)
+            if (last_before)
             {
-                record_pace(exchange.server(), *m_last_event - *last_before,
+                record_pace(exchange.server(), *last_event() - *last_before,
                             monotonic::now() - arrived_at);
             }
             continue;
@@ -164,7 +165,7 @@
         {
             co_return attempt_result::broken;
         }
-        const auto events = m_last_event.value_or(0) - before;
+        const auto events = last_event().value_or(before) - before;
         const auto time = monotonic::now() - first_at;
         record_generation_time(events, time);
         record_output_length(events);
@@ -178,9 +179,26 @@
     }
 }
 
+// Begins the events of an upstream's response.
+void request_flow::begin_events()
+{
+    if (!m_events)
+    {
+        m_events.emplace(m_facts.last_event.value_or(0),
+                         m_route->is_resumable ? event_numbering::required
+                                               : event_numbering::optional);
+    }
+    m_events->begin_response();
+}
+
+std::optional<std::int64_t> request_flow::last_event() const
+{
+    return m_events ? m_events->last_forwarded() : std::nullopt;
+}
+
 // Forwards the complete events received so far. Events that the client already
 // has are dropped.
-// @param is_in_order set to false if an event id does not follow the last one
+// @param is_in_order set to false if an event does not follow the last one
 // @return whether the client accepts the bytes
 awaitable<bool> request_flow::forward_events(event_splitter& splitter,
                                              const response_head& head,
@@ -189,20 +207,17 @@
     std::string bytes;
     while (auto event = splitter.next())
     {
-        if (event->id)
+        const auto verdict = m_events->check(*event);
+        if (verdict == event_verdict::invalid)
         {
-            if (m_last_event && *event->id <= *m_last_event)
-            {
-                continue;
-            }
-            if (m_last_event && *event->id != *m_last_event + 1)
-            {
-                is_in_order = false;
-                break;
-            }
-            m_last_event = event->id;
+            is_in_order = false;
+            m_response_fault = response_fault::event_out_of_sequence;
+            break;
+        }
+        if (verdict == event_verdict::forwarded)
+        {
+            bytes += event->bytes;
         }
-        bytes += event->bytes;
     }
     if (bytes.empty())
     {
--- a/services/gateway/response_check.cpp
+++ b/services/gateway/response_check.cpp
@@ -76,6 +76,8 @@
         return "contradictory_rejection";
     case response_fault::unsigned_success:
         return "unsigned_success";
+    case response_fault::event_out_of_sequence:
+        return "event_out_of_sequence";
     case response_fault::encoded_body:
         return "encoded_body";
     }
--- a/tests/gateway/endless_response_test.cpp
+++ b/tests/gateway/endless_response_test.cpp
@@ -107,10 +107,12 @@
         }
         if (m_has_begun.exchange(true))
         {
+            const bool continues = contains(request, "Last-Event-Id: 1\r\n");
             connection.send(contains(request, "GET /safe/")
                                 ? make_response("1", "body")
                                 : stream_head("1", "second") +
-                                      event_chunk(2, "b") + last_chunk);
+                                      event_chunk(continues ? 2 : 1, "b") +
+                                      last_chunk);
             return;
         }
         bool is_open = connection.send(m_response.start);
--- a/tests/gateway/invalid_status_test.cpp
+++ b/tests/gateway/invalid_status_test.cpp
@@ -29,7 +29,8 @@
     }
 
     /// Responds to each request on a connection with the invalid status.
-    static scripted_server::script respond_invalid(std::string fields = "")
+    static scripted_server::script
+    respond_invalid(const std::string& fields = "")
     {
         return [=](test_connection& connection)
         {
--- a/tests/wire/message_parser_test.cpp
+++ b/tests/wire/message_parser_test.cpp
@@ -280,7 +280,8 @@
           "Content-Length: 3\r\nContent-Length: 3\r\n",
           "Content-Length: 3, 3\r\n"})
     {
-        EXPECT_TRUE(is_refused("HTTP/1.1 200 OK\r\n" + fields + end)) << fields;
+        EXPECT_TRUE(is_refused(concat("HTTP/1.1 200 OK\r\n", fields, end)))
+            << fields;
     }
     EXPECT_TRUE(
         is_refused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + end));
