soak: Tell a request without an answer from a lost connection

Cause: a TimeoutError is an OSError, and clients.py caught the latter first. A client that left counted as cut off (LOST), and a request without an answer never counted as HELD.

Change: TimeoutError is caught first.

Evidence: ClientTest, two of three cases failed before.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -82,17 +82,17 @@
                 self._writer.write(http_wire.write_message(start, fields))
                 await self._writer.drain()
                 answer = await self._read_answer(attempt)
+        except TimeoutError:  # before OSError, of which it is one
+            if not leaves:
+                promises.given_up(attempt, self._soak.now())
+            self._drop()
+            return 0.05
         except (http_wire.Broken, OSError):
             promises.cut_off(attempt, self._soak.now())
             self._drop()
             if self._soak.versions and attempt.kind == "stream":
                 await self._resume(attempt, start, fields)
             return 0.05
-        except TimeoutError:
-            if not leaves:
-                promises.given_up(attempt, self._soak.now())
-            self._drop()
-            return 0.05
         if answer.fields.get("connection", "").lower() == "close":
             self._leave_connection()
         retry = float(answer.fields.get("retry-after", "0"))
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -1,10 +1,13 @@
 """Each promise is seen broken once: a check that cannot fail proves nothing."""
 
+import asyncio
 import signal
 import subprocess
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
+import clients
 from deadly import Deadly
 from deadly_parts import DeadlyParts
 from endless import GROSS, Endless, memory_bound_kib
@@ -588,5 +591,52 @@
         self.assertEqual(self.speeds(False, 1), [1.0] * 4)
 
 
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    """How a client tells of a request that gets no answer."""
+
+    async def outcome_of(self, serve, share_leaving):
+        """Asks once; returns what the client told of its request."""
+        told = []
+        promises = SimpleNamespace(
+            attempts={},
+            given_up=lambda attempt, now: told.append("given up"),
+            cut_off=lambda attempt, now: told.append("cut off"))
+        soak = SimpleNamespace(promises=promises, versions=None,
+                               now=lambda: 0.0, key_of=lambda tenant: "key")
+        gateway = SimpleNamespace(name="gateway-1")
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = clients.Client(soak, gateway, "tenant", 1)
+        client._draw = lambda: (
+            Attempt("a", "unsafe", "tenant", "gateway-1", 0.0, 0.05),
+            "POST /once/x HTTP/1.1", {})
+        client._reader, client._writer = await asyncio.open_connection(
+            *server.sockets[0].getsockname())
+        with (mock.patch.object(clients, "SHARE_LEAVING", share_leaving),
+              mock.patch.object(clients, "PATIENCE", 0.05)):
+            await client._ask()
+        server.close()
+        return told
+
+    # An error of the connection was seen in place of each time-out.
+    async def test_a_request_without_an_answer_is_given_up(self):
+        async def hold(reader, _):
+            await reader.read()
+
+        self.assertEqual(await self.outcome_of(hold, 0.0), ["given up"])
+
+    async def test_a_client_that_leaves_tells_nothing(self):
+        async def hold(reader, _):
+            await reader.read()
+
+        self.assertEqual(await self.outcome_of(hold, 1.0), [])
+
+    async def test_a_closed_connection_is_cut_off(self):
+        async def close(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+
+        self.assertEqual(await self.outcome_of(close, 0.0), ["cut off"])
+
+
 if __name__ == "__main__":
     unittest.main()
