gateway: Bound the memory of all responses held back together

Cause: each exchange was bounded by 256 KiB of input and as much of a body, and nothing bounded their sum; a piece for a slow client was held twice. Calls to the store and to peers kept any body that came within their time.

Change: buffer_budget counts what all exchanges hold back. The input of a connection holds 80 KiB, and 32 KiB once the head was read, and its memory is released. http_caller limits the body, and ends at its deadline also if input is always available.

The bounds of the soak are unchanged, its comments name where they come from.

--- a/libraries/ingress/event_splitter.hpp
+++ b/libraries/ingress/event_splitter.hpp
@@ -45,10 +45,16 @@
         return m_is_overlong;
     }
 
+    /// @return size of the incomplete event that is buffered
+    [[nodiscard]] std::size_t buffered_bytes() const
+    {
+        return m_buffer.size() - m_start;
+    }
+
     /// @return whether bytes of an incomplete event are buffered
     [[nodiscard]] bool has_partial() const
     {
-        return m_buffer.size() > m_start;
+        return buffered_bytes() > 0;
     }
 
 private:
--- a/services/gateway/byte_channel.cpp
+++ b/services/gateway/byte_channel.cpp
@@ -9,9 +9,8 @@
 {
 
 constexpr std::size_t read_size = 8192;
-// Larger than a head and a piece of a body. Beyond it the peer gets TCP
-// backpressure.
-constexpr std::size_t max_input = 262144;
+// Memory of a larger input is released once the input is consumed.
+constexpr std::size_t max_kept_capacity = 32768;
 
 } // namespace
 
@@ -36,7 +35,12 @@
 void byte_channel::consume(std::size_t size)
 {
     m_consumed += size;
-    if (m_consumed == m_input.size())
+    if (m_consumed == m_input.size() && m_input.capacity() > max_kept_capacity)
+    {
+        m_input = {};
+        m_consumed = 0;
+    }
+    else if (m_consumed == m_input.size())
     {
         m_input.clear();
         m_consumed = 0;
@@ -46,12 +50,18 @@
         m_input.erase(0, m_consumed);
         m_consumed = 0;
     }
-    if (m_input.size() < max_input)
+    if (m_input.size() < m_max_input)
     {
         m_input_drained.notify();
     }
 }
 
+void byte_channel::set_input_limit(std::size_t bytes)
+{
+    m_max_input = bytes;
+    m_input_drained.notify();
+}
+
 awaitable<bool> byte_channel::wait_input(monotonic::time_point deadline)
 {
     if (m_connection_state != channel_state::open)
@@ -149,7 +159,7 @@
     std::array<char, read_size> bytes; // NOLINT
     while (m_connection_state == channel_state::open)
     {
-        if (m_input.size() >= max_input)
+        if (m_input.size() >= m_max_input)
         {
             co_await m_input_drained.wait_for(std::chrono::seconds(1));
             continue;
--- a/services/gateway/byte_channel.hpp
+++ b/services/gateway/byte_channel.hpp
@@ -26,6 +26,10 @@
 class byte_channel : public std::enable_shared_from_this<byte_channel>
 {
 public:
+    /// How many bytes the input holds at first: more than the longest head of
+    /// an upstream. Beyond that, the peer gets TCP backpressure.
+    static constexpr std::size_t default_max_input = 81920;
+
     explicit byte_channel(asio::ip::tcp::socket socket);
     byte_channel(const byte_channel&) = delete;
     byte_channel& operator=(const byte_channel&) = delete;
@@ -43,6 +47,15 @@
     /// Removes bytes from the start of the input.
     void consume(std::size_t size);
 
+    /// Sets how many bytes the input may hold.
+    void set_input_limit(std::size_t bytes);
+
+    /// Lets a pending wait for input return.
+    void interrupt_wait()
+    {
+        m_input_arrived.notify();
+    }
+
     /// Waits for more input, or for the connection to close.
     /// @return whether either happened before the deadline
     awaitable<bool> wait_input(monotonic::time_point deadline);
@@ -110,6 +123,7 @@
     async_event m_input_drained;
     std::string m_input;
     std::size_t m_consumed = 0;
+    std::size_t m_max_input = default_max_input;
     channel_state m_connection_state = channel_state::open;
     std::function<void()> m_close_handler;
     std::optional<monotonic::time_point> m_writing_since;
--- a/services/gateway/client_response.cpp
+++ b/services/gateway/client_response.cpp
@@ -53,7 +53,7 @@
 }
 
 awaitable<bool> client_response::begin(const response_head& head,
-                                       std::string_view piece)
+                                       std::string piece)
 {
     m_has_begun = true;
     m_status = head.status;
@@ -73,10 +73,12 @@
         write_head_end(bytes);
         bytes += piece;
     }
+    // A client that reads slowly holds up the write.
+    piece = {};
     co_return co_await write(bytes);
 }
 
-awaitable<bool> client_response::append(std::string_view piece)
+awaitable<bool> client_response::append(std::string piece)
 {
     if (!m_constraints.allows_chunked)
     {
@@ -84,6 +86,7 @@
     }
     std::string bytes;
     write_chunk(bytes, piece);
+    piece = {};
     co_return co_await write(bytes);
 }
 
--- a/services/gateway/client_response.hpp
+++ b/services/gateway/client_response.hpp
@@ -38,10 +38,10 @@
     awaitable<bool> send_local(int status, std::string_view extra);
 
     /// Begins a streamed response with its head and first piece.
-    awaitable<bool> begin(const response_head& head, std::string_view piece);
+    awaitable<bool> begin(const response_head& head, std::string piece);
 
     /// Sends the next piece of a streamed response.
-    awaitable<bool> append(std::string_view piece);
+    awaitable<bool> append(std::string piece);
 
     /// Ends a streamed response.
     awaitable<bool> finish();
--- a/services/gateway/client_session.cpp
+++ b/services/gateway/client_session.cpp
@@ -1,5 +1,6 @@
 #include "client_session.hpp"
 
+#include <algorithm>
 #include <base/http_status.hpp>
 #include <telemetry/log.hpp>
 #include <wire/message_writer.hpp>
@@ -94,6 +95,9 @@
 awaitable<bool> client_session::read_request(client_request& request)
 {
     const auto limits = limits_of(m_state);
+    m_channel->set_input_limit(
+        std::max(byte_channel::default_max_input,
+                 static_cast<std::size_t>(limits.header_bytes) + 1));
     request_parser parser(static_cast<std::uint32_t>(limits.header_bytes),
                           limits.body_bytes);
     auto deadline = monotonic::now() + limits.idle_timeout;
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "async_event.hpp"
+#include "buffer_budget.hpp"
 #include "crash_detector.hpp"
 #include "gateway_metrics.hpp"
 #include "gateway_settings.hpp"
@@ -134,6 +135,7 @@
     milliseconds change_batch_delay{100};
     /// Time without reports of readers after which this host calls the store.
     milliseconds store_fallback_delay{1400};
+    buffer_budget buffers; ///< of responses
     std::int64_t requests_in_flight = 0;
 };
 
--- a/services/gateway/http_call.cpp
+++ b/services/gateway/http_call.cpp
@@ -20,8 +20,11 @@
 
 } // namespace
 
-http_caller::http_caller(asio::io_context& context, std::string address)
-    : m_context(context), m_address(std::move(address))
+http_caller::http_caller(asio::io_context& context, std::string address,
+                         std::size_t max_body_bytes)
+    : m_context(context)
+    , m_address(std::move(address))
+    , m_max_body_bytes(max_body_bytes)
 {
 }
 
@@ -113,6 +116,13 @@
         {
             channel->consume(parser->feed(channel->input()));
             response.body += parser->take_body();
+            // Input that never ends would defer the deadline, which otherwise
+            // ends only a wait.
+            if (response.body.size() > m_max_body_bytes ||
+                monotonic::now() >= deadline)
+            {
+                co_return std::nullopt;
+            }
             if (parser->is_complete())
             {
                 const auto head = parser->take_head();
--- a/services/gateway/http_call.hpp
+++ b/services/gateway/http_call.hpp
@@ -25,8 +25,14 @@
 class http_caller
 {
 public:
+    /// Longest response of the store, in bytes: a page of records holds 1 MB.
+    static constexpr std::size_t max_page_bytes = 4194304;
+
     /// @param address IP:PORT
-    http_caller(asio::io_context& context, std::string address);
+    /// @param max_body_bytes longest body of a response; a longer one fails the
+    /// call
+    http_caller(asio::io_context& context, std::string address,
+                std::size_t max_body_bytes = max_page_bytes);
     ~http_caller();
     http_caller(const http_caller&) = delete;
     http_caller& operator=(const http_caller&) = delete;
@@ -48,6 +54,7 @@
 
     asio::io_context& m_context;
     std::string m_address;
+    std::size_t m_max_body_bytes;
     std::shared_ptr<byte_channel> m_channel;
 };
 
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -95,8 +95,7 @@
     awaitable<bool> forward_events(event_splitter& splitter,
                                    const response_head& head,
                                    bool& is_in_order);
-    awaitable<bool> send_piece(const response_head& head,
-                               std::string_view bytes);
+    awaitable<bool> send_piece(const response_head& head, std::string bytes);
     [[nodiscard]] std::optional<milliseconds>
     retry_delay_if_too_late(const server_entry& server,
                             const choice_request& wanted) const;
--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds max_event_gap{2500};
 // Time between two searches for an upstream that can resume a silent stream.
 constexpr milliseconds search_interval{250};
-// Longer responses are streamed to the client instead of buffered.
-constexpr std::size_t max_buffered_bytes = 262144;
 
 bool is_event_stream(const response_head& head)
 {
@@ -49,6 +47,8 @@
 request_flow::relay_body(server_exchange& exchange)
 {
     count_usage();
+    // Longer responses are streamed to the client instead of buffered.
+    buffer_share share(m_state.buffers);
     std::string body;
     while (true)
     {
@@ -56,11 +56,13 @@
         if (state == exchange_state::piece)
         {
             body += exchange.take_piece();
-            if (body.size() <= max_buffered_bytes)
+            share.set(body.size());
+            if (body.size() <= m_state.buffers.allowance())
             {
                 continue;
             }
-            const bool is_sent = co_await send_piece(exchange.head(), body);
+            const bool is_sent =
+                co_await send_piece(exchange.head(), std::move(body));
             body.clear();
             if (!is_sent)
             {
@@ -82,7 +84,7 @@
     }
     if (m_response.has_begun())
     {
-        co_await m_response.append(body);
+        co_await m_response.append(std::move(body));
         const bool is_sent = co_await m_response.finish();
         co_return is_sent ? attempt_result::answered
                           : attempt_result::abandoned;
@@ -108,6 +110,7 @@
     }
     count_usage();
     event_splitter splitter;
+    buffer_share share(m_state.buffers);
     const auto first_at = monotonic::now();
     begin_events();
     const auto before = last_event().value_or(m_facts.last_event.value_or(0));
@@ -133,7 +136,11 @@
             {
                 co_return attempt_result::abandoned;
             }
-            if (!is_in_order || splitter.is_overlong())
+            share.set(splitter.buffered_bytes());
+            const bool is_overlong =
+                splitter.is_overlong() ||
+                splitter.buffered_bytes() > m_state.buffers.allowance();
+            if (!is_in_order || is_overlong)
             {
                 co_return attempt_result::broken;
             }
@@ -225,19 +232,19 @@
     }
     record_stream_origin();
     m_first_event_at = m_first_event_at.value_or(monotonic::now());
-    co_return co_await send_piece(head, bytes);
+    co_return co_await send_piece(head, std::move(bytes));
 }
 
 // Sends a piece of the body, preceded by the head if none was sent.
 // @return whether the client accepts the bytes
 awaitable<bool> request_flow::send_piece(const response_head& head,
-                                         std::string_view bytes)
+                                         std::string bytes)
 {
     if (m_response.has_begun())
     {
-        co_return co_await m_response.append(bytes);
+        co_return co_await m_response.append(std::move(bytes));
     }
-    co_return co_await m_response.begin(head, bytes);
+    co_return co_await m_response.begin(head, std::move(bytes));
 }
 
 } // namespace daleshelf
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -18,6 +18,8 @@
 // link of a host (10 Mbit/s) carries it in 3.4 s. Longer responses have a
 // length or are chunked.
 constexpr std::size_t max_unframed_bytes = 4194304;
+// Longer than the framing of a chunk.
+constexpr std::size_t max_body_input = 32768;
 // An upstream that reads later than this may be draining by then.
 constexpr milliseconds send_timeout{1500};
 
@@ -154,6 +156,7 @@
 awaitable<exchange_state> server_exchange::read_head()
 {
     make_parser();
+    m_connection->channel->set_input_limit(byte_channel::default_max_input);
     while (true)
     {
         if (m_is_cancelled)
@@ -166,6 +169,7 @@
             {
                 m_upstreams.record_response(m_request.server.service);
                 m_is_framed = !m_parser->ends_with_connection();
+                m_connection->channel->set_input_limit(max_body_input);
                 co_return exchange_state::head;
             }
         }
--- a/services/gateway/topic_sharing.cpp
+++ b/services/gateway/topic_sharing.cpp
@@ -36,6 +36,8 @@
 // The list of hosts is read within a few milliseconds, and a restarted host
 // waits for it.
 constexpr milliseconds fleet_list_pause{25};
+// A full copy of 10,000 upstreams has 2 MB.
+constexpr std::size_t max_copy_bytes = 33554432;
 constexpr std::string_view records_target = "/records/";
 
 shared_record to_shared(const platform::keyed_record& record)
@@ -306,7 +308,7 @@
     {
         append_text(target, "/", follower->next().value());
     }
-    http_caller caller(m_state.context, address);
+    http_caller caller(m_state.context, address, max_copy_bytes);
     // NOTE: a temporary as an argument of a coroutine is destroyed twice by
     // GCC 12.
     platform::store_call call{"GET", target, "", ""};
--- a/tests/gateway/http_call_test.cpp
+++ b/tests/gateway/http_call_test.cpp
@@ -46,6 +46,53 @@
     on_loop([&] { caller.reset(); });
 }
 
+// Guards against a host that runs out of memory at a store or peer that sends
+// without end.
+TEST_F(http_call, a_body_without_end_fails_the_call)
+{
+    constexpr std::size_t chunk_size = 65536;
+    constexpr std::size_t max_body = 262144;
+    // What the sockets hold besides.
+    constexpr std::size_t max_sent = std::size_t{128} * max_body;
+    std::promise<std::size_t> sent_bytes;
+    const scripted_server server(
+        [&](test_connection& connection)
+        {
+            connection.read_message();
+            connection.send(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            const auto chunk =
+                "10000\r\n" + std::string(chunk_size, 'x') + "\r\n";
+            std::size_t sent = 0;
+            while (sent <= max_sent && connection.send(chunk))
+            {
+                sent += chunk_size;
+            }
+            sent_bytes.set_value(sent);
+        });
+    std::unique_ptr<http_caller> caller;
+    std::promise<bool> is_answered;
+    on_loop(
+        [&]
+        {
+            caller = std::make_unique<http_caller>(m_context, server.address(),
+                                                   max_body);
+            asio::co_spawn(
+                m_context,
+                [&]() -> awaitable<void>
+                {
+                    platform::store_call call{"GET", "/", "", ""};
+                    const auto response = co_await caller->call(
+                        std::move(call), milliseconds(60000));
+                    is_answered.set_value(response.has_value());
+                },
+                asio::detached);
+        });
+    EXPECT_FALSE(is_answered.get_future().get());
+    EXPECT_LE(sent_bytes.get_future().get(), max_sent);
+    on_loop([&] { caller.reset(); });
+}
+
 TEST_F(http_call, calls_share_a_connection)
 {
     const scripted_server server(
--- a/tests/soak/endless.py
+++ b/tests/soak/endless.py
@@ -18,11 +18,11 @@
 PAUSE = (0.3, 1.5)
 # Ignored by a stand-in that has not installed its handlers yet.
 SIGNAL = signal.SIGWINCH
-# max_input in services/gateway/byte_channel.cpp.
+# At least default_max_input in services/gateway/byte_channel.hpp.
 INPUT_KIB = 256
 # max_event_bytes in libraries/ingress/event_splitter.hpp; bodies that are not
-# streams have max_buffered_bytes in services/gateway/request_relay.cpp, which
-# is as large.
+# streams have max_allowance in services/gateway/buffer_budget.hpp, which is as
+# large.
 EVENT_KIB = 256
 
 
