gateway: Answer every request before a planned stop ends

Cause: a request was taken by when it came, not by whether it could end, with the client's whole deadline, and the event loop was stopped with requests in it.

Change: the time by which responses are due bounds the deadline of requests that come after the stop began. completion_time follows how long the requests of each route take; one that is not expected to end in time is rejected, when it comes and before it is sent. At that time the requests in flight end as at their deadlines: 504, 503 where nothing was sent, streams broken off. A request whose time is used up while it waits for a permit is no longer sent. A reload within a stop leaves its end where it is.

--- a/services/gateway/client_session.cpp
+++ b/services/gateway/client_session.cpp
@@ -82,6 +82,14 @@
     }
 }
 
+void client_session::expire()
+{
+    if (m_flow != nullptr)
+    {
+        m_flow->expire();
+    }
+}
+
 void client_session::close_if_stalled(monotonic::time_point now)
 {
     const auto since = m_channel->writing_since();
--- a/services/gateway/client_session.hpp
+++ b/services/gateway/client_session.hpp
@@ -26,6 +26,9 @@
     /// Closes the connection if a write has been stalled for too long.
     void close_if_stalled(monotonic::time_point now);
 
+    /// Ends the request in progress as at its deadline.
+    void expire();
+
     /// Closes the connection at once.
     void close()
     {
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -17,7 +17,9 @@
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 // The load balancer probes every second and removes a host after two failures.
 constexpr std::chrono::milliseconds balancer_removal_time{2700};
-constexpr std::chrono::milliseconds stop_margin{600};
+// Time for responses to be sent before the process exits.
+constexpr std::chrono::milliseconds response_margin{600};
+constexpr std::chrono::milliseconds exit_margin{200};
 constexpr std::chrono::milliseconds stop_check_interval{50};
 
 double seconds_between(monotonic::time_point from, monotonic::time_point to)
@@ -222,23 +224,34 @@
 
 // Graceful shutdown: reports not ready, closes idle connections once the
 // balancer has removed this host, and stops when no request is in flight or the
-// drain time is over.
+// drain time is over. Requests that are in flight shortly before get their
+// final response.
 awaitable<void> gateway::stop()
 {
-    const auto stop_started_at = monotonic::now();
+    const auto started_at = monotonic::now();
+    // A reload of the settings leaves the end of this stop where it is.
+    const auto time = m_state.settings.stop_time;
     m_state.is_stopping = true;
-    m_state.stopping_since = stop_started_at;
+    m_state.stopping_since = started_at;
+    m_state.responses_due =
+        std::max(started_at, started_at + time - response_margin);
     m_state.quota.shared().stop();
     m_duties.stop();
     log(events::process_stopping,
         {{"in_flight", std::to_string(m_state.requests_in_flight)}});
-    const auto time = m_state.settings.stop_time - stop_margin;
+    bool has_expired = false;
     boot_timer timer(m_context);
-    while (monotonic::now() - stop_started_at < time)
+    while (monotonic::now() < started_at + time - exit_margin)
     {
         timer.expires_after(stop_check_interval);
         co_await timer.async_wait(use_result);
-        if (monotonic::now() - stop_started_at < balancer_removal_time)
+        const auto now = monotonic::now();
+        if (now >= m_state.responses_due && !has_expired)
+        {
+            has_expired = true;
+            expire_requests();
+        }
+        if (now - started_at < balancer_removal_time)
         {
             continue;
         }
@@ -259,6 +272,22 @@
     m_context.stop();
 }
 
+// Lets the requests in flight end as at their deadlines.
+void gateway::expire_requests()
+{
+    if (m_state.requests_in_flight == 0)
+    {
+        return;
+    }
+    log(events::drain_timed_out,
+        {{"in_flight", std::to_string(m_state.requests_in_flight)}});
+    const auto sessions = m_sessions;
+    for (const auto& session : sessions)
+    {
+        session->expire();
+    }
+}
+
 void gateway::reload_settings()
 {
     try
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -48,11 +48,13 @@
     awaitable<void> watch_signals();
     awaitable<void> run_periodic_tasks();
     awaitable<void> stop();
+    void expire_requests();
     void reload_settings();
     void apply_operator_record(const platform::keyed_record& record);
     void apply_operator_list(
         const std::map<std::string, platform::keyed_record>& records);
     void apply_configuration(const platform::keyed_record& record);
+    void evict_completion_times();
     void apply_rollout(const service_name& service,
                        const platform::keyed_record& record);
     void apply_server_record(const platform::keyed_record& record);
--- a/services/gateway/gateway_records.cpp
+++ b/services/gateway/gateway_records.cpp
@@ -80,6 +80,7 @@
         m_state.quota.shared().set_limits(configuration.tenants);
         m_state.routes =
             std::make_shared<const route_table>(std::move(configuration));
+        evict_completion_times();
         log(events::configuration_applied,
             {{"version", std::to_string(version)},
              {"before", std::to_string(known)},
@@ -96,6 +97,18 @@
     }
 }
 
+// Forgets the times of routes that no longer exist.
+void gateway::evict_completion_times()
+{
+    absl::flat_hash_set<std::string_view> names;
+    for (const auto& route : m_state.routes->configuration().routes)
+    {
+        names.insert(route.name);
+    }
+    absl::erase_if(m_state.completion_times, [&](const auto& entry)
+                   { return !names.contains(entry.first); });
+}
+
 void gateway::apply_server_record(const platform::keyed_record& record)
 {
     const upstream_id id(record.key);
--- a/services/gateway/gateway_state.hpp
+++ b/services/gateway/gateway_state.hpp
@@ -24,6 +24,7 @@
 #include <fair_shares/share_controller.hpp>
 #include <fair_shares/slot_demand.hpp>
 #include <headroom/output_length_model.hpp>
+#include <ingress/completion_time.hpp>
 #include <ingress/retry_budget_share.hpp>
 #include <ingress/route_table.hpp>
 #include <ingress/server_choice.hpp>
@@ -129,6 +130,10 @@
                               ///< that started at the same time
     bool is_stopping = false;
     monotonic::time_point stopping_since{};
+    /// While stopping: when each request is to have its final response.
+    monotonic::time_point responses_due{};
+    /// By the names of routes.
+    absl::flat_hash_map<std::string, completion_time> completion_times;
     list_role role = list_role::starting;
     /// Changes in the store that follow each other within this time are read
     /// in one batch.
--- a/services/gateway/request_attempt.cpp
+++ b/services/gateway/request_attempt.cpp
@@ -80,7 +80,7 @@
     }
     else if (state == exchange_state::deadline_passed)
     {
-        m_may_have_run = true;
+        m_may_have_run = m_may_have_run || m_was_sent;
         outcome = attempt_outcome::timed_out;
         result = attempt_result::late;
     }
--- a/services/gateway/request_flow.cpp
+++ b/services/gateway/request_flow.cpp
@@ -13,9 +13,6 @@
 
 constexpr int max_failed_connects = 3;
 
-// Requests that arrive later than this after the stop are rejected.
-constexpr milliseconds stop_accept_window{2900};
-
 // Retry-After of requests that this host cannot route.
 constexpr milliseconds retry_when_unconfigured{1000};
 
@@ -71,11 +68,6 @@
                         retry_when_unconfigured);
         co_return false;
     }
-    if (is_past_stop_window())
-    {
-        co_await reject(http_status::unavailable, "stopping", retry_when_full);
-        co_return false;
-    }
     // 2. The route.
     const auto* host = m_request.head.fields.find("Host");
     m_route = m_routes->find_route(host == nullptr ? "" : *host,
@@ -98,6 +90,15 @@
     m_deadline =
         m_request.received +
         std::min(m_route->timeout, m_facts.deadline.value_or(m_route->timeout));
+    if (m_state.is_stopping)
+    {
+        m_deadline = std::min(m_deadline, m_state.responses_due);
+    }
+    const bool is_rejected = co_await reject_if_outlasting();
+    if (is_rejected)
+    {
+        co_return false;
+    }
     const auto& target = route_table::pick_target(
         *m_route, absl::Uniform(m_state.random, 0.0, 1.0));
     m_service = m_routes->find_service(target);
@@ -184,6 +185,19 @@
             co_await finish_failed(attempt_result::not_run);
             co_return;
         }
+        // A wait for a permit can have used up the time.
+        if (time_left().count() <= 0)
+        {
+            m_state.limits.refund(std::move(target->permit));
+            co_await finish_failed(attempt_result::late);
+            co_return;
+        }
+        const bool is_outlasting = co_await reject_if_outlasting();
+        if (is_outlasting)
+        {
+            m_state.limits.refund(std::move(target->permit));
+            co_return;
+        }
         const auto chosen = target->server;
         if (const auto wait = retry_delay_if_too_late(chosen, wanted))
         {
@@ -200,6 +214,7 @@
         const auto result = co_await attempt(*target, wanted);
         log_attempt(chosen, result);
         record_attempt(chosen, result, sent_at);
+        record_completion_time(result, monotonic::now() - sent_at);
         if (result == attempt_result::broken ||
             result == attempt_result::not_reached)
         {
@@ -334,14 +349,6 @@
     co_await m_response.send_local(status, extra);
 }
 
-// @return whether this process may exit before the request completes; by then
-// the load balancer has had time to route requests to other hosts
-bool request_flow::is_past_stop_window() const
-{
-    return m_state.is_stopping &&
-           m_request.received - m_state.stopping_since > stop_accept_window;
-}
-
 milliseconds request_flow::time_left() const
 {
     return std::chrono::duration_cast<milliseconds>(m_deadline -
--- a/services/gateway/request_flow.hpp
+++ b/services/gateway/request_flow.hpp
@@ -49,6 +49,10 @@
     /// the upstream is released at once.
     void cancel();
 
+    /// Ends the request soon with the response of one whose deadline has
+    /// passed; the process is about to exit.
+    void expire();
+
 private:
     /// Result of one attempt.
     enum class attempt_result
@@ -116,7 +120,10 @@
                         std::optional<milliseconds> retry_after);
     [[nodiscard]] std::string
     serialized_request(const server_entry& server) const;
-    [[nodiscard]] bool is_past_stop_window() const;
+    [[nodiscard]] bool outlasts_process() const;
+    awaitable<bool> reject_if_outlasting();
+    void record_completion_time(attempt_result result,
+                                monotonic::duration time);
     [[nodiscard]] milliseconds time_left() const;
     [[nodiscard]] milliseconds elapsed() const;
     void record_demand();
--- a/services/gateway/server_exchange.cpp
+++ b/services/gateway/server_exchange.cpp
@@ -46,6 +46,10 @@
     {
         co_return fail();
     }
+    if (monotonic::now() >= m_request.deadline)
+    {
+        co_return exchange_state::deadline_passed;
+    }
     const bool is_sent = co_await send();
     if (!is_sent)
     {
@@ -126,6 +130,22 @@
     }
 }
 
+void server_exchange::expire()
+{
+    m_request.deadline = std::min(m_request.deadline, monotonic::now());
+    if (!m_connection)
+    {
+        return;
+    }
+    auto& channel = *m_connection->channel;
+    if (channel.writing_since())
+    {
+        channel.reset();
+        return;
+    }
+    channel.interrupt_wait();
+}
+
 awaitable<bool> server_exchange::connect()
 {
     auto result = co_await m_upstreams.connect(
--- a/services/gateway/server_exchange.hpp
+++ b/services/gateway/server_exchange.hpp
@@ -109,6 +109,9 @@
     /// Resets the connection at once, so that the upstream drops the request.
     void cancel();
 
+    /// Moves the deadline to the present.
+    void expire();
+
     /// @return the upstream that the request is sent to
     [[nodiscard]] const server_entry& server() const
     {
