gateway: Count a piece of a body as held only until it was sent

Cause: after a piece had gone to its client, buffer_share kept its size until the next one came, so that other exchanges were restricted for longer than needed. Change: the share is set to 0 once the piece was sent. Result: 493 gateway tests pass; no measurement of its own.

--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -64,6 +64,7 @@
             const bool is_sent =
                 co_await send_piece(exchange.head(), std::move(body));
             body.clear();
+            share.set(0);
             if (!is_sent)
             {
                 co_return attempt_result::abandoned;
