gateway: Give the share of a buffer budget a header of its own

Cause: the house rules ask for one class a header. Change: buffer_share moves to its own header, unchanged.

--- a/services/gateway/request_relay.cpp
+++ b/services/gateway/request_relay.cpp
@@ -1,4 +1,5 @@
 // Relay of an upstream's response to the client.
+#include "buffer_share.hpp"
 #include "request_flow.hpp"
 
 #include <algorithm>
--- a/tests/gateway/buffer_budget_test.cpp
+++ b/tests/gateway/buffer_budget_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include <gateway/buffer_budget.hpp>
+#include <gateway/buffer_share.hpp>
 #include <memory>
 #include <vector>
 
