--- a/libraries/ingress/event_splitter.hpp
+++ b/libraries/ingress/event_splitter.hpp
@@ -22,7 +22,7 @@
 {
     std::string bytes;
     std::optional<std::int64_t> id; ///< nothing without exactly one numeric id
-    bool has_id = false;            ///< it has an id, of whatever form
+    bool has_id = false;            ///< it has an id field, valid or not
     bool has_data = false;          ///< it has data; without, it is a comment
 };
 
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -113,7 +113,7 @@
 }
 
 // Guards against a response whose status is none of HTTP, and against one that
-// is taken for an informational one.
+// is read as an informational one.
 TEST(http_client, a_status_outside_100_to_599_is_no_response)
 {
     closing_server server;
--- a/tests/ingress/event_sequence_test.cpp
+++ b/tests/ingress/event_sequence_test.cpp
@@ -149,7 +149,7 @@
               numbered(7));
 }
 
-// Whatever the responses hold, the client gets 1, 2, 3 and so on.
+// For any responses, the client gets 1, 2, 3 and so on.
 RC_GTEST_PROP(event_sequence, forwards_each_number_once_and_in_order, ())
 {
     const auto last_received = *rc::gen::inRange<std::int64_t>(0, 4);
