--- a/libraries/ingress/event_sequence.cpp
+++ b/libraries/ingress/event_sequence.cpp
@@ -2,8 +2,6 @@
 
 #include "event_splitter.hpp"
 
-#include <algorithm>
-
 namespace daleshelf
 {
 
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -356,6 +356,33 @@
     return client->read_message();
 }
 
+std::optional<call_response> gateway_fixture::call(const std::string& address,
+                                                   milliseconds timeout,
+                                                   std::size_t max_body_bytes)
+{
+    std::unique_ptr<http_caller> caller;
+    std::promise<std::optional<call_response>> response;
+    on_loop(
+        [&]
+        {
+            caller = std::make_unique<http_caller>(m_context, address,
+                                                   max_body_bytes);
+            asio::co_spawn(
+                m_context,
+                [&]() -> awaitable<void>
+                {
+                    platform::store_call call{"GET", "/", "", ""};
+                    auto received =
+                        co_await caller->call(std::move(call), timeout);
+                    response.set_value(std::move(received));
+                },
+                asio::detached);
+        });
+    auto received = response.get_future().get();
+    on_loop([&] { caller.reset(); });
+    return received;
+}
+
 std::string gateway_fixture::request_for(const std::string& path,
                                          const std::string& id)
 {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <gateway/client_session.hpp>
 #include <gateway/gateway_state.hpp>
+#include <gateway/http_call.hpp>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -162,6 +163,12 @@
     /// Sends one request and reads the complete response.
     std::string fetch(const std::string& path, const std::string& id = "1");
 
+    /// Makes one call on a connection of its own.
+    /// @return the response, or nothing if the call failed or timed out
+    std::optional<call_response>
+    call(const std::string& address, milliseconds timeout,
+         std::size_t max_body_bytes = http_caller::max_page_bytes);
+
     static std::string request_for(const std::string& path,
                                    const std::string& id = "1");
 
--- a/tests/gateway/http_call_test.cpp
+++ b/tests/gateway/http_call_test.cpp
@@ -70,27 +70,8 @@
             }
             sent_bytes.set_value(sent);
         });
-    std::unique_ptr<http_caller> caller;
-    std::promise<bool> is_answered;
-    on_loop(
-        [&]
-        {
-            caller = std::make_unique<http_caller>(m_context, server.address(),
-                                                   max_body);
-            asio::co_spawn(
-                m_context,
-                [&]() -> awaitable<void>
-                {
-                    platform::store_call call{"GET", "/", "", ""};
-                    const auto response = co_await caller->call(
-                        std::move(call), milliseconds(60000));
-                    is_answered.set_value(response.has_value());
-                },
-                asio::detached);
-        });
-    EXPECT_FALSE(is_answered.get_future().get());
+    EXPECT_FALSE(call(server.address(), milliseconds(60000), max_body));
     EXPECT_LE(sent_bytes.get_future().get(), max_sent);
-    on_loop([&] { caller.reset(); });
 }
 
 TEST_F(http_call, calls_share_a_connection)
--- a/tests/gateway/invalid_status_test.cpp
+++ b/tests/gateway/invalid_status_test.cpp
@@ -3,8 +3,6 @@
 #include "gateway_fixture.hpp"
 
 #include <base/text.hpp>
-#include <future>
-#include <gateway/http_call.hpp>
 
 namespace daleshelf
 {
@@ -97,25 +95,8 @@
             connection.send(response_with(GetParam(), "1") +
                             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
         });
-    std::unique_ptr<http_caller> caller;
-    std::promise<std::string> body;
-    on_loop(
-        [&]
-        {
-            caller = std::make_unique<http_caller>(m_context, server.address());
-            asio::co_spawn(
-                m_context,
-                [&]() -> awaitable<void>
-                {
-                    platform::store_call call{"GET", "/", "", ""};
-                    const auto response = co_await caller->call(
-                        std::move(call), milliseconds(5000));
-                    body.set_value(response ? response->body : "none");
-                },
-                asio::detached);
-        });
-    EXPECT_EQ(body.get_future().get(), "none");
-    on_loop([&] { caller.reset(); });
+    const auto response = call(server.address(), milliseconds(5000));
+    EXPECT_EQ(response ? response->body : "none", "none");
 }
 
 INSTANTIATE_TEST_SUITE_P(statuses, invalid_status,
--- a/tests/gateway/stopped_head_test.cpp
+++ b/tests/gateway/stopped_head_test.cpp
@@ -3,8 +3,6 @@
 #include "gateway_fixture.hpp"
 
 #include <base/text.hpp>
-#include <future>
-#include <gateway/http_call.hpp>
 
 namespace daleshelf
 {
@@ -135,27 +133,8 @@
         {
             set_answer(head.substr(0, size),
                        size % 2 == 0 ? closing::in_order : closing::by_reset);
-            std::promise<bool> has_response;
-            std::unique_ptr<http_caller> caller;
-            on_loop(
-                [&]
-                {
-                    caller = std::make_unique<http_caller>(m_context,
-                                                           server.address());
-                    asio::co_spawn(
-                        m_context,
-                        [&]() -> awaitable<void>
-                        {
-                            platform::store_call call{"GET", "/", "", ""};
-                            const auto response = co_await caller->call(
-                                std::move(call), milliseconds(5000));
-                            has_response.set_value(response.has_value());
-                        },
-                        asio::detached);
-                });
-            EXPECT_FALSE(has_response.get_future().get())
+            EXPECT_FALSE(call(server.address(), milliseconds(5000)))
                 << head.substr(0, size);
-            on_loop([&] { caller.reset(); });
         }
     }
 }
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -24,6 +24,18 @@
 SERVER_PORT, STORE_PORT = 23105, 23106
 
 
+def resident_kib(pid):
+    """Returns a process's resident memory, or None if it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return None
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    return None
+
+
 class Process:
     """One process that was started here; signals go to it alone."""
 
@@ -100,15 +112,7 @@
         return int(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
     def resident_kib(self):
-        """Returns the resident memory, or None if the process has ended."""
-        try:
-            status = Path(f"/proc/{self.pid}/status").read_text()
-        except OSError:
-            return None
-        for line in status.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1])
-        return None
+        return resident_kib(self.pid)
 
     def socket_count(self):
         count = 0
--- a/tests/soak/one_gateway.py
+++ b/tests/soak/one_gateway.py
@@ -9,9 +9,9 @@
 
 import http_wire
 import store
+from fleet import (CLIENT_PORT, METRICS_PORT, PEER_PORT, READY_PORT,
+                   SERVER_PORT, STORE_PORT, resident_kib)
 
-CLIENT_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 23101, 23102, 23103, 23104
-SERVER_PORT, STORE_PORT = 23105, 23106
 LONGEST_WAIT = 60.0  # seconds; bounds a hang and decides nothing else
 
 SERVICE = "service"
@@ -102,15 +102,7 @@
             return await self._child.wait()
 
     def resident_kib(self):
-        """Returns the resident memory, or None if the process has ended."""
-        try:
-            status = Path(f"/proc/{self._child.pid}/status").read_text()
-        except OSError:
-            return None
-        for line in status.splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1])
-        return None
+        return resident_kib(self._child.pid)
 
     async def _listen(self, port, serve):
         self._listeners.append(
--- a/tests/wire/message_parser_test.cpp
+++ b/tests/wire/message_parser_test.cpp
@@ -368,24 +368,6 @@
 {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
                              "chunked\r\n\r\n";
-    const auto is_refused = [](const std::string& bytes, std::size_t step)
-    {
-        response_parser parser(head_bytes);
-        std::string held;
-        try
-        {
-            for (std::size_t next = 0; next < bytes.size(); next += step)
-            {
-                held += bytes.substr(next, step);
-                held.erase(0, parser.feed(held));
-            }
-        }
-        catch (const parse_error&)
-        {
-            return true;
-        }
-        return false;
-    };
     // "1;a=" and the line end have six bytes.
     const std::string longest(max_chunk_framing_bytes - 6, 'x');
     const std::string end = "\r\nb\r\n0\r\n\r\n";
